--- /dev/null
+++ b/crates/store/src/kv.rs
@@ -0,0 +1,194 @@
+//! The store as a trait: range reads, guarded transactions, leases and watches.
+
+use std::future::Future;
+use std::pin::Pin;
+use std::time::Duration;
+
+use derive_more::{Display, Error};
+
+/// A future that stays on the thread of its instance.
+pub type LocalFuture<'a, T> = Pin<Box<dyn Future<Output = T> + 'a>>;
+/// Revision of the store or of a key. It grows with each write; 0 stands for an absent key.
+pub type Revision = i64;
+/// Id of a lease.
+pub type LeaseId = i64;
+
+/// A key with its value and revisions.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct KeyValue {
+    /// The key.
+    pub key: String,
+    /// The value.
+    pub value: Vec<u8>,
+    /// Revision of the write that created the key.
+    pub create_revision: Revision,
+    /// Revision of the last write to the key.
+    pub mod_revision: Revision,
+    /// Lease that removes the key when it lapses, or 0.
+    pub lease: LeaseId,
+}
+
+/// A guard of a transaction.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Compare {
+    /// The key's last write has this revision; 0 means that the key is absent.
+    ModRevision {
+        /// The key.
+        key: String,
+        /// Its expected revision.
+        revision: Revision,
+    },
+    /// The key exists and has this value.
+    Value {
+        /// The key.
+        key: String,
+        /// Its expected value.
+        value: Vec<u8>,
+    },
+}
+
+/// One operation of a transaction.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Operation {
+    /// Writes a key.
+    Put {
+        /// The key.
+        key: String,
+        /// The new value.
+        value: Vec<u8>,
+        /// Lease to attach, or 0.
+        lease: LeaseId,
+    },
+    /// Removes a key, or all keys from `key` up to but not including `end`.
+    Delete {
+        /// The key, or the first key of the range.
+        key: String,
+        /// End of the range.
+        end: Option<String>,
+    },
+    /// Reads a key, or all keys from `key` up to but not including `end`.
+    Range {
+        /// The key, or the first key of the range.
+        key: String,
+        /// End of the range.
+        end: Option<String>,
+    },
+}
+
+/// A transaction: if all guards hold, runs `then`, else runs `otherwise`.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Txn {
+    /// Guards.
+    pub compares: Vec<Compare>,
+    /// Operations if all guards hold.
+    pub then: Vec<Operation>,
+    /// Operations if a guard fails.
+    pub otherwise: Vec<Operation>,
+}
+
+impl Txn {
+    /// Creates an empty transaction.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Adds a guard.
+    pub fn with_compare(mut self, compare: Compare) -> Self {
+        self.compares.push(compare);
+        self
+    }
+
+    /// Adds an operation that runs if all guards hold.
+    pub fn with_then(mut self, operation: Operation) -> Self {
+        self.then.push(operation);
+        self
+    }
+
+    /// Adds an operation that runs if a guard fails.
+    pub fn with_otherwise(mut self, operation: Operation) -> Self {
+        self.otherwise.push(operation);
+        self
+    }
+}
+
+/// Reply to one operation of a transaction.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum OperationReply {
+    /// The key was written.
+    Put,
+    /// This many keys were removed.
+    Delete(u64),
+    /// The keys that were read, ordered by key.
+    Range(Vec<KeyValue>),
+}
+
+/// Reply to a transaction.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TxnReply {
+    /// True if all guards held.
+    pub succeeded: bool,
+    /// Revision of the store after the transaction.
+    pub revision: Revision,
+    /// One reply for each operation that ran.
+    pub replies: Vec<OperationReply>,
+}
+
+/// A change that a watch saw.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WatchEvent {
+    /// Revision of the change.
+    pub revision: Revision,
+    /// The changed key with its new value, or `None` if it was removed.
+    pub value: Option<KeyValue>,
+}
+
+/// Why a call to the store failed.
+#[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
+pub enum StoreError {
+    /// The call did not reach the store; nothing was written.
+    #[display("the store cannot be reached: {reason}")]
+    Unreachable {
+        /// What failed.
+        reason: String,
+    },
+    /// The call may have reached the store; a write may or may not have taken effect.
+    #[display("the store gave no answer: {reason}")]
+    NoAnswer {
+        /// What failed.
+        reason: String,
+    },
+    /// The store refused the call; nothing was written.
+    #[display("the store refused the call: {reason}")]
+    Refused {
+        /// Reason that the store gave.
+        reason: String,
+    },
+}
+
+/// The platform's key-value store.
+pub trait Store {
+    /// Reads a key, or all keys from `key` up to but not including `end`.
+    fn range<'a>(
+        &'a self,
+        key: &'a str,
+        end: Option<&'a str>,
+    ) -> LocalFuture<'a, Result<Vec<KeyValue>, StoreError>>;
+
+    /// Runs a transaction.
+    fn txn(&self, txn: Txn) -> LocalFuture<'_, Result<TxnReply, StoreError>>;
+
+    /// Grants a lease for `ttl`, rounded up to whole seconds.
+    fn grant_lease(&self, ttl: Duration) -> LocalFuture<'_, Result<LeaseId, StoreError>>;
+
+    /// Renews a lease and returns the time that it now lasts, zero if it lapsed.
+    fn keep_lease_alive(&self, lease: LeaseId) -> LocalFuture<'_, Result<Duration, StoreError>>;
+
+    /// Waits for changes to `key` from `revision` on, at most for `wait`. Returns no events if
+    /// nothing changed.
+    fn watch<'a>(
+        &'a self,
+        key: &'a str,
+        revision: Revision,
+        wait: Duration,
+    ) -> LocalFuture<'a, Result<Vec<WatchEvent>, StoreError>>;
+}
--- /dev/null
+++ b/crates/store/src/lib.rs
@@ -0,0 +1,11 @@
+//! The platform's key-value store: interface, adapter, configuration versions and idempotency
+//! records.
+
+mod idempotency;
+mod kv;
+
+pub use idempotency::{Claim, ClaimOutcome, IdempotencyRecords, RecordError, RecordState};
+pub use kv::{
+    Compare, KeyValue, LeaseId, LocalFuture, Operation, OperationReply, Revision, Store,
+    StoreError, Txn, TxnReply, WatchEvent,
+};
--- /dev/null
+++ b/crates/test-support/src/lib.rs
@@ -0,0 +1,1 @@
+//! Part of cactustrack; see docs/design.md.
--- /dev/null
+++ b/crates/types/src/lib.rs
@@ -0,0 +1,27 @@
+//! Domain types shared by every part of cactustrack.
+//!
+//! The crate holds data only: ids, request classes, the configuration in force,
+//! evidence about upstreams and verdicts on them. Decisions on this data live in
+//! `cactustrack-health`, `cactustrack-routing` and `cactustrack-members`.
+
+mod configuration;
+mod evidence;
+mod execution;
+mod ids;
+mod listing;
+mod millis;
+mod upstream;
+mod verdict;
+
+pub use configuration::{
+    Account, CONFIGURATION_FORMAT, Configuration, DetectionPolicy, RequestClass, Route, Service,
+};
+pub use evidence::{Counts, Outcome};
+pub use execution::Execution;
+pub use ids::{
+    AccountId, FailureDomain, Incarnation, InstanceId, Region, ServiceId, UpstreamId, Version,
+};
+pub use listing::{Listing, ListingState, Role};
+pub use millis::Millis;
+pub use upstream::{Share, Standing, UpstreamView};
+pub use verdict::{Scope, Verdict, VerdictHealth};
--- /dev/null
+++ b/src/bin/cactustrack.rs
@@ -0,0 +1,3 @@
+//! The operators' command line.
+
+fn main() {}
--- /dev/null
+++ b/src/bin/cactustrackd.rs
@@ -0,0 +1,3 @@
+//! The instance.
+
+fn main() {}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,1 @@
+//! cactustrack: a proxy fleet for upstreams with gray failures.
--- /dev/null
+++ b/tests/all/main.rs
@@ -0,0 +1,1 @@
+//! Integration tests.
