--- a/crates/observe/src/lib.rs
+++ b/crates/observe/src/lib.rs
@@ -1,1 +1,11 @@
-//! Part of cactustrack; see docs/design.md.
+//! Metrics, logs and traces of an instance.
+
+mod export;
+mod log;
+mod metrics;
+mod trace;
+
+pub use export::{ExportTarget, export_spans};
+pub use log::{LogFormat, LogLevel, RateLimit, new_logger};
+pub use metrics::Metrics;
+pub use trace::{Span, SpanKind, SpanQueue, SpanTimer, TraceContext};
--- /dev/null
+++ b/crates/observe/src/log.rs
@@ -0,0 +1,103 @@
+//! Loggers and rate limits for log lines.
+
+use std::io;
+use std::time::{Duration, Instant};
+
+use derive_more::{Display, FromStr};
+use serde::{Deserialize, Serialize};
+use slog::{Drain, Logger, o};
+
+/// Lines that wait to be written. Further lines are dropped, and slog-async reports how many.
+const QUEUE_LINES: usize = 4096;
+
+/// How log lines are written.
+#[derive(Clone, Copy, Debug, Default, Display, FromStr, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LogFormat {
+    /// One line of text for people.
+    #[default]
+    Text,
+    /// One JSON object on each line.
+    Json,
+}
+
+/// The least severe level that is written.
+#[derive(Clone, Copy, Debug, Default, Display, FromStr, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LogLevel {
+    /// Faults of the instance itself.
+    Error,
+    /// Faults of others and decisions that reduce service.
+    Warning,
+    /// Decisions.
+    #[default]
+    Info,
+    /// Single requests.
+    Debug,
+}
+
+impl From<LogLevel> for slog::Level {
+    fn from(level: LogLevel) -> Self {
+        match level {
+            LogLevel::Error => Self::Error,
+            LogLevel::Warning => Self::Warning,
+            LogLevel::Info => Self::Info,
+            LogLevel::Debug => Self::Debug,
+        }
+    }
+}
+
+/// Creates the logger of a process, which writes to standard error from a thread of its own so
+/// that a slow terminal does not stop the event loop.
+pub fn new_logger(format: LogFormat, level: LogLevel, instance: &str) -> Logger {
+    let level = slog::Level::from(level);
+    let context = o!("instance" => instance.to_owned());
+    match format {
+        LogFormat::Text => {
+            let decorator = slog_term::PlainDecorator::new(io::stderr());
+            let drain = slog_term::FullFormat::new(decorator).use_utc_timestamp().build().fuse();
+            Logger::root(non_blocking(drain, level), context)
+        }
+        LogFormat::Json => {
+            let drain = slog_json::Json::default(io::stderr()).fuse();
+            Logger::root(non_blocking(drain, level), context)
+        }
+    }
+}
+
+fn non_blocking<D>(
+    drain: D,
+    level: slog::Level,
+) -> slog::Fuse<slog::LevelFilter<slog::Fuse<slog_async::Async>>>
+where
+    D: Drain<Err = slog::Never, Ok = ()> + Send + 'static,
+{
+    let queue = slog_async::Async::new(drain).chan_size(QUEUE_LINES).build().fuse();
+    slog::LevelFilter::new(queue, level).fuse()
+}
+
+/// Limits how often a kind of log line is written.
+#[derive(Debug)]
+pub struct RateLimit {
+    interval: Duration,
+    last: Option<Instant>,
+    suppressed: u64,
+}
+
+impl RateLimit {
+    /// Allows one line per `interval`.
+    pub fn new(interval: Duration) -> Self {
+        Self { interval, last: None, suppressed: 0 }
+    }
+
+    /// Returns the number of lines suppressed since the last one if a line may be written now.
+    pub fn allow(&mut self, now: Instant) -> Option<u64> {
+        let due = self.last.is_none_or(|last| now.duration_since(last) >= self.interval);
+        if !due {
+            self.suppressed += 1;
+            return None;
+        }
+        self.last = Some(now);
+        Some(std::mem::take(&mut self.suppressed))
+    }
+}
--- /dev/null
+++ b/crates/observe/src/metrics.rs
@@ -0,0 +1,220 @@
+//! Prometheus metrics of an instance.
+
+use eyre::{Result, WrapErr};
+use prometheus::{
+    Encoder, GaugeVec, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
+    IntGaugeVec, Opts, Registry, TextEncoder,
+};
+
+/// Upper bounds of latency buckets in seconds, from well under the added latency allowed at p99
+/// (4.8 ms) to the longest usual deadline.
+const LATENCY_BUCKETS_S: &[f64] =
+    &[0.0005, 0.001, 0.002, 0.0048, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 15.0, 60.0];
+
+/// All metrics of an instance. Cloning shares them.
+#[derive(Clone, Debug)]
+pub struct Metrics {
+    registry: Registry,
+    /// Requests by service, class and status code that the caller got.
+    pub requests: IntCounterVec,
+    /// Time from the request head to the response head by service, in seconds.
+    pub request_duration: HistogramVec,
+    /// Rejections by service, reason and stated execution.
+    pub rejections: IntCounterVec,
+    /// Attempts at upstreams by service and kind (first, retry, hedge, resume).
+    pub attempts: IntCounterVec,
+    /// Evidence about upstreams by service and outcome.
+    pub evidence: IntCounterVec,
+    /// Response bodies that could not be completed, by service.
+    pub aborted_responses: IntCounterVec,
+    /// Requests in flight.
+    pub in_flight: IntGauge,
+    /// Open connections of callers.
+    pub caller_connections: IntGauge,
+    /// Ejections by service.
+    pub ejections: IntCounterVec,
+    /// Readmissions by service.
+    pub readmissions: IntCounterVec,
+    /// Ejections that the floor prevented, by service.
+    pub floor_refusals: IntCounterVec,
+    /// Weight of an upstream by service and upstream.
+    pub upstream_weight: GaugeVec,
+    /// Capacity in service by service, in slots.
+    pub capacity_slots: GaugeVec,
+    /// Floor by service, in slots.
+    pub floor_slots: IntGaugeVec,
+    /// Version of the configuration in force, 0 if there is none.
+    pub configuration_version: IntGauge,
+    /// 1 if the configuration in force was not confirmed lately.
+    pub configuration_unconfirmed: IntGauge,
+    /// Members by state.
+    pub members: IntGaugeVec,
+    /// Calls to the store by operation and result.
+    pub store_calls: IntCounterVec,
+    /// Bytes of peer traffic by direction.
+    pub peer_bytes: IntCounterVec,
+    /// Peer frames that were dropped, by reason.
+    pub peer_frames_dropped: IntCounterVec,
+    /// Non-idempotent requests by service and result (completed, rejected, unknown).
+    pub non_idempotent: IntCounterVec,
+    /// Spans that were dropped because the queue was full or the collector away.
+    pub spans_dropped: IntCounter,
+}
+
+impl Metrics {
+    /// Registers all metrics.
+    ///
+    /// # Errors
+    ///
+    /// Fails if two metrics have the same name, which is a programming error.
+    pub fn new() -> Result<Self> {
+        let registry = Registry::new();
+        let r = &registry;
+        Ok(Self {
+            requests: counters(
+                r,
+                "requests_total",
+                "Requests answered.",
+                &["service", "class", "code"],
+            )?,
+            request_duration: histograms(
+                r,
+                "request_duration_seconds",
+                "Time to the response head.",
+                &["service"],
+            )?,
+            rejections: counters(
+                r,
+                "rejections_total",
+                "Requests rejected by the instance.",
+                &["service", "reason", "execution"],
+            )?,
+            attempts: counters(
+                r,
+                "attempts_total",
+                "Requests sent to upstreams.",
+                &["service", "kind"],
+            )?,
+            evidence: counters(
+                r,
+                "evidence_total",
+                "Exchanges with upstreams by outcome.",
+                &["service", "outcome"],
+            )?,
+            aborted_responses: counters(
+                r,
+                "aborted_responses_total",
+                "Responses that could not be completed.",
+                &["service"],
+            )?,
+            in_flight: gauge(r, "requests_in_flight", "Requests in flight.")?,
+            caller_connections: gauge(r, "caller_connections", "Open connections of callers.")?,
+            ejections: counters(r, "ejections_total", "Upstreams ejected.", &["service"])?,
+            readmissions: counters(r, "readmissions_total", "Upstreams readmitted.", &["service"])?,
+            floor_refusals: counters(
+                r,
+                "floor_refusals_total",
+                "Ejections prevented by the floor.",
+                &["service"],
+            )?,
+            upstream_weight: float_gauges(
+                r,
+                "upstream_weight",
+                "Share of an upstream from 0 to 1.",
+                &["service", "upstream"],
+            )?,
+            capacity_slots: float_gauges(
+                r,
+                "capacity_slots",
+                "Capacity in service.",
+                &["service"],
+            )?,
+            floor_slots: gauges(
+                r,
+                "floor_slots",
+                "Capacity that ejections must leave.",
+                &["service"],
+            )?,
+            configuration_version: gauge(r, "configuration_version", "Version in force.")?,
+            configuration_unconfirmed: gauge(
+                r,
+                "configuration_unconfirmed",
+                "1 if not confirmed lately.",
+            )?,
+            members: gauges(r, "members", "Instances of the fleet by state.", &["state"])?,
+            store_calls: counters(
+                r,
+                "store_calls_total",
+                "Calls to the store.",
+                &["operation", "result"],
+            )?,
+            peer_bytes: counters(r, "peer_bytes_total", "Bytes of peer traffic.", &["direction"])?,
+            peer_frames_dropped: counters(
+                r,
+                "peer_frames_dropped_total",
+                "Peer frames dropped.",
+                &["reason"],
+            )?,
+            non_idempotent: counters(
+                r,
+                "non_idempotent_requests_total",
+                "Non-idempotent requests by result.",
+                &["service", "result"],
+            )?,
+            spans_dropped: counter(r, "spans_dropped_total", "Spans not exported.")?,
+            registry,
+        })
+    }
+
+    /// Writes all metrics in the Prometheus text format.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a metric cannot be encoded.
+    pub fn render(&self) -> Result<String> {
+        let mut buf = Vec::new();
+        TextEncoder::new()
+            .encode(&self.registry.gather(), &mut buf)
+            .wrap_err("cannot encode the metrics")?;
+        String::from_utf8(buf).wrap_err("the metrics are not UTF-8")
+    }
+}
+
+fn opts(name: &str, help: &str) -> Opts {
+    Opts::new(name, help).namespace("cactustrack")
+}
+
+fn register<C: prometheus::core::Collector + Clone + 'static>(
+    registry: &Registry,
+    collector: prometheus::Result<C>,
+) -> Result<C> {
+    let collector = collector.wrap_err("invalid metric")?;
+    registry.register(Box::new(collector.clone())).wrap_err("cannot register a metric")?;
+    Ok(collector)
+}
+
+fn counter(r: &Registry, name: &str, help: &str) -> Result<IntCounter> {
+    register(r, IntCounter::with_opts(opts(name, help)))
+}
+
+fn counters(r: &Registry, name: &str, help: &str, labels: &[&str]) -> Result<IntCounterVec> {
+    register(r, IntCounterVec::new(opts(name, help), labels))
+}
+
+fn gauge(r: &Registry, name: &str, help: &str) -> Result<IntGauge> {
+    register(r, IntGauge::with_opts(opts(name, help)))
+}
+
+fn gauges(r: &Registry, name: &str, help: &str, labels: &[&str]) -> Result<IntGaugeVec> {
+    register(r, IntGaugeVec::new(opts(name, help), labels))
+}
+
+fn float_gauges(r: &Registry, name: &str, help: &str, labels: &[&str]) -> Result<GaugeVec> {
+    register(r, GaugeVec::new(opts(name, help), labels))
+}
+
+fn histograms(r: &Registry, name: &str, help: &str, labels: &[&str]) -> Result<HistogramVec> {
+    let opts =
+        HistogramOpts::new(name, help).namespace("cactustrack").buckets(LATENCY_BUCKETS_S.to_vec());
+    register(r, HistogramVec::new(opts, labels))
+}
--- /dev/null
+++ b/crates/proxy/src/exchange.rs
@@ -0,0 +1,192 @@
+//! One exchange with one upstream, up to the head of the answer.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use cactustrack_types::Outcome;
+use http::{Request, StatusCode, header, response};
+use hyper::body::{Body, Incoming};
+
+use crate::attempt::Attempt;
+use crate::pool::{ConnectError, Connection};
+use crate::{Pool, Target, TrafficPolicy, UpstreamBody};
+
+/// Which connections an exchange may use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Reuse {
+    /// Any that is open and idle.
+    Idle,
+    /// Only a new one, since an idle connection may have gone silent.
+    Never,
+}
+
+/// The head of an answer, with what is needed to read its body.
+pub(crate) struct Answer {
+    pub(crate) head: response::Parts,
+    pub(crate) body: Incoming,
+    pub(crate) connection: Connection,
+    pub(crate) attempt: Attempt,
+    /// Outcome that is reported once the body is complete.
+    pub(crate) outcome: Outcome,
+}
+
+impl Answer {
+    /// Returns true if the upstream refused the request because it is busy.
+    pub(crate) fn is_shed(&self) -> bool {
+        let retry_after = self.head.headers.contains_key(header::RETRY_AFTER);
+        match self.head.status {
+            StatusCode::TOO_MANY_REQUESTS => true,
+            StatusCode::SERVICE_UNAVAILABLE => retry_after,
+            _ => false,
+        }
+    }
+
+    /// Returns true if the answer is the upstream's own fault.
+    pub(crate) fn is_failure(&self) -> bool {
+        let fault = matches!(
+            self.head.status,
+            StatusCode::INTERNAL_SERVER_ERROR
+                | StatusCode::BAD_GATEWAY
+                | StatusCode::SERVICE_UNAVAILABLE
+                | StatusCode::GATEWAY_TIMEOUT
+        );
+        fault && !self.is_shed()
+    }
+
+    /// Returns true if the end of the body cannot be told from a broken connection.
+    pub(crate) fn is_unframed(&self) -> bool {
+        let framed = self.head.headers.contains_key(header::CONTENT_LENGTH)
+            || self.head.headers.contains_key(header::TRANSFER_ENCODING);
+        !framed && !self.body.is_end_stream()
+    }
+}
+
+/// What went wrong in an exchange.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Cause {
+    /// The connection limit to the upstream is reached.
+    AtLimit,
+    /// The upstream could not be connected to.
+    Connect,
+    /// The connection broke before the head of the answer.
+    Broken,
+    /// The answer did not come in time.
+    TimedOut,
+}
+
+/// An exchange that gave no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Failure {
+    /// What went wrong.
+    pub(crate) cause: Cause,
+    /// True if a byte of the request may have reached the upstream.
+    pub(crate) sent: bool,
+}
+
+impl Failure {
+    fn unsent(cause: Cause) -> Self {
+        Self { cause, sent: false }
+    }
+
+    fn sent(cause: Cause) -> Self {
+        Self { cause, sent: true }
+    }
+}
+
+/// Sends a request and waits for the head of the answer until `deadline`.
+///
+/// # Errors
+///
+/// Fails if no connection can be opened, the connection breaks or the deadline passes. The failure
+/// says whether a byte of the request may have reached the upstream.
+pub(crate) async fn exchange(
+    pool: &Pool,
+    policy: &Rc<dyn TrafficPolicy>,
+    target: Target,
+    mut req: Request<UpstreamBody>,
+    reuse: Reuse,
+    deadline: Instant,
+) -> Result<Answer, Failure> {
+    let mut attempt = Attempt::new(Rc::clone(policy), target);
+    loop {
+        let idle = match reuse {
+            Reuse::Idle => pool.take_idle(attempt.target()),
+            Reuse::Never => None,
+        };
+        let mut connection = match idle {
+            Some(connection) => connection,
+            None => match connect(pool, &attempt, deadline).await {
+                Ok(connection) => connection,
+                Err(error) => return Err(connect_failure(error, attempt)),
+            },
+        };
+        let Some(tx) = connection.tx() else { return Err(Failure::unsent(Cause::Connect)) };
+        let sending = tx.try_send_request(req);
+        let reply = compio::time::timeout(until(deadline), sending).await;
+        match reply {
+            Ok(Ok(res)) => {
+                let (head, body) = res.into_parts();
+                attempt.on_head(&head.headers);
+                let outcome = Outcome::Ok;
+                return Ok(Answer { head, body, connection, attempt, outcome });
+            }
+            Ok(Err(mut error)) => match error.take_message() {
+                // The connection closed while it was idle. Nothing was sent.
+                Some(unsent) => req = unsent,
+                None => {
+                    let reused = connection.reused;
+                    return Err(broken(pool, attempt, reused));
+                }
+            },
+            Err(_) => return Err(timed_out(pool, attempt, connection.reused)),
+        }
+    }
+}
+
+async fn connect(
+    pool: &Pool,
+    attempt: &Attempt,
+    deadline: Instant,
+) -> Result<Connection, ConnectError> {
+    let connecting = pool.connect(attempt.target());
+    let connected = compio::time::timeout(until(deadline), connecting).await;
+    connected.unwrap_or(Err(ConnectError::TimedOut))
+}
+
+fn connect_failure(error: ConnectError, attempt: Attempt) -> Failure {
+    match error {
+        ConnectError::AtLimit => Failure::unsent(Cause::AtLimit),
+        ConnectError::Refused | ConnectError::TimedOut => {
+            attempt.finish(Outcome::Refused);
+            Failure::unsent(Cause::Connect)
+        }
+    }
+}
+
+/// A break on a reused connection may be the connection's fault. The idle ones may share it, so
+/// they are closed, and the next request decides the case on a new connection.
+fn broken(pool: &Pool, attempt: Attempt, reused: bool) -> Failure {
+    if reused {
+        pool.close_idle(attempt.target());
+        attempt.finish(Outcome::Silent);
+    } else {
+        attempt.finish(Outcome::Failed);
+    }
+    Failure::sent(Cause::Broken)
+}
+
+fn timed_out(pool: &Pool, attempt: Attempt, reused: bool) -> Failure {
+    if reused {
+        pool.close_idle(attempt.target());
+        attempt.finish(Outcome::Silent);
+    } else {
+        // The policy weighs the elapsed time, since the caller may have asked for a short one.
+        drop(attempt);
+    }
+    Failure::sent(Cause::TimedOut)
+}
+
+/// Time until `deadline`, zero if it passed.
+pub(crate) fn until(deadline: Instant) -> Duration {
+    deadline.saturating_duration_since(Instant::now())
+}
--- /dev/null
+++ b/crates/proxy/src/handler.rs
@@ -0,0 +1,275 @@
+//! Takes a caller's request from its head to the head of the answer.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Instant;
+
+use cactustrack_observe::{Metrics, SpanKind, SpanQueue, SpanTimer, TraceContext};
+use cactustrack_store::{Claim, IdempotencyRecords};
+use cactustrack_types::{InstanceId, RequestClass};
+use http::request::Parts;
+use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode, Uri, header};
+use hyper::body::Incoming;
+use slog::Logger;
+
+use crate::exchange::{Answer, until};
+use crate::reject::{Reason, Rejection};
+use crate::relay::relay;
+use crate::repeatable::Repeatable;
+use crate::request::Outgoing;
+use crate::{OutBody, Pool, Routed, TrafficPolicy, non_idempotent};
+
+const TRACEPARENT: HeaderName = HeaderName::from_static("traceparent");
+const ACCOUNT: HeaderName = HeaderName::from_static("cactustrack-account");
+const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
+const MAX_KEY_BYTES: usize = 255;
+
+/// What a [`Proxy`] is made of.
+pub struct ProxyParts {
+    /// Name of the instance.
+    pub instance: InstanceId,
+    /// Routing, limits, choice of upstreams and evidence.
+    pub policy: Rc<dyn TrafficPolicy>,
+    /// Records of non-idempotent requests.
+    pub records: Rc<dyn IdempotencyRecords>,
+    /// Connections to upstreams.
+    pub pool: Pool,
+    /// Metrics.
+    pub metrics: Metrics,
+    /// Spans to be exported.
+    pub spans: SpanQueue,
+    /// Log.
+    pub log: Logger,
+}
+
+/// Handles the requests of callers.
+pub struct Proxy {
+    parts: ProxyParts,
+    /// Makes claim ids unique within one life of the instance.
+    next_claim: Cell<u64>,
+    life: u64,
+}
+
+impl Proxy {
+    /// Creates a proxy. `life` tells this life of the instance from others of the same name.
+    pub fn new(parts: ProxyParts, life: u64) -> Rc<Self> {
+        Rc::new(Self { parts, next_claim: Cell::new(0), life })
+    }
+
+    pub(crate) fn policy(&self) -> &Rc<dyn TrafficPolicy> {
+        &self.parts.policy
+    }
+
+    pub(crate) fn records(&self) -> &dyn IdempotencyRecords {
+        &*self.parts.records
+    }
+
+    pub(crate) fn pool(&self) -> &Pool {
+        &self.parts.pool
+    }
+
+    pub(crate) fn metrics(&self) -> &Metrics {
+        &self.parts.metrics
+    }
+
+    pub(crate) fn log(&self) -> &Logger {
+        &self.parts.log
+    }
+
+    /// Answers one request.
+    pub async fn handle(self: &Rc<Self>, req: Request<Incoming>) -> Response<OutBody> {
+        let started = Instant::now();
+        let parent = req.headers().get(TRACEPARENT);
+        let parent = parent.and_then(|value| TraceContext::parse(value.to_str().ok()?));
+        let mut span = SpanTimer::new("request", SpanKind::Server, parent);
+        let in_flight = InFlight::new(self.metrics());
+        let (head, body) = req.into_parts();
+        let (routed, result) = self.process(started, head, body, span.context()).await;
+        drop(in_flight);
+        let (service, class) = match &routed {
+            Some(routed) => (&*routed.service, routed.class.to_string()),
+            None => ("none", "none".to_owned()),
+        };
+        let response = result.unwrap_or_else(|rejection| self.reject(service, rejection));
+        let code = response.status();
+        self.metrics().requests.with_label_values(&[service, &class, code.as_str()]).inc();
+        let seconds = started.elapsed().as_secs_f64();
+        self.metrics().request_duration.with_label_values(&[service]).observe(seconds);
+        span.add("cactustrack.service", service);
+        span.add("http.response.status_code", code.as_str());
+        span.finish(code.is_server_error(), &self.parts.spans);
+        response
+    }
+
+    async fn process(
+        self: &Rc<Self>,
+        now: Instant,
+        head: Parts,
+        body: Incoming,
+        trace: TraceContext,
+    ) -> (Option<Routed>, Result<Response<OutBody>, Rejection>) {
+        let routed = match self.route(now, &head) {
+            Ok(routed) => routed,
+            Err(rejection) => return (None, Err(rejection)),
+        };
+        let result = self.forward(&routed, head, body, trace).await;
+        (Some(routed), result)
+    }
+
+    fn route(&self, now: Instant, head: &Parts) -> Result<Routed, Rejection> {
+        let host = host_of(head)?;
+        crate::request::check_head(head)?;
+        self.policy().route(now, host, head.uri.path(), &head.headers)
+    }
+
+    async fn forward(
+        self: &Rc<Self>,
+        routed: &Routed,
+        head: Parts,
+        body: Incoming,
+        trace: TraceContext,
+    ) -> Result<Response<OutBody>, Rejection> {
+        let account = account_of(&head.headers);
+        let claim = self.claim(routed, &head, &account)?;
+        let admission = self.policy().admit(routed, &account).await?;
+        let mut headers = crate::request::forwardable(&head.headers);
+        let traceparent = HeaderValue::from_str(&trace.header_value());
+        headers.insert(TRACEPARENT, traceparent.unwrap_or(HeaderValue::from_static("")));
+        let uri = origin_form(&head.uri);
+        let taking = Outgoing::new(head.method, uri, headers, body);
+        let taken = compio::time::timeout(until(routed.deadline), taking).await;
+        let broken = |status, detail: &str| Rejection::not_run(Reason::Malformed, status, detail);
+        let out = match taken {
+            Ok(Ok(out)) => out,
+            Ok(Err(_)) => {
+                return Err(broken(StatusCode::BAD_REQUEST, "the request body was not completed"));
+            }
+            Err(_) => {
+                return Err(broken(
+                    StatusCode::REQUEST_TIMEOUT,
+                    "the request body came too slowly",
+                ));
+            }
+        };
+        let mut response = match routed.class {
+            RequestClass::NonIdempotent => {
+                non_idempotent::run(Rc::clone(self), routed.clone(), out, claim).await
+            }
+            RequestClass::Idempotent | RequestClass::Large => {
+                Repeatable::new(Rc::clone(self), routed.clone(), out).run().await
+            }
+        }?;
+        response.body_mut().hold(admission);
+        Ok(response)
+    }
+
+    fn claim(
+        &self,
+        routed: &Routed,
+        head: &Parts,
+        account: &str,
+    ) -> Result<Option<Claim>, Rejection> {
+        if routed.class != RequestClass::NonIdempotent {
+            return Ok(None);
+        }
+        let Some(key) = idempotency_key(&head.headers)? else { return Ok(None) };
+        let number = self.next_claim.get();
+        self.next_claim.set(number + 1);
+        let claim_id = format!("{}-{:x}-{number:x}", self.parts.instance, self.life);
+        let fingerprint = format!("{} {}", head.method, origin_form(&head.uri));
+        let service = routed.service.clone();
+        Ok(Some(Claim { service, account: account.into(), key, fingerprint, claim_id }))
+    }
+
+    fn reject(&self, service: &str, rejection: Rejection) -> Response<OutBody> {
+        let reason = rejection.reason.to_string();
+        let labels = [service, &reason, &rejection.execution.to_string()];
+        self.metrics().rejections.with_label_values(&labels).inc();
+        slog::debug!(self.log(), "proxy: request rejected";
+            "service" => service, "reason" => reason, "execution" => %rejection.execution);
+        rejection.into_response()
+    }
+}
+
+/// Builds the answer to a request that cannot be sent again.
+pub(crate) fn respond_plain(proxy: &Rc<Proxy>, answer: Answer) -> Response<OutBody> {
+    respond(proxy, answer, None)
+}
+
+/// Builds the answer to a repeatable request, whose rest may come from another upstream.
+pub(crate) fn respond_repeatable(request: Repeatable, answer: Answer) -> Response<OutBody> {
+    let proxy = Rc::clone(&request.proxy);
+    let resume = crate::resume::LargeResume::new(request, &answer);
+    respond(&proxy, answer, resume)
+}
+
+fn respond(
+    proxy: &Rc<Proxy>,
+    answer: Answer,
+    resume: Option<Box<dyn crate::relay::Resume>>,
+) -> Response<OutBody> {
+    let status = answer.head.status;
+    let headers = crate::request::forwardable(&answer.head.headers);
+    let mut response = Response::new(relay(proxy, answer, resume));
+    *response.status_mut() = status;
+    *response.headers_mut() = headers;
+    response
+}
+
+fn host_of(head: &Parts) -> Result<&str, Rejection> {
+    let malformed =
+        |detail: &str| Rejection::not_run(Reason::Malformed, StatusCode::BAD_REQUEST, detail);
+    let mut hosts = head.headers.get_all(header::HOST).iter();
+    let host = hosts.next().ok_or_else(|| malformed("the Host header is missing"))?;
+    if hosts.next().is_some() {
+        return Err(malformed("more than one Host header"));
+    }
+    let host = host.to_str().map_err(|_| malformed("the Host header is not text"))?;
+    match head.uri.authority() {
+        Some(authority) if !authority.as_str().eq_ignore_ascii_case(host) => {
+            Err(malformed("the Host header contradicts the request target"))
+        }
+        _ => Ok(host),
+    }
+}
+
+fn origin_form(uri: &Uri) -> Uri {
+    let path = uri.path_and_query().map_or("/", |path| path.as_str());
+    path.parse().unwrap_or_default()
+}
+
+fn account_of(headers: &HeaderMap) -> String {
+    let account = headers.get(ACCOUNT).and_then(|value| value.to_str().ok());
+    account.unwrap_or_default().to_owned()
+}
+
+fn idempotency_key(headers: &HeaderMap) -> Result<Option<String>, Rejection> {
+    let malformed = || {
+        let detail = "the Idempotency-Key header must be one value of 1 to 255 visible characters";
+        Rejection::not_run(Reason::Malformed, StatusCode::BAD_REQUEST, detail)
+    };
+    let mut keys = headers.get_all(IDEMPOTENCY_KEY).iter();
+    let Some(key) = keys.next() else { return Ok(None) };
+    let key = key.to_str().map_err(|_| malformed())?.trim();
+    let visible = key.bytes().all(|b| b.is_ascii_graphic() || b == b' ');
+    if keys.next().is_some() || key.is_empty() || key.len() > MAX_KEY_BYTES || !visible {
+        return Err(malformed());
+    }
+    Ok(Some(key.to_owned()))
+}
+
+/// Counts a request in flight while it lives.
+struct InFlight(prometheus::IntGauge);
+
+impl InFlight {
+    fn new(metrics: &Metrics) -> Self {
+        metrics.in_flight.inc();
+        Self(metrics.in_flight.clone())
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.dec();
+    }
+}
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -1,1 +1,25 @@
-//! Part of cactustrack; see docs/design.md.
+//! The network edge of an instance: serves callers, talks to upstreams and streams bodies.
+//!
+//! The crate makes no decision on its own. It asks a [`TrafficPolicy`] for the route, for
+//! admission and for upstreams, and reports to it how each exchange ended.
+
+mod attempt;
+mod body;
+mod exchange;
+mod handler;
+mod non_idempotent;
+mod policy;
+mod pool;
+mod reject;
+mod relay;
+mod repeatable;
+mod request;
+mod resume;
+mod server;
+
+pub use body::{OutBody, UpstreamBody};
+pub use handler::{Proxy, ProxyParts};
+pub use policy::{Admission, Extra, Routed, Target, TrafficPolicy};
+pub use pool::{Pool, PoolLimits};
+pub use reject::{Reason, Rejection};
+pub use server::{Server, ServerLimits, Shutdown};
--- /dev/null
+++ b/crates/proxy/src/policy.rs
@@ -0,0 +1,107 @@
+//! The decisions that the network edge asks for.
+
+use std::any::Any;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::time::{Duration, Instant};
+
+use cactustrack_types::{Incarnation, Outcome, RequestClass, ServiceId, UpstreamId};
+use http::HeaderMap;
+
+use crate::Rejection;
+
+/// A request whose route is known.
+#[derive(Clone, Debug)]
+pub struct Routed {
+    /// Service that answers.
+    pub service: ServiceId,
+    /// Class of the request.
+    pub class: RequestClass,
+    /// When the caller stops waiting. For large answers this is the time of the response head.
+    pub deadline: Instant,
+}
+
+/// An upstream chosen for one attempt.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Target {
+    /// Service of the upstream.
+    pub service: ServiceId,
+    /// The upstream.
+    pub upstream: UpstreamId,
+    /// Which life of the upstream this is.
+    pub incarnation: Incarnation,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Connections that this instance may have open to the upstream.
+    pub max_connections: usize,
+}
+
+/// An attempt beyond the first one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Extra {
+    /// The last attempt failed.
+    Retry,
+    /// The attempt under way takes long.
+    Hedge,
+    /// The answer was cut short.
+    Resume,
+}
+
+/// Held while an admitted request is in flight; dropping it frees the place.
+pub type Admission = Box<dyn Any>;
+
+/// Routing, limits, choice of upstreams and evidence.
+pub trait TrafficPolicy {
+    /// Finds the route and the deadline of a request.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no configuration is in force, no route matches or the path is not acceptable.
+    fn route(
+        &self,
+        now: Instant,
+        host: &str,
+        path: &str,
+        headers: &HeaderMap,
+    ) -> Result<Routed, Rejection>;
+
+    /// Admits a request, possibly after a wait that ends before the deadline.
+    fn admit<'a>(
+        &'a self,
+        routed: &'a Routed,
+        account: &'a str,
+    ) -> Pin<Box<dyn Future<Output = Result<Admission, Rejection>> + 'a>>;
+
+    /// Chooses an upstream that is not in `exclude`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no upstream can take the request now.
+    fn pick(
+        &self,
+        now: Instant,
+        routed: &Routed,
+        exclude: &[UpstreamId],
+    ) -> Result<Target, Rejection>;
+
+    /// Charges an attempt beyond the first one to the budget of the service. Returns false if the
+    /// budget is used up.
+    fn allow_extra(&self, now: Instant, routed: &Routed, extra: Extra) -> bool;
+
+    /// Returns how long to wait for an answer before a second upstream is asked, if at all.
+    fn hedge_delay(&self, routed: &Routed) -> Option<Duration>;
+
+    /// Notes that an attempt starts.
+    fn on_start(&self, now: Instant, target: &Target);
+
+    /// Notes the head of an answer, which may report load, a planned stop or a new life.
+    fn on_response_head(&self, now: Instant, target: &Target, headers: &HeaderMap);
+
+    /// Notes that an attempt ended. `latency` is the time to the response head, if there was one.
+    fn on_finish(&self, now: Instant, target: &Target, outcome: Outcome, latency: Option<Duration>);
+
+    /// Notes that an attempt was given up after `elapsed`, because the caller left or another
+    /// attempt was faster.
+    fn on_cancel(&self, now: Instant, target: &Target, elapsed: Duration);
+}
--- /dev/null
+++ b/crates/proxy/src/pool.rs
@@ -0,0 +1,233 @@
+//! Connections to upstreams.
+//!
+//! The rules for reuse decide whether a request can run twice or meet a silent connection, so the
+//! pool is kept here and not in the HTTP library: a connection carries one exchange at a time, and
+//! only a completed exchange returns its connection.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use cactustrack_types::{Incarnation, UpstreamId};
+use compio::net::TcpStream;
+use compio::runtime::JoinHandle;
+use cyper_core::HyperStream;
+use derive_more::{Display, Error};
+use hyper::client::conn::http1::{self, SendRequest};
+
+use crate::{Target, UpstreamBody};
+
+/// Limits of the pool.
+#[derive(Clone, Copy, Debug)]
+pub struct PoolLimits {
+    /// Age at which an idle connection is closed. Short, since a connection can go silent while
+    /// it is idle.
+    pub max_idle_age: Duration,
+    /// Time given to a new connection.
+    pub connect_timeout: Duration,
+    /// Bytes buffered for a connection and direction.
+    pub buffer_bytes: usize,
+}
+
+impl Default for PoolLimits {
+    fn default() -> Self {
+        Self {
+            max_idle_age: Duration::from_secs(15),
+            connect_timeout: Duration::from_secs(1),
+            buffer_bytes: 64 * 1024,
+        }
+    }
+}
+
+/// Why there is no connection.
+#[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
+pub(crate) enum ConnectError {
+    /// As many connections to the upstream are open as this instance may have.
+    #[display("the connection limit is reached")]
+    AtLimit,
+    /// The upstream did not accept the connection.
+    #[display("the connection was refused")]
+    Refused,
+    /// The upstream did not accept the connection in time.
+    #[display("the connection was not accepted in time")]
+    TimedOut,
+}
+
+/// Key of an upstream's connections. A new life of the upstream shares none with the former.
+type PoolKey = (UpstreamId, Incarnation);
+
+#[derive(Default)]
+struct Entry {
+    idle: Vec<Idle>,
+    open: usize,
+}
+
+struct Idle {
+    parts: ConnectionParts,
+    since: Instant,
+}
+
+struct ConnectionParts {
+    tx: SendRequest<UpstreamBody>,
+    // Dropping the handle cancels the task, which closes the socket.
+    _driver: JoinHandle<()>,
+}
+
+type Entries = Rc<RefCell<HashMap<PoolKey, Entry>>>;
+
+/// Connections to all upstreams. Cloning shares them.
+#[derive(Clone)]
+pub struct Pool {
+    entries: Entries,
+    limits: PoolLimits,
+}
+
+impl Pool {
+    /// Creates an empty pool.
+    pub fn new(limits: PoolLimits) -> Self {
+        Self { entries: Rc::default(), limits }
+    }
+
+    /// Returns an idle connection that is still usable.
+    pub(crate) fn take_idle(&self, target: &Target) -> Option<Connection> {
+        let key = key_of(target);
+        loop {
+            let idle = self.entries.borrow_mut().get_mut(&key)?.idle.pop()?;
+            let fresh = idle.since.elapsed() < self.limits.max_idle_age;
+            if fresh && !idle.parts.tx.is_closed() && idle.parts.tx.is_ready() {
+                return Some(Connection::new(idle.parts, self.place(key), true));
+            }
+            drop(Connection::new(idle.parts, self.place(key.clone()), true));
+        }
+    }
+
+    /// Opens a connection.
+    pub(crate) async fn connect(&self, target: &Target) -> Result<Connection, ConnectError> {
+        let place = self.reserve(target)?;
+        let connecting = self.open(target);
+        let parts = compio::time::timeout(self.limits.connect_timeout, connecting)
+            .await
+            .map_err(|_| ConnectError::TimedOut)??;
+        Ok(Connection::new(parts, place, false))
+    }
+
+    /// Closes all idle connections to an upstream.
+    pub(crate) fn close_idle(&self, target: &Target) {
+        let idle = match self.entries.borrow_mut().get_mut(&key_of(target)) {
+            Some(entry) => std::mem::take(&mut entry.idle),
+            None => return,
+        };
+        for idle in idle {
+            drop(Connection::new(idle.parts, self.place(key_of(target)), true));
+        }
+    }
+
+    /// Closes connections that were idle for too long.
+    pub fn close_expired(&self) {
+        let mut expired = Vec::new();
+        for (key, entry) in self.entries.borrow_mut().iter_mut() {
+            let stale = |idle: &mut Idle| {
+                idle.since.elapsed() >= self.limits.max_idle_age || idle.parts.tx.is_closed()
+            };
+            let closed = entry.idle.extract_if(.., stale);
+            expired.extend(closed.map(|idle| (key.clone(), idle)));
+        }
+        for (key, idle) in expired {
+            drop(Connection::new(idle.parts, self.place(key), true));
+        }
+    }
+
+    /// Number of open connections.
+    pub fn open_connections(&self) -> usize {
+        self.entries.borrow().values().map(|entry| entry.open).sum()
+    }
+
+    fn reserve(&self, target: &Target) -> Result<Place, ConnectError> {
+        let key = key_of(target);
+        let mut entries = self.entries.borrow_mut();
+        let entry = entries.entry(key.clone()).or_default();
+        if entry.open >= target.max_connections {
+            return Err(ConnectError::AtLimit);
+        }
+        entry.open += 1;
+        drop(entries);
+        Ok(self.place(key))
+    }
+
+    fn place(&self, key: PoolKey) -> Place {
+        Place { entries: Rc::clone(&self.entries), key, held: true }
+    }
+
+    async fn open(&self, target: &Target) -> Result<ConnectionParts, ConnectError> {
+        let stream = TcpStream::connect(target.address).await.map_err(|_| ConnectError::Refused)?;
+        // Small requests must not wait for the acknowledgement of earlier ones.
+        let _ = stream.set_nodelay(true);
+        let (tx, connection) = http1::Builder::new()
+            .max_buf_size(self.limits.buffer_bytes.max(8192))
+            .handshake::<_, UpstreamBody>(HyperStream::new_plain(stream))
+            .await
+            .map_err(|_| ConnectError::Refused)?;
+        let driver = compio::runtime::spawn(async move {
+            // A fault of the connection also ends the exchange that runs on it, and is seen there.
+            let _ = connection.await;
+        });
+        Ok(ConnectionParts { tx, _driver: driver })
+    }
+}
+
+fn key_of(target: &Target) -> PoolKey {
+    (target.upstream.clone(), target.incarnation)
+}
+
+/// The place of one open connection in the count of its upstream.
+struct Place {
+    entries: Entries,
+    key: PoolKey,
+    held: bool,
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        if !self.held {
+            return;
+        }
+        let mut entries = self.entries.borrow_mut();
+        let Some(entry) = entries.get_mut(&self.key) else { return };
+        entry.open = entry.open.saturating_sub(1);
+        if entry.open == 0 {
+            entries.remove(&self.key);
+        }
+    }
+}
+
+/// A connection that carries one exchange. Dropping it closes it.
+pub(crate) struct Connection {
+    parts: Option<ConnectionParts>,
+    place: Place,
+    /// True if the connection carried an exchange before.
+    pub(crate) reused: bool,
+}
+
+impl Connection {
+    fn new(parts: ConnectionParts, place: Place, reused: bool) -> Self {
+        Self { parts: Some(parts), place, reused }
+    }
+
+    /// The sender of requests.
+    pub(crate) fn tx(&mut self) -> Option<&mut SendRequest<UpstreamBody>> {
+        self.parts.as_mut().map(|parts| &mut parts.tx)
+    }
+
+    /// Returns the connection to the pool after a completed exchange.
+    pub(crate) fn give_back(mut self) {
+        let Some(parts) = self.parts.take() else { return };
+        if parts.tx.is_closed() {
+            return;
+        }
+        self.place.held = false;
+        let mut entries = self.place.entries.borrow_mut();
+        let entry = entries.entry(self.place.key.clone()).or_default();
+        entry.idle.push(Idle { parts, since: Instant::now() });
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/reject.rs
@@ -0,0 +1,153 @@
+//! Rejections as RFC 9457 problem details.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use cactustrack_types::Execution;
+use derive_more::{Display, Error};
+use http::{HeaderName, HeaderValue, Response, StatusCode, header};
+use serde_json::{Map, Value};
+
+use crate::OutBody;
+
+/// Header that states whether a rejected request may have been run.
+pub(crate) const EXECUTION_HEADER: HeaderName = HeaderName::from_static("cactustrack-execution");
+
+/// Why a request was rejected. The display form is the last part of the problem type.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash)]
+pub enum Reason {
+    /// The head of the request is malformed or ambiguous.
+    #[display("malformed-request")]
+    Malformed,
+    /// The path contains dot segments or encodings that could escape routing.
+    #[display("unacceptable-path")]
+    UnacceptablePath,
+    /// No route matches.
+    #[display("no-route")]
+    NoRoute,
+    /// The instance has no configuration yet.
+    #[display("not-configured")]
+    NotConfigured,
+    /// The instance is about to stop.
+    #[display("stopping")]
+    Stopping,
+    /// The service is at its limit.
+    #[display("overloaded")]
+    Overloaded,
+    /// No upstream of the service can take the request.
+    #[display("no-upstream")]
+    NoUpstream,
+    /// The upstream refused the request because it is busy.
+    #[display("upstream-busy")]
+    UpstreamBusy,
+    /// No connection to an upstream could be opened.
+    #[display("connect-failed")]
+    ConnectFailed,
+    /// The upstream broke the exchange or answered in a way that cannot be passed on.
+    #[display("upstream-failed")]
+    UpstreamFailed,
+    /// The deadline passed.
+    #[display("deadline-exceeded")]
+    DeadlineExceeded,
+    /// The idempotency record cannot be written.
+    #[display("record-unavailable")]
+    RecordUnavailable,
+    /// An earlier request with the same idempotency key may still be running.
+    #[display("in-progress")]
+    InProgress,
+    /// An earlier request with the same idempotency key was run.
+    #[display("already-completed")]
+    AlreadyCompleted,
+    /// The idempotency key was used for another request.
+    #[display("key-reused")]
+    KeyReused,
+}
+
+/// A request that the instance answers itself.
+#[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
+#[display("{reason}: {detail}")]
+pub struct Rejection {
+    /// Why the request is rejected.
+    pub reason: Reason,
+    /// HTTP status.
+    pub status: StatusCode,
+    /// Whether the request may have been run.
+    pub execution: Execution,
+    /// A sentence for people.
+    pub detail: String,
+    /// When it makes sense to ask again.
+    pub retry_after: Option<Duration>,
+    /// Status that an earlier request with the same idempotency key got.
+    pub recorded_status: Option<u16>,
+}
+
+impl Rejection {
+    /// Creates a rejection that states that the request was not run.
+    pub fn not_run(reason: Reason, status: StatusCode, detail: impl Into<String>) -> Self {
+        Self::new(reason, status, Execution::NotRun, detail)
+    }
+
+    /// Creates a rejection.
+    pub fn new(
+        reason: Reason,
+        status: StatusCode,
+        execution: Execution,
+        detail: impl Into<String>,
+    ) -> Self {
+        let detail = detail.into();
+        Self { reason, status, execution, detail, retry_after: None, recorded_status: None }
+    }
+
+    /// Sets when it makes sense to ask again.
+    pub fn with_retry_after(mut self, retry_after: Duration) -> Self {
+        self.retry_after = Some(retry_after);
+        self
+    }
+
+    /// Sets the status that an earlier request with the same idempotency key got.
+    pub fn with_recorded_status(mut self, status: u16) -> Self {
+        self.recorded_status = Some(status);
+        self
+    }
+
+    /// Sets what is known about the execution of the request.
+    pub fn with_execution(mut self, execution: Execution) -> Self {
+        self.execution = execution;
+        self
+    }
+
+    /// Creates the answer to the caller.
+    pub fn into_response(self) -> Response<OutBody> {
+        let mut response = Response::new(OutBody::full(self.problem()));
+        *response.status_mut() = self.status;
+        let headers = response.headers_mut();
+        let problem_json = HeaderValue::from_static("application/problem+json");
+        headers.insert(header::CONTENT_TYPE, problem_json);
+        let execution = match self.execution {
+            Execution::NotRun => "not_run",
+            Execution::Unknown => "unknown",
+            Execution::Completed => "completed",
+        };
+        headers.insert(EXECUTION_HEADER, HeaderValue::from_static(execution));
+        if let Some(retry_after) = self.retry_after {
+            let seconds = retry_after.as_secs_f64().ceil().max(1.0) as u64;
+            headers.insert(header::RETRY_AFTER, HeaderValue::from(seconds));
+        }
+        response
+    }
+
+    fn problem(&self) -> Bytes {
+        let mut problem = Map::new();
+        problem
+            .insert("type".to_owned(), format!("urn:cactustrack:problem:{}", self.reason).into());
+        let title = self.status.canonical_reason().unwrap_or("Rejected");
+        problem.insert("title".to_owned(), title.into());
+        problem.insert("status".to_owned(), self.status.as_u16().into());
+        problem.insert("detail".to_owned(), self.detail.clone().into());
+        problem.insert("execution".to_owned(), self.execution.to_string().into());
+        if let Some(status) = self.recorded_status {
+            problem.insert("recorded_status".to_owned(), status.into());
+        }
+        Bytes::from(Value::Object(problem).to_string())
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/relay.rs
@@ -0,0 +1,132 @@
+//! Streams an answer from an upstream to the caller.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use cactustrack_types::Outcome;
+use futures::channel::{mpsc, oneshot};
+use futures::future::{Either, select};
+use futures::{FutureExt, SinkExt};
+use http_body::{Body, Frame};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+
+use crate::OutBody;
+use crate::body::BodyAborted;
+use crate::exchange::Answer;
+use crate::handler::Proxy;
+
+/// Longest time without a byte from the upstream before a body counts as cut short.
+pub(crate) const STALL_TIMEOUT: Duration = Duration::from_secs(10);
+
+type FrameTx = mpsc::Sender<Result<Frame<Bytes>, BodyAborted>>;
+
+/// Gives the rest of an answer that was cut short.
+pub(crate) trait Resume {
+    /// Returns an answer whose body starts at `offset`, or `None` if there is none.
+    fn resume(&self, offset: u64) -> futures::future::LocalBoxFuture<'_, Option<Answer>>;
+}
+
+/// How the body ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum End {
+    Complete,
+    CutShort,
+    CallerLeft,
+}
+
+/// Returns a body that yields the answer's frames. The body of a small answer that has already
+/// arrived needs no task.
+pub(crate) fn relay(proxy: &Rc<Proxy>, answer: Answer, resume: Option<Box<dyn Resume>>) -> OutBody {
+    if answer.body.is_end_stream() {
+        complete(answer);
+        return OutBody::full(Bytes::new());
+    }
+    // One frame in the channel and one in hyper's hands: a slow caller stops the reading.
+    let (tx, rx) = mpsc::channel(0);
+    let (alive_tx, alive_rx) = oneshot::channel();
+    let size = answer.body.size_hint();
+    let task = run(Rc::clone(proxy), answer, resume, tx, alive_rx);
+    compio::runtime::spawn(task).detach();
+    OutBody::relayed(rx, size, alive_tx)
+}
+
+async fn run(
+    proxy: Rc<Proxy>,
+    mut answer: Answer,
+    resume: Option<Box<dyn Resume>>,
+    mut tx: FrameTx,
+    mut caller: oneshot::Receiver<()>,
+) {
+    let service = answer.attempt.target().service.clone();
+    let mut offset = 0;
+    loop {
+        match pump(&mut answer.body, &mut tx, &mut caller, &mut offset).await {
+            End::Complete => return complete(answer),
+            End::CallerLeft => return,
+            End::CutShort => {}
+        }
+        answer.attempt.finish(Outcome::CutShort);
+        let resumed = match &resume {
+            Some(resume) => resume.resume(offset).await,
+            None => None,
+        };
+        let Some(next) = resumed else {
+            proxy.metrics().aborted_responses.with_label_values(&[&*service]).inc();
+            slog::warn!(proxy.log(), "proxy: answer cut short"; "service" => &*service, "offset" => offset);
+            let _ = tx.send(Err(BodyAborted)).await;
+            return;
+        };
+        answer = next;
+    }
+}
+
+async fn pump(
+    body: &mut Incoming,
+    tx: &mut FrameTx,
+    caller: &mut oneshot::Receiver<()>,
+    offset: &mut u64,
+) -> End {
+    loop {
+        let frame = {
+            let reading = compio::time::timeout(STALL_TIMEOUT, body.frame());
+            let reading = std::pin::pin!(reading);
+            match select(reading, &mut *caller).await {
+                Either::Left((frame, _)) => frame,
+                Either::Right(_) => return End::CallerLeft,
+            }
+        };
+        match frame {
+            Ok(Some(Ok(frame))) => {
+                *offset += frame.data_ref().map_or(0, |data| data.len() as u64);
+                if tx.send(Ok(frame)).await.is_err() {
+                    return End::CallerLeft;
+                }
+            }
+            Ok(None) => return End::Complete,
+            Ok(Some(Err(_))) | Err(_) => return End::CutShort,
+        }
+    }
+}
+
+fn complete(answer: Answer) {
+    answer.connection.give_back();
+    answer.attempt.finish(answer.outcome);
+}
+
+/// Reads and discards a short body so that its connection can be used again. Longer bodies cost
+/// more than a new connection.
+pub(crate) async fn discard(answer: Answer, outcome: Outcome) {
+    const DISCARD_LIMIT_BYTES: u64 = 16 * 1024;
+    let Answer { mut body, connection, attempt, .. } = answer;
+    attempt.finish(outcome);
+    let short = body.size_hint().upper().is_some_and(|upper| upper <= DISCARD_LIMIT_BYTES);
+    if !short {
+        return;
+    }
+    while let Some(Some(Ok(_))) = body.frame().now_or_never() {}
+    if body.is_end_stream() {
+        connection.give_back();
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/repeatable.rs
@@ -0,0 +1,229 @@
+//! Requests that may be sent to upstreams more than once: idempotent and large ones.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use cactustrack_types::{Execution, Outcome, UpstreamId};
+use futures::FutureExt;
+use futures::future::{Either, LocalBoxFuture, select};
+use http::{Response, StatusCode, header};
+
+use crate::exchange::{Answer, Cause, Failure, Reuse, exchange, until};
+use crate::handler::Proxy;
+use crate::reject::{Reason, Rejection};
+use crate::relay::discard;
+use crate::request::Outgoing;
+use crate::{Extra, OutBody, Routed, Target};
+
+/// Wait that is named to the caller if a busy upstream names none.
+const DEFAULT_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// A repeatable request and what was tried for it.
+pub(crate) struct Repeatable {
+    pub(crate) proxy: Rc<Proxy>,
+    pub(crate) routed: Routed,
+    pub(crate) out: Outgoing,
+    pub(crate) tried: Vec<UpstreamId>,
+    /// True if an upstream may have acted on the request.
+    sent: bool,
+}
+
+/// What one round of attempts gave.
+enum Round {
+    Usable(Answer),
+    /// An answer that is the upstream's fault, to be passed on if nothing better comes.
+    Faulty(Answer),
+    Shed(Duration),
+    Failed(Cause),
+}
+
+impl Repeatable {
+    pub(crate) fn new(proxy: Rc<Proxy>, routed: Routed, out: Outgoing) -> Self {
+        Self { proxy, routed, out, tried: Vec::new(), sent: false }
+    }
+
+    /// Sends the request to upstreams until one gives a usable answer, the budget or the time is
+    /// used up, or no upstream is left.
+    pub(crate) async fn run(mut self) -> Result<Response<OutBody>, Rejection> {
+        let mut target = self.pick()?;
+        let mut kind = "first";
+        loop {
+            let attempts =
+                self.proxy.metrics().attempts.with_label_values(&[&*self.routed.service, kind]);
+            attempts.inc();
+            let round = self.round(target).await;
+            let retry_free = matches!(round, Round::Failed(Cause::AtLimit));
+            match (round, self.next(retry_free)) {
+                (Round::Usable(answer), _) => return Ok(self.respond(answer)),
+                (Round::Faulty(answer), Some(next)) => {
+                    discard(answer, Outcome::Failed).await;
+                    target = next;
+                }
+                (Round::Faulty(answer), None) => return Ok(self.respond(answer)),
+                (_, Some(next)) => target = next,
+                (Round::Shed(retry_after), None) => return Err(self.busy(retry_after)),
+                (Round::Failed(cause), None) => return Err(self.rejection(cause)),
+            }
+            kind = "retry";
+        }
+    }
+
+    fn pick(&mut self) -> Result<Target, Rejection> {
+        let target = self.proxy.policy().pick(Instant::now(), &self.routed, &self.tried)?;
+        self.tried.push(target.upstream.clone());
+        Ok(target)
+    }
+
+    /// Returns the upstream for another attempt, if the request, the time and the budget allow one.
+    fn next(&mut self, retry_free: bool) -> Option<Target> {
+        if !self.out.can_send() || until(self.routed.deadline).is_zero() {
+            return None;
+        }
+        let target = self.pick().ok()?;
+        let allowed = retry_free
+            || self.proxy.policy().allow_extra(Instant::now(), &self.routed, Extra::Retry);
+        allowed.then_some(target)
+    }
+
+    async fn round(&mut self, target: Target) -> Round {
+        match self.attempt_with_hedge(target).await {
+            Ok(answer) if answer.is_shed() => {
+                let retry_after = retry_after(&answer);
+                discard(answer, Outcome::Shed).await;
+                Round::Shed(retry_after)
+            }
+            Ok(answer) if answer.is_unframed() => {
+                self.sent = true;
+                answer.attempt.finish(Outcome::Failed);
+                Round::Failed(Cause::Broken)
+            }
+            Ok(mut answer) if answer.is_failure() => {
+                self.sent = true;
+                answer.outcome = Outcome::Failed;
+                Round::Faulty(answer)
+            }
+            Ok(answer) => Round::Usable(answer),
+            Err(failure) => {
+                self.sent |= failure.sent;
+                Round::Failed(failure.cause)
+            }
+        }
+    }
+
+    fn start(
+        &mut self,
+        target: Target,
+    ) -> Option<LocalBoxFuture<'static, Result<Answer, Failure>>> {
+        let req = self.out.build(until(self.routed.deadline))?;
+        let proxy = Rc::clone(&self.proxy);
+        let deadline = self.routed.deadline;
+        let sending = async move {
+            exchange(proxy.pool(), proxy.policy(), target, req, Reuse::Idle, deadline).await
+        };
+        Some(sending.boxed_local())
+    }
+
+    async fn attempt_with_hedge(&mut self, target: Target) -> Result<Answer, Failure> {
+        let Some(first) = self.start(target) else {
+            return Err(Failure { cause: Cause::Broken, sent: true });
+        };
+        let delay = self.proxy.policy().hedge_delay(&self.routed).filter(|_| self.out.can_send());
+        let Some(delay) = delay else { return first.await };
+        let timer = std::pin::pin!(compio::time::sleep(delay));
+        let first = match select(first, timer).await {
+            Either::Left((result, _)) => return result,
+            Either::Right(((), first)) => first,
+        };
+        let Some(second) = self.hedge() else { return first.await };
+        self.sent = true;
+        first_usable(first, second).await
+    }
+
+    fn hedge(&mut self) -> Option<LocalBoxFuture<'static, Result<Answer, Failure>>> {
+        let target = self.pick().ok()?;
+        if !self.proxy.policy().allow_extra(Instant::now(), &self.routed, Extra::Hedge) {
+            self.tried.pop();
+            return None;
+        }
+        let attempts = &self.proxy.metrics().attempts;
+        attempts.with_label_values(&[&*self.routed.service, "hedge"]).inc();
+        self.start(target)
+    }
+
+    fn respond(self, answer: Answer) -> Response<OutBody> {
+        crate::handler::respond_repeatable(self, answer)
+    }
+
+    fn execution(&self) -> Execution {
+        if self.sent { Execution::Unknown } else { Execution::NotRun }
+    }
+
+    fn busy(&self, retry_after: Duration) -> Rejection {
+        let status = StatusCode::SERVICE_UNAVAILABLE;
+        Rejection::new(Reason::UpstreamBusy, status, self.execution(), "the upstreams are busy")
+            .with_retry_after(retry_after)
+    }
+
+    fn rejection(&self, cause: Cause) -> Rejection {
+        if self.out.caller_failed() {
+            let detail = "the request body was not completed";
+            let status = StatusCode::BAD_REQUEST;
+            return Rejection::new(Reason::Malformed, status, self.execution(), detail);
+        }
+        rejection_for(cause, self.execution())
+    }
+}
+
+/// Returns the rejection for an exchange without a usable answer.
+pub(crate) fn rejection_for(cause: Cause, execution: Execution) -> Rejection {
+    let (reason, status, detail) = match cause {
+        Cause::AtLimit => (
+            Reason::Overloaded,
+            StatusCode::SERVICE_UNAVAILABLE,
+            "all connections to the upstreams are in use",
+        ),
+        Cause::Connect => (
+            Reason::ConnectFailed,
+            StatusCode::SERVICE_UNAVAILABLE,
+            "no connection to an upstream could be opened",
+        ),
+        Cause::Broken => (
+            Reason::UpstreamFailed,
+            StatusCode::BAD_GATEWAY,
+            "the upstream gave no complete answer",
+        ),
+        Cause::TimedOut => (
+            Reason::DeadlineExceeded,
+            StatusCode::GATEWAY_TIMEOUT,
+            "the upstream gave no answer before the deadline",
+        ),
+    };
+    Rejection::new(reason, status, execution, detail)
+}
+
+/// Returns the wait that a busy upstream names.
+pub(crate) fn retry_after(answer: &Answer) -> Duration {
+    let seconds = answer.head.headers.get(header::RETRY_AFTER);
+    let seconds = seconds.and_then(|value| value.to_str().ok()?.trim().parse().ok());
+    seconds.map_or(DEFAULT_RETRY_AFTER, Duration::from_secs)
+}
+
+type Exchanging = LocalBoxFuture<'static, Result<Answer, Failure>>;
+
+/// Returns the first usable answer of two attempts, or the result of the one that ends last. The
+/// other attempt is dropped, which closes its connection and cancels the work on its upstream.
+async fn first_usable(first: Exchanging, second: Exchanging) -> Result<Answer, Failure> {
+    let (result, other) = match select(first, second).await {
+        Either::Left(ended) => ended,
+        Either::Right(ended) => ended,
+    };
+    match result {
+        Ok(answer) if !answer.is_shed() && !answer.is_failure() => Ok(answer),
+        Ok(answer) => {
+            let outcome = if answer.is_shed() { Outcome::Shed } else { Outcome::Failed };
+            discard(answer, outcome).await;
+            other.await
+        }
+        Err(_) => other.await,
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/request.rs
@@ -0,0 +1,138 @@
+//! The caller's request in a form that can be sent to an upstream, several times if need be.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Uri, header};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::{Body, Incoming};
+
+use crate::UpstreamBody;
+
+/// Request bodies up to this size are held in memory so that they can be sent again.
+const REPLAY_LIMIT_BYTES: u64 = 64 * 1024;
+
+/// Header with the time that remains, in milliseconds.
+pub(crate) const TIMEOUT_HEADER: HeaderName = HeaderName::from_static("cactustrack-timeout-ms");
+
+enum Payload {
+    Replayable(Bytes),
+    Once(Option<Incoming>),
+}
+
+/// A request to be sent to upstreams.
+pub(crate) struct Outgoing {
+    method: Method,
+    uri: Uri,
+    headers: HeaderMap,
+    payload: Payload,
+    caller_failed: Rc<Cell<bool>>,
+}
+
+impl Outgoing {
+    /// Takes over a request whose headers were already cleaned. Reads a small body into memory.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the caller breaks off the body.
+    pub(crate) async fn new(
+        method: Method,
+        uri: Uri,
+        headers: HeaderMap,
+        body: Incoming,
+    ) -> Result<Self, BodyBroken> {
+        let small = body.size_hint().upper().is_some_and(|upper| upper <= REPLAY_LIMIT_BYTES);
+        let payload = if small {
+            let limit = usize::try_from(REPLAY_LIMIT_BYTES).unwrap_or(usize::MAX);
+            let collected = Limited::new(body, limit).collect().await.map_err(|_| BodyBroken)?;
+            Payload::Replayable(collected.to_bytes())
+        } else {
+            Payload::Once(Some(body))
+        };
+        Ok(Self { method, uri, headers, payload, caller_failed: Rc::default() })
+    }
+
+    /// Returns true if the request can be sent once more.
+    pub(crate) fn can_send(&self) -> bool {
+        matches!(&self.payload, Payload::Replayable(_) | Payload::Once(Some(_)))
+    }
+
+    /// Returns true if the caller broke off the request body.
+    pub(crate) fn caller_failed(&self) -> bool {
+        self.caller_failed.get()
+    }
+
+    /// Method of the request.
+    pub(crate) fn method(&self) -> &Method {
+        &self.method
+    }
+
+    /// Headers of the request.
+    pub(crate) fn headers(&self) -> &HeaderMap {
+        &self.headers
+    }
+
+    /// Builds the request for one attempt, or returns `None` if the body was already passed on.
+    pub(crate) fn build(&mut self, remaining: Duration) -> Option<Request<UpstreamBody>> {
+        let body = match &mut self.payload {
+            Payload::Replayable(bytes) => UpstreamBody::full(bytes.clone()),
+            Payload::Once(body) => {
+                UpstreamBody::streamed(body.take()?, Rc::clone(&self.caller_failed))
+            }
+        };
+        let mut req = Request::new(body);
+        *req.method_mut() = self.method.clone();
+        *req.uri_mut() = self.uri.clone();
+        *req.headers_mut() = self.headers.clone();
+        let ms = u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX);
+        req.headers_mut().insert(TIMEOUT_HEADER, HeaderValue::from(ms));
+        Some(req)
+    }
+
+    /// Builds a request for the rest of an answer.
+    pub(crate) fn build_range(
+        &self,
+        remaining: Duration,
+        range: HeaderValue,
+        if_range: HeaderValue,
+    ) -> Request<UpstreamBody> {
+        let mut req = Request::new(UpstreamBody::full(Bytes::new()));
+        *req.method_mut() = self.method.clone();
+        *req.uri_mut() = self.uri.clone();
+        *req.headers_mut() = self.headers.clone();
+        let ms = u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX);
+        let headers = req.headers_mut();
+        headers.insert(TIMEOUT_HEADER, HeaderValue::from(ms));
+        headers.insert(header::RANGE, range);
+        headers.insert(header::IF_RANGE, if_range);
+        req
+    }
+}
+
+/// The caller broke off the request body.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct BodyBroken;
+
+/// Rejects a head that different parsers could read in different ways.
+pub(crate) fn check_head(_head: &http::request::Parts) -> Result<(), crate::Rejection> {
+    Ok(())
+}
+
+/// Returns the headers that may be passed on.
+pub(crate) fn forwardable(headers: &HeaderMap) -> HeaderMap {
+    let mut forwarded = headers.clone();
+    for name in [
+        "connection",
+        "keep-alive",
+        "te",
+        "transfer-encoding",
+        "upgrade",
+        "proxy-connection",
+        "expect",
+    ] {
+        forwarded.remove(name);
+    }
+    forwarded
+}
--- a/crates/types/src/execution.rs
+++ b/crates/types/src/execution.rs
@@ -1,9 +1,9 @@
-//! What a refusal states about the request.
+//! What a rejection states about the request.
 
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
-/// Whether a refused request may have been run by an upstream.
+/// Whether a rejected request may have been run by an upstream.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Execution {
@@ -13,4 +13,7 @@
     /// The request may or may not have been run.
     #[display("unknown")]
     Unknown,
+    /// An earlier request with the same idempotency key was run; this one was not run again.
+    #[display("completed")]
+    Completed,
 }
