--- /dev/null
+++ b/src/daemon/admin.rs
@@ -0,0 +1,164 @@
+//! The admin listener: liveness, readiness, metrics, status and explanations.
+
+use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use cactustrack_observe::Metrics;
+use compio::net::{TcpListener, TcpStream};
+use cyper_core::{CompioTimer, HyperStream};
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use serde_json::{Value, json};
+
+const MAX_CONNECTIONS_BUFFER_BYTES: usize = 16 * 1024;
+
+/// What the admin listener shows.
+pub(crate) trait AdminSource {
+    /// Returns the reason why new work would be refused, or `Ok` if it would be taken.
+    fn readiness(&self) -> Result<(), String>;
+
+    /// Returns the state of the instance.
+    fn status(&self) -> Value;
+
+    /// Returns the decisions about a service, or about one of its upstreams.
+    fn explain(&self, service: &str, upstream: Option<&str>) -> Option<Value>;
+}
+
+/// The admin listener.
+pub(crate) struct Admin {
+    listener: TcpListener,
+    state: Rc<State>,
+}
+
+struct State {
+    source: Rc<dyn AdminSource>,
+    metrics: Metrics,
+    /// Value of the `Authorization` header that status, metrics and explanations need.
+    authorization: Option<String>,
+}
+
+impl Admin {
+    /// Binds the listener. Without a key, only liveness and readiness are served.
+    pub(crate) async fn bind(
+        address: SocketAddr,
+        source: Rc<dyn AdminSource>,
+        metrics: Metrics,
+        key: Option<&str>,
+    ) -> io::Result<Self> {
+        let listener = TcpListener::bind(address).await?;
+        let authorization = key.map(|key| format!("Bearer {key}"));
+        Ok(Self { listener, state: Rc::new(State { source, metrics, authorization }) })
+    }
+
+    /// Address of the listener.
+    pub(crate) fn local_address(&self) -> io::Result<SocketAddr> {
+        self.listener.local_addr()
+    }
+
+    /// Serves until the process ends.
+    pub(crate) async fn run(self) {
+        loop {
+            let Ok((stream, _)) = self.listener.accept().await else { continue };
+            compio::runtime::spawn(serve(stream, Rc::clone(&self.state))).detach();
+        }
+    }
+}
+
+async fn serve(stream: TcpStream, state: Rc<State>) {
+    let service = service_fn(move |req: Request<Incoming>| {
+        let response = state.answer(req.method(), req.uri().path(), req.headers());
+        async move { Ok::<_, Infallible>(response) }
+    });
+    let _ = http1::Builder::new()
+        .timer(CompioTimer)
+        .max_buf_size(MAX_CONNECTIONS_BUFFER_BYTES)
+        .serve_connection(HyperStream::new_plain(stream), service)
+        .await;
+}
+
+impl State {
+    fn answer(&self, method: &Method, path: &str, headers: &HeaderMap) -> Response<Full<Bytes>> {
+        if method != Method::GET {
+            return text(StatusCode::METHOD_NOT_ALLOWED, "only GET is served\n");
+        }
+        match path {
+            "/live" => return text(StatusCode::OK, "live\n"),
+            "/ready" => return self.ready(),
+            _ => {}
+        }
+        if !self.is_authorized(headers) {
+            return text(StatusCode::UNAUTHORIZED, "the admin key is needed\n");
+        }
+        match path {
+            "/metrics" => self.metrics(),
+            "/status" => json_response(&self.source.status()),
+            _ => self.explain(path),
+        }
+    }
+
+    fn ready(&self) -> Response<Full<Bytes>> {
+        match self.source.readiness() {
+            Ok(()) => text(StatusCode::OK, "ready\n"),
+            Err(reason) => text(StatusCode::SERVICE_UNAVAILABLE, &format!("{reason}\n")),
+        }
+    }
+
+    fn is_authorized(&self, headers: &HeaderMap) -> bool {
+        let Some(expected) = &self.authorization else { return false };
+        let given = headers.get(header::AUTHORIZATION).map_or(&[][..], HeaderValue::as_bytes);
+        constant_time_eq(given, expected.as_bytes())
+    }
+
+    fn metrics(&self) -> Response<Full<Bytes>> {
+        match self.metrics.render() {
+            Ok(metrics) => text(StatusCode::OK, &metrics),
+            Err(error) => text(StatusCode::INTERNAL_SERVER_ERROR, &format!("{error:#}\n")),
+        }
+    }
+
+    fn explain(&self, path: &str) -> Response<Full<Bytes>> {
+        let Some(rest) = path.strip_prefix("/explain/") else {
+            return text(StatusCode::NOT_FOUND, "no such page\n");
+        };
+        let (service, upstream) = match rest.split_once('/') {
+            Some((service, upstream)) => (service, Some(upstream)),
+            None => (rest, None),
+        };
+        match self.source.explain(service, upstream) {
+            Some(decisions) => json_response(&decisions),
+            None => {
+                let problem = json!({"error": format!("no service or upstream {rest}")});
+                let mut response = json_response(&problem);
+                *response.status_mut() = StatusCode::NOT_FOUND;
+                response
+            }
+        }
+    }
+}
+
+/// Compares in a time that depends on the lengths only, so that a key cannot be guessed byte by
+/// byte.
+fn constant_time_eq(a: &[u8], b: &[u8]) -> bool {
+    a.len() == b.len() && a.iter().zip(b).fold(0, |acc, (a, b)| acc | (a ^ b)) == 0
+}
+
+fn text(status: StatusCode, text: &str) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::copy_from_slice(text.as_bytes())));
+    *response.status_mut() = status;
+    let plain = HeaderValue::from_static("text/plain; charset=utf-8");
+    response.headers_mut().insert(header::CONTENT_TYPE, plain);
+    response
+}
+
+fn json_response(value: &Value) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from(value.to_string())));
+    let json = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(header::CONTENT_TYPE, json);
+    response
+}
