Add settings, questionnaire, generated configuration and the command line

The fleet needs process settings and a configuration that follows from a team's answers.

cactustrack-config reads both from TOML through a reader that keeps line numbers and collects all findings, so that one bad key does not hide the next.

--- /dev/null
+++ b/crates/config/src/contradictions.rs
@@ -0,0 +1,142 @@
+//! Answers that contradict each other.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use crate::questionnaire::{AccountAnswers, RouteAnswers, ServiceAnswers};
+use crate::reader::{Located, Reader};
+
+/// Reports answers that cannot all hold, and answers that hold but leave the fleet little to do.
+pub(crate) fn check(reader: &Reader, accounts: &[AccountAnswers], services: &[ServiceAnswers]) {
+    report_duplicates(reader, accounts.iter().map(|account| &account.id));
+    report_duplicates(reader, services.iter().map(|service| &service.id));
+    report_overlapping_routes(reader, services);
+    for service in services {
+        check_capacity(reader, service);
+        check_routes(reader, service);
+    }
+}
+
+fn report_duplicates<'a>(reader: &Reader, ids: impl Iterator<Item = &'a Located<Arc<str>>>) {
+    let mut seen: BTreeMap<&str, usize> = BTreeMap::new();
+    for id in ids {
+        if let Some(line) = seen.get(&*id.value) {
+            let problem = format!("{:?} is also the id on line {line}", id.value);
+            reader.error_at(id, problem, "use each id once");
+        } else {
+            seen.insert(&id.value, id.line);
+        }
+    }
+}
+
+fn report_overlapping_routes(reader: &Reader, services: &[ServiceAnswers]) {
+    let mut seen: BTreeMap<(&str, &str), usize> = BTreeMap::new();
+    let routes = services.iter().flat_map(|service| {
+        service.routes.iter().map(move |route| (&*service.host.value, &route.path))
+    });
+    for (host, path) in routes {
+        if let Some(line) = seen.get(&(host, &*path.value)) {
+            let problem = format!("host {host:?} has this path already on line {line}");
+            reader.error_at(path, problem, "use another host or path, or remove one route");
+        } else {
+            seen.insert((host, &path.value), path.line);
+        }
+    }
+}
+
+fn check_capacity(reader: &Reader, service: &ServiceAnswers) {
+    let floor = &service.healthy_capacity;
+    let (capacity, floor_slots) = (service.capacity_slots(), service.floor_slots());
+    if service.connections.value < service.slots.value {
+        let problem = format!(
+            "{} connections cannot carry {} requests at a time",
+            service.connections.value, service.slots.value
+        );
+        reader.error_at(&service.connections, problem, "allow at least as many as there are slots");
+    }
+    if floor_slots > capacity {
+        let problem = format!("needs {floor_slots} slots, but all upstreams have {capacity}");
+        reader.error_at(floor, problem, "lower it or expect more upstreams");
+    } else if floor_slots > capacity - service.slots.value {
+        let problem = "leaves no room to eject any upstream";
+        let remedy = "faulty upstreams will stay in service with a small share of requests; \
+                      lower it or add an upstream";
+        reader.warning(floor.line, &floor.key, problem, remedy);
+    }
+}
+
+fn check_routes(reader: &Reader, service: &ServiceAnswers) {
+    if service.routes.is_empty() {
+        let problem = "the service has no route, so it gets no requests";
+        reader.warning(service.id.line, &service.id.key, problem, "add a route");
+    }
+    for route in &service.routes {
+        check_times(reader, service, route);
+        check_resume(reader, route);
+        check_retry(reader, route);
+    }
+}
+
+fn check_times(reader: &Reader, service: &ServiceAnswers, route: &RouteAnswers) {
+    let (timeout, usual) = (&route.timeout_ms, &service.service_time_ms);
+    if timeout.value < usual.value {
+        let problem = format!(
+            "{} ms is less than the {} ms that the service usually takes (line {})",
+            timeout.value, usual.value, usual.line
+        );
+        reader.error_at(timeout, problem, "give requests more time than they usually take");
+    }
+    if let Some(max) = route.max_timeout_ms.as_ref().filter(|max| max.value < timeout.value) {
+        let problem = format!("{} ms is less than timeout_ms, {} ms", max.value, timeout.value);
+        reader.error_at(max, problem, "use at least timeout_ms");
+    }
+}
+
+/// A large response that breaks off can be completed only by sending the request again. A team
+/// that combines large with not repeatable therefore has to state that it does without.
+fn check_resume(reader: &Reader, route: &RouteAnswers) {
+    let resume = route.resume.as_ref();
+    match (route.is_large(), route.repeatable.value) {
+        (true, false) => match resume {
+            Some(resume) if !resume.value => {}
+            Some(resume) => {
+                let problem = "a request that may not be repeated cannot be resumed";
+                reader.error_at(resume, problem, "write `resume = false` or `repeatable = true`");
+            }
+            None => {
+                let problem =
+                    "a large response to a request that may not be repeated is not resumed";
+                let remedy = "state `resume = false`, or write `repeatable = true`";
+                reader.error_at(&route.repeatable, problem, remedy);
+            }
+        },
+        (true, true) => {
+            if let Some(resume) = resume.filter(|resume| !resume.value) {
+                let problem = "large responses to repeatable requests are resumed if they carry a \
+                               strong ETag";
+                reader.error_at(resume, problem, "remove the answer, or send no strong ETag");
+            }
+        }
+        (false, _) => {
+            if let Some(resume) = resume {
+                let problem = "only large responses are resumed";
+                reader.error_at(
+                    resume,
+                    problem,
+                    "remove the answer or state `large_response = true`",
+                );
+            }
+        }
+    }
+}
+
+fn check_retry(reader: &Reader, route: &RouteAnswers) {
+    let Some(retry) = &route.retry else { return };
+    if !route.repeatable.value {
+        let problem = "a request that may not be repeated is never retried";
+        reader.error_at(retry, problem, "remove the answer or write `repeatable = true`");
+    } else if !retry.value {
+        let problem = "repeatable requests are retried within the budget of the service";
+        reader.error_at(retry, problem, "remove the answer or write `repeatable = false`");
+    }
+}
--- /dev/null
+++ b/crates/config/src/name.rs
@@ -0,0 +1,90 @@
+//! Forms of names, hosts and paths.
+
+use std::str::FromStr;
+use std::sync::Arc;
+
+use derive_more::{Display, Error, Into};
+
+/// Why text is not of the required form.
+#[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
+#[display("{reason}")]
+pub(crate) struct FormError {
+    reason: &'static str,
+}
+
+fn check(holds: bool, reason: &'static str) -> Result<(), FormError> {
+    if holds { Ok(()) } else { Err(FormError { reason }) }
+}
+
+/// Name of a team, service, instance, region or failure domain. The form is that of a DNS label,
+/// so that names can be parts of host names, store keys and metric labels without quoting.
+#[derive(Clone, Debug, Into)]
+pub(crate) struct Name(Arc<str>);
+
+impl FromStr for Name {
+    type Err = FormError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        check(is_label(text), "not a name of 1 to 63 lower-case letters, digits and hyphens")?;
+        Ok(Self(text.into()))
+    }
+}
+
+/// Name of a client account, as sent in a header.
+#[derive(Clone, Debug, Into)]
+pub(crate) struct AccountName(Arc<str>);
+
+impl FromStr for AccountName {
+    type Err = FormError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let usual = |byte: u8| byte.is_ascii_alphanumeric() || b"-_.@".contains(&byte);
+        check((1..=128).contains(&text.len()), "not between 1 and 128 characters long")?;
+        check(text.bytes().all(usual), "holds other characters than letters, digits and -_.@")?;
+        Ok(Self(text.into()))
+    }
+}
+
+/// Host name in lower case without a port, or `*`.
+#[derive(Clone, Debug, Into)]
+pub(crate) struct Host(Arc<str>);
+
+impl FromStr for Host {
+    type Err = FormError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        if text != "*" {
+            check(text.len() <= 253, "longer than 253 characters")?;
+            check(text.split('.').all(is_label), "not a host name in lower case without a port")?;
+        }
+        Ok(Self(text.into()))
+    }
+}
+
+/// Path prefix of a route.
+#[derive(Clone, Debug, Into)]
+pub(crate) struct PathPrefix(Arc<str>);
+
+impl FromStr for PathPrefix {
+    type Err = FormError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        check(text.starts_with('/'), "does not start with /")?;
+        check(text.len() <= 1024, "longer than 1024 characters")?;
+        let plain = |byte: u8| byte.is_ascii_graphic() && !b"?#%\\".contains(&byte);
+        check(text.bytes().all(plain), "holds a space, ?, #, %, \\ or a character beyond ASCII")?;
+        if text != "/" {
+            let mut segments = text[1..].split('/');
+            check(!segments.any(|s| matches!(s, "" | "." | "..")), "has an empty or dot segment")?;
+        }
+        Ok(Self(text.into()))
+    }
+}
+
+fn is_label(text: &str) -> bool {
+    let usual = |byte: u8| byte.is_ascii_lowercase() || byte.is_ascii_digit() || byte == b'-';
+    (1..=63).contains(&text.len())
+        && text.bytes().all(usual)
+        && !text.starts_with('-')
+        && !text.ends_with('-')
+}
--- /dev/null
+++ b/crates/config/src/settings.rs
@@ -0,0 +1,363 @@
+//! Settings of a process of the fleet.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cactustrack_types::{FailureDomain, InstanceId, Region};
+
+use crate::reader::{Field, Reader, Section};
+use crate::{Findings, HttpUrl, Located, Secret, SecretSource};
+
+const ADDRESS: &str = "write an IP number and a port, for example \"10.0.0.7:8080\"";
+const URL: &str = "write a URL with an IP number and a port, for example \"http://10.0.0.2:2379\"";
+const NAME: &str = "write a name of 1 to 63 lower-case letters, digits and hyphens";
+
+/// Settings of `cactustrackd`, read from one TOML file.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// `[instance]`: who this process is.
+    pub instance: InstanceSettings,
+    /// `[listen]`: where it listens.
+    pub listen: ListenSettings,
+    /// `[store]`: the platform's key-value store.
+    pub store: StoreSettings,
+    /// `[instance_list] url`: the platform's instance list. Without it, members are known from
+    /// the peer exchange only.
+    pub instance_list: Option<HttpUrl>,
+    /// `[peers]`: other instances.
+    pub peers: PeerSettings,
+    /// `[admin] key`: key of the admin listener. Without it, the listener serves readiness and
+    /// liveness only.
+    pub admin_key: Option<SecretSource>,
+    /// `[log]`.
+    pub log: LogSettings,
+    /// `[trace] otlp_endpoint`: where spans are exported. Without it, none are.
+    pub otlp_endpoint: Option<HttpUrl>,
+    /// `[limits]`.
+    pub limits: LimitSettings,
+    /// Findings that leave the settings usable.
+    pub warnings: Findings,
+}
+
+/// Identity of an instance.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct InstanceSettings {
+    /// Name, unique within the fleet.
+    pub id: InstanceId,
+    /// Region that the process runs in.
+    pub region: Region,
+    /// Failure domain that the process runs in.
+    pub failure_domain: FailureDomain,
+}
+
+/// Listening addresses.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ListenSettings {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For metrics, readiness, liveness and operators.
+    pub admin: SocketAddr,
+    /// For other instances.
+    pub peers: SocketAddr,
+}
+
+/// Access to the platform's key-value store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StoreSettings {
+    /// Endpoints, tried in turn.
+    pub endpoints: Vec<HttpUrl>,
+    /// Prefix of all keys of this fleet. Ends with `/`.
+    pub prefix: Arc<str>,
+}
+
+/// Access to other instances.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PeerSettings {
+    /// Peer listeners that are tried at the start.
+    pub bootstrap: Vec<SocketAddr>,
+    /// Key that authenticates instances to each other.
+    pub key: SecretSource,
+}
+
+/// Form of the log.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum LogFormat {
+    /// Lines for people.
+    #[default]
+    Text,
+    /// One JSON object per line.
+    Json,
+}
+
+/// Least severe level that is logged.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum LogLevel {
+    /// Failures that need attention.
+    Error,
+    /// Unexpected conditions that are handled.
+    Warning,
+    /// Changes of state.
+    #[default]
+    Info,
+    /// Details for developers.
+    Debug,
+    /// Every decision.
+    Trace,
+}
+
+/// Logging.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LogSettings {
+    /// Form of the log.
+    pub format: LogFormat,
+    /// Least severe level that is logged.
+    pub level: LogLevel,
+}
+
+/// Limits that bound the memory and time that a connection can take.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LimitSettings {
+    /// Largest request or response head, in bytes.
+    pub max_head_bytes: usize,
+    /// Largest number of connections from callers.
+    pub max_connections: usize,
+    /// Time within which a caller must send a request head.
+    pub head_timeout: Duration,
+    /// Time for which a caller's connection may stay idle between requests.
+    pub keep_alive: Duration,
+    /// Time between turning unready and refusing new connections at a planned stop.
+    pub shutdown_grace: Duration,
+    /// Buffer per direction and connection, in bytes.
+    pub buffer_bytes: usize,
+}
+
+impl Default for LimitSettings {
+    fn default() -> Self {
+        Self {
+            max_head_bytes: 16_384,
+            max_connections: 4096,
+            head_timeout: Duration::from_millis(5000),
+            keep_alive: Duration::from_millis(60_000),
+            shutdown_grace: Duration::from_millis(2000),
+            buffer_bytes: 65_536,
+        }
+    }
+}
+
+impl Settings {
+    /// Reads settings. `file_name` is used in findings only.
+    pub fn parse(file_name: &str, text: &str) -> Result<Self, Findings> {
+        let (reader, table) = Reader::parse(file_name, text);
+        let mut root = reader.root(&table);
+        let draft = Draft::read(&reader, &mut root);
+        root.finish();
+        let findings = reader.into_findings();
+        if findings.has_errors() {
+            return Err(findings);
+        }
+        // A section that could not be read has left an error behind.
+        draft.into_settings().map(|settings| Self { warnings: findings, ..settings }).ok_or_else(
+            || {
+                debug_assert!(false, "an unreadable section must leave an error");
+                Findings::new()
+            },
+        )
+    }
+}
+
+/// Settings as far as they could be read.
+struct Draft {
+    instance: Option<InstanceSettings>,
+    listen: Option<ListenSettings>,
+    store: Option<StoreSettings>,
+    peers: Option<PeerSettings>,
+    instance_list: Option<HttpUrl>,
+    admin_key: Option<SecretSource>,
+    log: LogSettings,
+    otlp_endpoint: Option<HttpUrl>,
+    limits: LimitSettings,
+}
+
+impl Draft {
+    fn read(reader: &Reader, root: &mut Section<'_, '_>) -> Self {
+        let instance_list = root.field("instance_list");
+        let has_list = instance_list.is_present();
+        Self {
+            instance: section(&root.field("instance").required("add the section"), read_instance),
+            listen: section(&root.field("listen").required("add the section"), |table| {
+                read_listen(reader, table)
+            }),
+            store: section(&root.field("store").required("add the section"), read_store),
+            peers: section(&root.field("peers").required("add the section with a key"), |table| {
+                read_peers(reader, table, has_list)
+            }),
+            instance_list: section(&instance_list, |table| url(&table.field("url").required(URL))),
+            admin_key: section(&root.field("admin"), |table| read_key(reader, table)),
+            log: section(&root.field("log"), read_log).unwrap_or_default(),
+            otlp_endpoint: section(
+                &root.field("trace"),
+                |table| url(&table.field("otlp_endpoint")),
+            ),
+            limits: section(&root.field("limits"), read_limits).unwrap_or_default(),
+        }
+    }
+
+    fn into_settings(self) -> Option<Settings> {
+        Some(Settings {
+            instance: self.instance?,
+            listen: self.listen?,
+            store: self.store?,
+            peers: self.peers?,
+            instance_list: self.instance_list,
+            admin_key: self.admin_key,
+            log: self.log,
+            otlp_endpoint: self.otlp_endpoint,
+            limits: self.limits,
+            warnings: Findings::new(),
+        })
+    }
+}
+
+fn section<'r, 't, T>(
+    field: &Field<'r, 't>,
+    read: impl FnOnce(&mut Section<'r, 't>) -> Option<T>,
+) -> Option<T> {
+    let mut table = field.section()?;
+    let value = read(&mut table);
+    table.finish();
+    value
+}
+
+fn read_instance(table: &mut Section<'_, '_>) -> Option<InstanceSettings> {
+    let id = name(table, "id");
+    let region = name(table, "region");
+    let failure_domain = name(table, "failure_domain");
+    Some(InstanceSettings { id: id?, region: region?, failure_domain: failure_domain? })
+}
+
+fn read_listen(reader: &Reader, table: &mut Section<'_, '_>) -> Option<ListenSettings> {
+    let callers = address(table, "callers");
+    let admin = address(table, "admin");
+    let peers = address(table, "peers");
+    let all: Vec<_> = [&callers, &admin, &peers].into_iter().flatten().collect();
+    for (index, place) in all.iter().enumerate() {
+        let other =
+            all[..index].iter().find(|other| other.value == place.value && place.value.port() != 0);
+        if let Some(other) = other {
+            let problem = format!("{} is also the address of {}", place.value, other.key);
+            reader.error_at(place, problem, "use another port");
+        }
+    }
+    Some(ListenSettings { callers: callers?.value, admin: admin?.value, peers: peers?.value })
+}
+
+fn read_store(table: &mut Section<'_, '_>) -> Option<StoreSettings> {
+    let field = table.field("endpoints").required("write a list of URLs");
+    let elements = field.elements();
+    if field.is_present() && elements.is_empty() {
+        field.wrong_type::<()>("a list with at least one URL");
+    }
+    let endpoints: Option<Vec<_>> = elements.iter().map(url).collect();
+    let prefix = table.field("prefix").required("write a prefix, for example \"cactustrack/\"");
+    let prefix = prefix.text().map(|text| text.value.trim_end_matches('/').to_owned() + "/");
+    Some(StoreSettings { endpoints: endpoints?, prefix: prefix?.into() })
+}
+
+fn read_peers(
+    reader: &Reader,
+    table: &mut Section<'_, '_>,
+    has_list: bool,
+) -> Option<PeerSettings> {
+    let (line, path) = (table.line(), table.path().to_owned());
+    let field = table.field("bootstrap");
+    let elements = field.elements();
+    if elements.is_empty() && !has_list {
+        let problem = "there is neither an instance list nor a bootstrap address";
+        reader.warning(line, &path, problem, "add one, unless the fleet has a single instance");
+    }
+    let bootstrap: Option<Vec<_>> =
+        elements.iter().map(|field| Some(field.parsed(ADDRESS)?.value)).collect();
+    let key = read_key(reader, table);
+    Some(PeerSettings { bootstrap: bootstrap?, key: key? })
+}
+
+/// Reads `key` or `key_file`. Findings about `key` never quote its value.
+fn read_key(reader: &Reader, table: &mut Section<'_, '_>) -> Option<SecretSource> {
+    let (line, path) = (table.line(), table.path().to_owned());
+    let remedy = format!("write a secret of at least {} characters", Secret::MIN_CHARS);
+    let key = table.field("key");
+    let key_file = table.field("key_file");
+    if key.is_present() && key_file.is_present() {
+        let problem = "both `key` and `key_file` are given";
+        reader.error(line, &format!("{path}.key"), problem, "give one of them");
+        return None;
+    }
+    let key = if key_file.is_present() { key } else { key.required(&remedy) };
+    if let Some(file) = key_file.text() {
+        return Some(SecretSource::File(PathBuf::from(file.value)));
+    }
+    let text = key.text()?;
+    match Secret::new(&text.value) {
+        Ok(secret) => Some(SecretSource::Inline(secret)),
+        Err(error) => {
+            reader.error_at(&text, error, remedy);
+            None
+        }
+    }
+}
+
+fn read_log(table: &mut Section<'_, '_>) -> Option<LogSettings> {
+    let formats = [("text", LogFormat::Text), ("json", LogFormat::Json)];
+    let levels = [
+        ("error", LogLevel::Error),
+        ("warning", LogLevel::Warning),
+        ("info", LogLevel::Info),
+        ("debug", LogLevel::Debug),
+        ("trace", LogLevel::Trace),
+    ];
+    let format = table.field("format").choice(&formats);
+    let level = table.field("level").choice(&levels);
+    Some(LogSettings {
+        format: format.map(|format| format.value).unwrap_or_default(),
+        level: level.map(|level| level.value).unwrap_or_default(),
+    })
+}
+
+fn read_limits(table: &mut Section<'_, '_>) -> Option<LimitSettings> {
+    let default = LimitSettings::default();
+    Some(LimitSettings {
+        // hyper refuses a read buffer below 8 KiB.
+        max_head_bytes: size(&table.field("max_head_bytes"), 8192, default.max_head_bytes),
+        max_connections: size(&table.field("max_connections"), 1, default.max_connections),
+        head_timeout: duration(&table.field("head_timeout_ms"), default.head_timeout),
+        keep_alive: duration(&table.field("keep_alive_ms"), default.keep_alive),
+        shutdown_grace: duration(&table.field("shutdown_grace_ms"), default.shutdown_grace),
+        buffer_bytes: size(&table.field("buffer_bytes"), 8192, default.buffer_bytes),
+    })
+}
+
+fn size(field: &Field<'_, '_>, minimum: u64, default: usize) -> usize {
+    const MAX: u64 = 16 * 1024 * 1024;
+    let number = field.integer(minimum..=MAX).and_then(|number| number.value.try_into().ok());
+    number.unwrap_or(default)
+}
+
+fn duration(field: &Field<'_, '_>, default: Duration) -> Duration {
+    const MAX_MS: u64 = 3_600_000;
+    field.integer(1..=MAX_MS).map_or(default, |number| Duration::from_millis(number.value))
+}
+
+fn name(table: &mut Section<'_, '_>, key: &'static str) -> Option<Arc<str>> {
+    let name = table.field(key).required(NAME).parsed::<crate::name::Name>(NAME)?;
+    Some(name.value.into())
+}
+
+fn address(table: &mut Section<'_, '_>, key: &'static str) -> Option<Located<SocketAddr>> {
+    table.field(key).required(ADDRESS).parsed(ADDRESS)
+}
+
+fn url(field: &Field<'_, '_>) -> Option<HttpUrl> {
+    Some(field.parsed(URL)?.value)
+}
--- /dev/null
+++ b/src/cli/generate.rs
@@ -0,0 +1,43 @@
+//! `cactustrack generate`: shows the configuration that follows from a questionnaire.
+
+use cactustrack_config::generate;
+use cactustrack_types::Version;
+use clap::{Arg, ArgMatches, Command, value_parser};
+use eyre::Result;
+
+use super::{Exit, Output, Subcommand, input};
+
+pub(super) const SUBCOMMAND: Subcommand = Subcommand { command, run };
+
+fn command() -> Command {
+    let version = Arg::new("config-version")
+        .long("config-version")
+        .value_name("NUMBER")
+        .value_parser(value_parser!(Version))
+        .default_value("0")
+        .help("Version to write; a version is assigned when the configuration is accepted");
+    Command::new("generate")
+        .about("Show the configuration that follows from a questionnaire")
+        .arg(input::file_arg("file", "Questionnaire"))
+        .arg(version)
+        .arg(input::output_arg())
+}
+
+fn run(matches: &ArgMatches, output: &mut Output<'_>) -> Result<Exit> {
+    let questionnaire = match input::questionnaire(input::path(matches, "file")?)? {
+        Ok(questionnaire) => questionnaire,
+        Err(findings) => return input::report(output, &findings),
+    };
+    if !output.json && !questionnaire.warnings.is_empty() {
+        input::report(output, &questionnaire.warnings)?;
+    }
+    let version = matches.get_one("config-version").copied().unwrap_or_default();
+    let generated = generate(&questionnaire, version);
+    let text = if output.json {
+        serde_json::to_string_pretty(&generated)? + "\n"
+    } else {
+        generated.to_toml()
+    };
+    input::write(matches, output, &text)?;
+    Ok(Exit::Ok)
+}
--- /dev/null
+++ b/src/cli/input.rs
@@ -0,0 +1,80 @@
+//! Files that several subcommands read and write.
+
+use std::fs::{self, File};
+use std::io::Write;
+use std::path::{Path, PathBuf};
+
+use cactustrack_config::{Findings, Questionnaire};
+use clap::{Arg, ArgMatches, value_parser};
+use eyre::{OptionExt, WrapErr};
+use serde::Serialize;
+
+use super::{Exit, Output};
+
+/// Largest input file. The questionnaire of 230 services, 2,000 routes and 29,000 accounts has
+/// less than 3 MB.
+const MAX_FILE_BYTES: u64 = 64 * 1024 * 1024;
+
+/// A required argument that names a file.
+pub(super) fn file_arg(id: &'static str, help: &'static str) -> Arg {
+    Arg::new(id)
+        .value_name(id.to_uppercase())
+        .value_parser(value_parser!(PathBuf))
+        .required(true)
+        .help(help)
+}
+
+/// Option that names the file to write to.
+pub(super) fn output_arg() -> Arg {
+    Arg::new("output")
+        .long("output")
+        .short('o')
+        .value_name("FILE")
+        .value_parser(value_parser!(PathBuf))
+        .help("Write to a new file instead of standard output; an existing file is kept")
+}
+
+/// Returns the path that was given for an argument.
+pub(super) fn path<'a>(matches: &'a ArgMatches, id: &str) -> eyre::Result<&'a Path> {
+    let path = matches.get_one::<PathBuf>(id).ok_or_eyre("a file argument is missing")?;
+    Ok(path)
+}
+
+/// Reads a text file.
+pub(super) fn read(path: &Path) -> eyre::Result<String> {
+    let context = || format!("{} cannot be read", path.display());
+    let size = fs::metadata(path).wrap_err_with(context)?.len();
+    eyre::ensure!(size <= MAX_FILE_BYTES, "{} is larger than 64 MiB", path.display());
+    fs::read_to_string(path).wrap_err_with(context)
+}
+
+/// Writes text to the file of [`output_arg`] or to standard output.
+pub(super) fn write(matches: &ArgMatches, output: &mut Output<'_>, text: &str) -> eyre::Result<()> {
+    let Some(path) = matches.get_one::<PathBuf>("output") else {
+        return Ok(output.out.write_all(text.as_bytes())?);
+    };
+    let context = || format!("{} cannot be written", path.display());
+    let mut file = File::create_new(path).wrap_err_with(context)?;
+    file.write_all(text.as_bytes()).wrap_err_with(context)
+}
+
+/// Findings as JSON.
+#[derive(Serialize)]
+struct Report<'a> {
+    findings: &'a Findings,
+}
+
+/// Writes findings: as JSON to standard output or as text to standard error.
+pub(super) fn report(output: &mut Output<'_>, findings: &Findings) -> eyre::Result<Exit> {
+    if output.json {
+        output.write_json(&Report { findings })?;
+    } else {
+        writeln!(output.err, "{findings}")?;
+    }
+    Ok(if findings.has_errors() { Exit::Findings } else { Exit::Ok })
+}
+
+/// Reads a questionnaire. Its inner error is the findings that make it unusable.
+pub(super) fn questionnaire(path: &Path) -> eyre::Result<Result<Questionnaire, Findings>> {
+    Ok(Questionnaire::parse(&path.to_string_lossy(), &read(path)?))
+}
