Add evidence, collector and ejection planner

Instances count outcomes and report bad ones at the next exchange interval. A collector orders this evidence in slots of time, so that bad counts which arrive early and ok counts which arrive late do not bias its CUSUM statistics. The planner turns the majority of the verdicts into weights and keeps the floor in each plan. Not measured yet.

--- /dev/null
+++ b/crates/health/src/baseline.rs
@@ -0,0 +1,54 @@
+//! The rate of bad answers that is usual for a service.
+
+use crate::cusum::KINDS;
+use crate::latency::median;
+
+/// Smallest baseline rate. Below it, single random failures would weigh too much.
+const FLOOR: f64 = 0.002;
+/// Largest baseline rate.
+const CEILING: f64 = 0.9;
+/// Factor by which the long window forgets per slot of 500 ms: a time constant of 120 s.
+const LONG_DECAY: f64 = 0.995_842;
+/// Factor by which the short window forgets per slot of 500 ms: a time constant of 5 s. It lets
+/// the baseline follow a shared change before the statistics reach their thresholds.
+const SHORT_DECAY: f64 = 0.904_837;
+/// Weight of the prior rate, in answers.
+const PRIOR_ANSWERS: f64 = 50.0;
+
+/// Decaying counts of bad and judged answers of one upstream by kind.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Rates {
+    long: [(f64, f64); KINDS],
+    short: [(f64, f64); KINDS],
+}
+
+impl Rates {
+    /// Adds bad and judged answers of one kind.
+    pub(crate) fn add(&mut self, kind: usize, bad: f64, judged: f64) {
+        for window in [&mut self.long[kind], &mut self.short[kind]] {
+            window.0 += bad;
+            window.1 += judged;
+        }
+    }
+
+    /// Lets one slot of time pass.
+    pub(crate) fn decay(&mut self) {
+        for kind in 0..KINDS {
+            self.long[kind] = (self.long[kind].0 * LONG_DECAY, self.long[kind].1 * LONG_DECAY);
+            self.short[kind] = (self.short[kind].0 * SHORT_DECAY, self.short[kind].1 * SHORT_DECAY);
+        }
+    }
+}
+
+/// Median rate over the upstreams for one kind, as a share of answers: the larger one of a long
+/// and a short window. Each rate is shrunk towards a prior by a fixed number of answers.
+pub(crate) fn baseline<'a>(rates: &(impl Iterator<Item = &'a Rates> + Clone), kind: usize) -> f64 {
+    let over = |pick: fn(&Rates, usize) -> (f64, f64), prior: f64| {
+        let shrink = |(bad, judged)| (bad + prior * PRIOR_ANSWERS) / (judged + PRIOR_ANSWERS);
+        let known = rates.clone().map(|rate| pick(rate, kind)).filter(|(_, judged)| *judged > 0.5);
+        median(&mut known.map(shrink).collect::<Vec<_>>()).unwrap_or(prior)
+    };
+    let long = over(|rate, kind| rate.long[kind], FLOOR).max(FLOOR);
+    let short = over(|rate, kind| rate.short[kind], long);
+    long.max(short).min(CEILING)
+}
--- /dev/null
+++ b/crates/health/src/collector.rs
@@ -0,0 +1,328 @@
+//! The collector of a service: evidence of all observers in, verdicts out.
+
+use std::collections::BTreeMap;
+use std::time::Instant;
+
+use cactustrack_types::{
+    Counts, DetectionPolicy, Incarnation, Scope, ServiceId, UpstreamId, Verdict, VerdictHealth,
+};
+
+use crate::baseline::baseline;
+use crate::cusum::{FAULT_RATES, Group, KINDS, log_likelihood_ratio};
+use crate::evidence::EXCHANGE_INTERVAL;
+use crate::explain::{Decision, Decisions};
+use crate::observers::{Admitted, Observers};
+use crate::readmission::TRIAL_GOOD_ANSWERS;
+use crate::report::{Report, ReportEntry};
+use crate::upstream::{Alarm, Status, Tests, Upstream};
+
+/// Upstreams kept for a service. Evidence about further ones is dropped.
+const MAX_UPSTREAMS: usize = 512;
+
+/// Judges the upstreams of one service from the reports of all observers.
+///
+/// Evidence is kept in slots of [`EXCHANGE_INTERVAL`] in the order in which it arose, because bad
+/// evidence is reported at once and ok evidence up to five seconds later. For slots that an
+/// observer's reports do not cover yet, its silence counts as the absence of bad answers at the
+/// observer's usual request rate. Without this, the statistics would see bad answers early and the
+/// good ones between them late, and would raise false alarms.
+#[derive(Debug)]
+pub struct Collector {
+    service: ServiceId,
+    policy: DetectionPolicy,
+    origin: Instant,
+    observers: Observers,
+    upstreams: BTreeMap<UpstreamId, Upstream>,
+    tests: Tests,
+    baselines: [f64; KINDS],
+    seq: u64,
+    decisions: Decisions,
+}
+
+impl Collector {
+    /// Creates a collector of a service that knows no evidence.
+    pub fn new(now: Instant, service: ServiceId, policy: DetectionPolicy) -> Self {
+        let mut collector = Self {
+            service,
+            policy,
+            origin: now,
+            observers: Observers::default(),
+            upstreams: BTreeMap::new(),
+            tests: Tests { threshold: 0.0, ratios: [Vec::new(), Vec::new()] },
+            baselines: [0.0; KINDS],
+            seq: 0,
+            decisions: Decisions::new(now),
+        };
+        collector.update_tests();
+        collector
+    }
+
+    /// Takes a report. Reports for another service or of an earlier incarnation of the observer
+    /// are dropped, and so are entries of an earlier incarnation of an upstream.
+    pub fn report(&mut self, now: Instant, report: &Report) {
+        if report.service != self.service {
+            return;
+        }
+        let slot = self.slot(now);
+        let (observer, domain) = match self.observers.admit(slot, &report.observer) {
+            Admitted::Known(observer, domain) => (observer, domain),
+            Admitted::Fresh(observer, domain) => {
+                self.forget_observer(observer);
+                (observer, domain)
+            }
+            Admitted::Rejected => return,
+        };
+        for entry in &report.entries {
+            self.take_entry(slot, observer, domain, entry);
+        }
+    }
+
+    /// Judges all upstreams at the given time. Called at least once per [`EXCHANGE_INTERVAL`].
+    pub fn tick(&mut self, now: Instant) {
+        let slot = self.slot(now);
+        for observer in self.observers.expire(slot) {
+            self.forget_observer(observer);
+        }
+        self.update_tests();
+        self.evaluate(slot);
+        let excluded = self.observers.update_excluded(slot, self.upstreams.values(), &self.tests);
+        if !excluded.is_empty() {
+            for (observer, instance) in excluded {
+                self.upstreams.values_mut().for_each(|upstream| upstream.exclude(observer));
+                self.decisions.push(now, Decision::of_observer(&self.service, instance));
+            }
+            self.evaluate(slot);
+        }
+        self.judge(now, slot);
+    }
+
+    /// Verdicts that changed after the given sequence number, ordered by upstream id.
+    pub fn verdicts_since(&self, seq: u64) -> Vec<Verdict> {
+        let verdicts = self.upstreams.values().filter_map(|upstream| upstream.verdict.as_ref());
+        verdicts.filter(|verdict| verdict.seq > seq).cloned().collect()
+    }
+
+    /// Sequence number of the latest change.
+    pub fn seq(&self) -> u64 {
+        self.seq
+    }
+
+    /// Recent refusals because of a shared cause and exclusions of observers.
+    pub fn decisions(&self) -> &Decisions {
+        &self.decisions
+    }
+
+    /// Rate of failures and of slow answers that is usual for the service, as shares from 0 to 1.
+    pub fn baselines(&self) -> (f64, f64) {
+        (self.baselines[0], self.baselines[1])
+    }
+
+    /// Score of an upstream over all observers at the last [`Collector::tick`], in nats.
+    pub fn score(&self, upstream: &str) -> Option<f64> {
+        self.upstreams.get(upstream).map(|upstream| upstream.score(Group::All))
+    }
+
+    /// Replaces the policy. Statistics go on with the new threshold.
+    pub fn set_policy(&mut self, policy: DetectionPolicy) {
+        self.policy = policy;
+        self.update_tests();
+    }
+
+    /// Forgets upstreams for which `keep` returns false.
+    pub fn retain(&mut self, mut keep: impl FnMut(&UpstreamId) -> bool) {
+        self.upstreams.retain(|id, _| keep(id));
+    }
+
+    fn slot(&self, now: Instant) -> u64 {
+        let elapsed = now.saturating_duration_since(self.origin).as_millis();
+        // Slots start well above 0 so that a report can cover time before the collector started.
+        u64::try_from(elapsed / EXCHANGE_INTERVAL.as_millis()).unwrap_or(u64::MAX / 2) + 1000
+    }
+
+    fn forget_observer(&mut self, observer: usize) {
+        for upstream in self.upstreams.values_mut() {
+            if let Some(seen) = upstream.seen.get_mut(observer) {
+                *seen = None;
+            }
+        }
+    }
+
+    fn take_entry(&mut self, slot: u64, observer: usize, domain: usize, entry: &ReportEntry) {
+        let (id, incarnation, counts) = entry;
+        if !self.upstreams.contains_key(id) {
+            if self.upstreams.len() >= MAX_UPSTREAMS {
+                return;
+            }
+            self.upstreams.insert(UpstreamId::clone(id), Upstream::new(*incarnation, 0));
+        }
+        let Some(upstream) = self.upstreams.get_mut(id) else { return };
+        if *incarnation < upstream.incarnation {
+            return;
+        }
+        if *incarnation > upstream.incarnation {
+            let had_verdict = upstream.verdict.is_some();
+            *upstream = Upstream::new(*incarnation, slot.saturating_sub(1));
+            if had_verdict {
+                self.seq += 1;
+                upstream.verdict = Some(good_verdict(id, *incarnation, self.seq, &self.tests));
+            }
+        }
+        upstream.advance(slot, self.observers.domains().len(), &self.tests);
+        let excluded = self.observers.is_excluded(observer);
+        upstream.add(slot, (observer, domain, excluded), *counts, &self.tests);
+    }
+
+    fn update_tests(&mut self) {
+        let smallest = self.policy.smallest_fault_rate;
+        let mut rates: Vec<f64> = FAULT_RATES.into_iter().filter(|r| *r >= smallest).collect();
+        if rates.is_empty() {
+            rates.push(1.0);
+        }
+        for kind in 0..KINDS {
+            let known = self.upstreams.values().map(|upstream| &upstream.rates);
+            self.baselines[kind] = baseline(&known, kind);
+            let ratios = rates.iter().map(|rate| log_likelihood_ratio(self.baselines[kind], *rate));
+            self.tests.ratios[kind] = ratios.collect();
+        }
+        self.tests.threshold = self.policy.mean_samples_between_false_alarms.max(2.0).ln();
+    }
+
+    fn evaluate(&mut self, slot: u64) {
+        let observers = &self.observers;
+        let domains = observers.domains().len();
+        for upstream in self.upstreams.values_mut() {
+            upstream.advance(slot, domains, &self.tests);
+            upstream.evaluate(slot, |observer| observers.is_excluded(observer), &self.tests);
+        }
+    }
+
+    /// Moves the status of each upstream on and publishes verdicts that changed.
+    fn judge(&mut self, now: Instant, slot: u64) {
+        let domains = self.observers.domains().len();
+        let shared: Vec<Option<(usize, usize)>> =
+            (0..=domains).map(|index| self.shared_cause(slot, Group::from_index(index))).collect();
+        let observers = &self.observers;
+        let excluded = |observer| observers.is_excluded(observer);
+        for (id, upstream) in &mut self.upstreams {
+            let alarm = upstream.alarm(slot, domains, excluded, &self.tests);
+            let alarm = alarm.filter(|alarm| is_news(upstream.status, alarm.group));
+            if let Some(alarm) = alarm {
+                if let Some(counts) = shared[alarm.group.index()].or(shared[0]) {
+                    let decision = Decision::of_shared_cause(
+                        (&self.service, id),
+                        (alarm.value, self.tests.threshold),
+                        (to_counts(alarm.counts), alarm.observers),
+                        counts,
+                    );
+                    self.decisions.push_once(now, decision);
+                    continue;
+                }
+                upstream.status = Status::Faulty(alarm.group);
+                self.seq += 1;
+                let scope = match alarm.group {
+                    Group::All => Scope::Everywhere,
+                    Group::Domain(domain) => Scope::Domain(observers.domains()[domain].clone()),
+                };
+                upstream.verdict =
+                    Some(faulty_verdict(id, upstream, &alarm, scope, self.seq, &self.tests));
+                continue;
+            }
+            Self::follow_up(slot, id, upstream, &mut self.seq, &self.tests);
+        }
+    }
+
+    /// Ends a fault without evidence, and publishes how an upstream does after a fault.
+    fn follow_up(
+        slot: u64,
+        id: &UpstreamId,
+        upstream: &mut Upstream,
+        seq: &mut u64,
+        tests: &Tests,
+    ) {
+        match upstream.status {
+            Status::Good => {}
+            Status::Faulty(group) => {
+                if upstream.is_confirmed(slot, group, tests) {
+                    return;
+                }
+                upstream.recover(group, tests);
+                *seq += 1;
+                upstream.verdict = Some(good_verdict(id, upstream.incarnation, *seq, tests));
+            }
+            Status::Recovering(_, counts) => {
+                let Some(verdict) = &mut upstream.verdict else { return };
+                if verdict.evidence != counts {
+                    *seq += 1;
+                    verdict.evidence = counts;
+                    verdict.seq = *seq;
+                }
+                if counts.ok >= TRIAL_GOOD_ANSWERS {
+                    upstream.status = Status::Good;
+                }
+            }
+        }
+    }
+
+    /// Returns how many upstreams appear faulty to a group, out of how many, if these are more
+    /// than half.
+    fn shared_cause(&self, slot: u64, group: Group) -> Option<(usize, usize)> {
+        let reported = self.upstreams.values().filter(|upstream| upstream.is_reported(slot, group));
+        let total = reported.clone().count();
+        let faulty =
+            reported.filter(|upstream| upstream.appears_faulty(group, &self.tests)).count();
+        (faulty * 2 > total).then_some((faulty, total))
+    }
+}
+
+/// True if an alarm of a group changes the status.
+fn is_news(status: Status, group: Group) -> bool {
+    match status {
+        Status::Good | Status::Recovering(..) => true,
+        Status::Faulty(known) => known != Group::All && known != group,
+    }
+}
+
+fn to_counts([ok, refused, failed, cut_short, slow]: [f64; 5]) -> Counts {
+    let whole = |count: f64| count.round().clamp(0.0, f64::from(u32::MAX)) as u32;
+    Counts {
+        ok: whole(ok),
+        refused: whole(refused),
+        failed: whole(failed),
+        cut_short: whole(cut_short),
+        slow: whole(slow),
+        ..Counts::default()
+    }
+}
+
+fn good_verdict(id: &UpstreamId, incarnation: Incarnation, seq: u64, tests: &Tests) -> Verdict {
+    Verdict {
+        upstream: UpstreamId::clone(id),
+        incarnation,
+        health: VerdictHealth::Good,
+        score: 0.0,
+        threshold: tests.threshold,
+        evidence: Counts::default(),
+        observers: 0,
+        seq,
+    }
+}
+
+fn faulty_verdict(
+    id: &UpstreamId,
+    upstream: &Upstream,
+    alarm: &Alarm,
+    scope: Scope,
+    seq: u64,
+    tests: &Tests,
+) -> Verdict {
+    Verdict {
+        upstream: UpstreamId::clone(id),
+        incarnation: upstream.incarnation,
+        health: VerdictHealth::Faulty { scope },
+        score: alarm.value,
+        threshold: tests.threshold,
+        evidence: to_counts(alarm.counts),
+        observers: alarm.observers,
+        seq,
+    }
+}
--- /dev/null
+++ b/crates/health/src/cusum.rs
@@ -0,0 +1,122 @@
+//! Log-likelihood ratios and the CUSUM statistics built from them.
+
+/// Fault rates that the collectors test for, as shares of requests.
+pub const FAULT_RATES: [f64; 4] = [0.03, 0.10, 0.50, 1.0];
+/// Kinds of bad evidence that are tested separately: failures and slow answers.
+pub(crate) const KINDS: usize = 2;
+/// Failure domains that evidence is kept apart for. Further ones share the last slot.
+pub(crate) const MAX_DOMAINS: usize = 8;
+/// Largest rate of bad answers that a hypothesis assumes. A rate of 1 would make one good answer
+/// outweigh any number of bad ones.
+const MAX_RATE: f64 = 0.98;
+/// A statistic stops growing at this multiple of its threshold, so that an upstream that recovers
+/// is not held back by the length of its fault.
+const CAP_IN_THRESHOLDS: f64 = 2.0;
+
+/// Log-likelihood ratios of one hypothesis, in nats.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Ratio {
+    /// For one bad answer.
+    pub bad: f64,
+    /// For one good answer.
+    pub good: f64,
+    /// For one expected answer of an observer that sent no report. Because bad evidence is sent at
+    /// once, silence means that a Poisson number of requests had no bad answer.
+    pub silent: f64,
+}
+
+/// Ratios for an upstream whose requests fail at `fault_rate` on top of the service's `baseline`
+/// rate, against one that fails at `baseline` only. Both are shares of requests.
+pub fn log_likelihood_ratio(baseline: f64, fault_rate: f64) -> Ratio {
+    let faulty = (baseline + fault_rate * (1.0 - baseline)).min(MAX_RATE).max(baseline);
+    Ratio {
+        bad: (faulty / baseline).ln(),
+        good: ((1.0 - faulty) / (1.0 - baseline)).ln(),
+        silent: baseline - faulty,
+    }
+}
+
+/// Evidence of one time slot and one failure domain. Counts are fractions where a report covers
+/// several slots.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub(crate) struct Cell {
+    /// Answers by kind: ok, refused, failed, cut short, slow.
+    pub(crate) counts: [f64; 5],
+    /// Expected answers of observers that sent no report for the slot.
+    pub(crate) silent: f64,
+}
+
+impl Cell {
+    /// Bad and good answers for the test of failures (0) or of slow answers (1).
+    pub(crate) fn bad_and_good(&self, kind: usize) -> (f64, f64) {
+        let [ok, refused, failed, cut_short, slow] = self.counts;
+        if kind == 0 { (refused + failed + cut_short, ok + slow) } else { (slow, ok) }
+    }
+}
+
+/// A CUSUM statistic and what it rests on since it last was zero.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Cusum {
+    /// Value in nats.
+    pub(crate) value: f64,
+    /// Contribution of each failure domain in nats, also of domains outside the tested group.
+    pub(crate) by_domain: [f64; MAX_DOMAINS],
+    /// Answers by kind, see [`Cell`].
+    pub(crate) counts: [f64; 5],
+    /// Part of the value that is no evidence, in nats.
+    pub(crate) head_start: f64,
+}
+
+impl Cusum {
+    /// Adds one time slot. Domains for which `in_group` holds move the statistic.
+    pub(crate) fn add(&mut self, slot: &[Cell], kind: usize, ratio: Ratio, group: Group) {
+        for (domain, cell) in slot.iter().enumerate() {
+            let (bad, good) = cell.bad_and_good(kind);
+            let step = bad * ratio.bad + good * ratio.good + cell.silent * ratio.silent;
+            self.by_domain[domain] += step;
+            if group.contains(domain) {
+                self.value += step;
+                for (sum, count) in self.counts.iter_mut().zip(cell.counts) {
+                    *sum += count;
+                }
+            }
+        }
+        if self.value <= 0.0 {
+            *self = Self::default();
+        }
+    }
+
+    pub(crate) fn cap(&mut self, threshold: f64) {
+        self.value = self.value.min(CAP_IN_THRESHOLDS * threshold);
+    }
+}
+
+/// Whose evidence a statistic uses.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Group {
+    /// All observers.
+    All,
+    /// Observers of one failure domain.
+    Domain(usize),
+}
+
+impl Group {
+    /// Position in a list of statistics: all observers first, then each domain.
+    pub(crate) fn index(self) -> usize {
+        match self {
+            Self::All => 0,
+            Self::Domain(domain) => domain + 1,
+        }
+    }
+
+    pub(crate) fn from_index(index: usize) -> Self {
+        if index == 0 { Self::All } else { Self::Domain(index - 1) }
+    }
+
+    pub(crate) fn contains(self, domain: usize) -> bool {
+        match self {
+            Self::All => true,
+            Self::Domain(own) => own == domain,
+        }
+    }
+}
--- /dev/null
+++ b/crates/health/src/evidence.rs
@@ -0,0 +1,79 @@
+//! Evidence of one instance, accumulated between reports.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use cactustrack_types::{Counts, Incarnation, Outcome, UpstreamId};
+
+use crate::report::ReportEntry;
+
+/// Time between two exchanges with a collector.
+pub const EXCHANGE_INTERVAL: Duration = Duration::from_millis(500);
+/// Longest time that evidence without a bad outcome waits for a report.
+pub const MAX_OK_DELAY: Duration = Duration::from_secs(5);
+
+#[derive(Debug)]
+struct Pending {
+    incarnation: Incarnation,
+    counts: Counts,
+    since: Instant,
+}
+
+impl Pending {
+    fn is_due(&self, now: Instant) -> bool {
+        let bad = self.counts.failures() > 0 || self.counts.slow > 0;
+        bad || now.saturating_duration_since(self.since) >= MAX_OK_DELAY
+    }
+}
+
+/// Counts of outcomes by upstream that were not reported yet.
+///
+/// State is bounded by the number of upstreams, because due counts leave with each report.
+#[derive(Debug, Default)]
+pub struct Evidence {
+    pending: BTreeMap<UpstreamId, Pending>,
+}
+
+impl Evidence {
+    /// Creates an accumulator without evidence.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Counts one outcome. An outcome of an older incarnation than the latest one is dropped, and
+    /// a newer incarnation replaces the pending counts of the older one.
+    pub fn record(
+        &mut self,
+        now: Instant,
+        upstream: &UpstreamId,
+        incarnation: Incarnation,
+        outcome: Outcome,
+    ) {
+        if !self.pending.contains_key(upstream) {
+            let pending = Pending { incarnation, counts: Counts::default(), since: now };
+            self.pending.insert(UpstreamId::clone(upstream), pending);
+        }
+        let Some(pending) = self.pending.get_mut(upstream) else { return };
+        if incarnation < pending.incarnation {
+            return;
+        }
+        if incarnation > pending.incarnation {
+            *pending = Pending { incarnation, counts: Counts::default(), since: now };
+        }
+        pending.counts.record(outcome);
+    }
+
+    /// Takes the counts that are due: all counts of an upstream with a bad outcome, and counts
+    /// without one that waited for [`MAX_OK_DELAY`]. Called once per [`EXCHANGE_INTERVAL`].
+    pub fn take_report(&mut self, now: Instant) -> Vec<ReportEntry> {
+        let mut entries = Vec::new();
+        self.pending.retain(|upstream, pending| {
+            let due = pending.is_due(now);
+            if due {
+                entries.push((UpstreamId::clone(upstream), pending.incarnation, pending.counts));
+            }
+            !due
+        });
+        entries
+    }
+}
--- a/crates/health/src/lib.rs
+++ b/crates/health/src/lib.rs
@@ -1,1 +1,35 @@
-//! Part of cactustrack; see docs/design.md.
+//! Fleet-wide outlier detection: evidence, verdicts, the ejection plan and its explanations.
+//!
+//! The crate makes decisions and does no I/O. Every function takes the current time as an
+//! [`std::time::Instant`]; none reads a clock.
+//!
+//! * [`Evidence`] and [`LatencyRule`] run on every instance and produce [`Report`]s.
+//! * [`Collector`] runs on the collectors of a service and turns reports into verdicts.
+//! * [`EjectionPlanner`] runs on every instance and turns verdicts into shares of work without
+//!   taking the service below its floor.
+//! * [`Decisions`] keeps the explanations of recent decisions.
+
+mod baseline;
+mod collector;
+mod cusum;
+mod evidence;
+mod explain;
+mod floor;
+mod latency;
+mod observers;
+mod planner;
+mod readmission;
+mod report;
+mod upstream;
+mod votes;
+mod window;
+
+pub use collector::Collector;
+pub use cusum::{FAULT_RATES, log_likelihood_ratio};
+pub use evidence::{EXCHANGE_INTERVAL, Evidence, MAX_OK_DELAY};
+pub use explain::{Action, Decision, Decisions, FloorArithmetic};
+pub use floor::{Candidate, allocate};
+pub use latency::LatencyRule;
+pub use planner::EjectionPlanner;
+pub use report::{Observer, Report, ReportEntry};
+pub use votes::VERDICT_LIFETIME;
--- /dev/null
+++ b/crates/health/src/planner.rs
@@ -0,0 +1,234 @@
+//! The ejection plan of one service.
+
+use std::collections::BTreeMap;
+use std::time::Instant;
+
+use cactustrack_types::{
+    FailureDomain, Incarnation, InstanceId, Millis, Service, ServiceId, Share, Standing,
+    UpstreamId, UpstreamView, Verdict,
+};
+
+use crate::explain::{Action, Decision, Decisions, FloorArithmetic};
+use crate::floor::{Candidate, allocate};
+use crate::readmission::{History, Phase};
+use crate::votes::{Judgement, Votes};
+
+/// Weight of an upstream that just started, as a share of its full weight.
+const COLD_WEIGHT: f64 = 0.1;
+/// Fault histories kept, so that upstreams that come and go do not use memory without limit.
+const MAX_HISTORIES: usize = 1024;
+
+/// Turns verdicts into shares of work for the upstreams of one service.
+///
+/// The plan depends only on the exchanges, views and times that were passed in, so instances with
+/// the same inputs reach the same plan. The floor holds in each plan whatever the inputs are: the
+/// capacity in service is at least the smaller one of the floor and the capacity that there would
+/// be without ejections.
+#[derive(Debug)]
+pub struct EjectionPlanner {
+    service: ServiceId,
+    votes: Votes,
+    histories: BTreeMap<UpstreamId, History>,
+    decisions: Decisions,
+}
+
+impl EjectionPlanner {
+    /// Creates a planner for a service without verdicts and fault histories.
+    pub fn new(now: Instant, service: ServiceId) -> Self {
+        Self {
+            service,
+            votes: Votes::default(),
+            histories: BTreeMap::new(),
+            decisions: Decisions::new(now),
+        }
+    }
+
+    /// Takes the answer of a collector to a report: the verdicts that changed since the sequence
+    /// number that [`EjectionPlanner::seq`] returned. An answer without verdicts confirms the
+    /// earlier ones.
+    pub fn exchange(
+        &mut self,
+        now: Instant,
+        collector: &InstanceId,
+        incarnation: Incarnation,
+        verdicts: &[Verdict],
+    ) {
+        self.votes.exchange(now, collector, incarnation, verdicts);
+    }
+
+    /// Sequence number of the latest verdict known from a collector, 0 if there is none.
+    pub fn seq(&self, collector: &str, incarnation: Incarnation) -> u64 {
+        self.votes.seq(collector, incarnation)
+    }
+
+    /// Recent ejections, refusals and readmissions.
+    pub fn decisions(&self) -> &Decisions {
+        &self.decisions
+    }
+
+    /// Computes the share of each upstream.
+    ///
+    /// `local` holds the verdicts of a collector that is fed with the instance's own evidence. They
+    /// are used while no collector was heard within [`crate::VERDICT_LIFETIME`]. Views of other
+    /// services are ignored.
+    pub fn plan(
+        &mut self,
+        now: Instant,
+        service: &Service,
+        own_domain: &FailureDomain,
+        views: &[UpstreamView],
+        local: &[Verdict],
+    ) -> BTreeMap<UpstreamId, Share> {
+        let views: BTreeMap<&UpstreamId, &UpstreamView> =
+            views.iter().filter(|view| view.service == self.service).map(|v| (&v.id, v)).collect();
+        self.votes.expire(now);
+        self.update_histories(now, service, own_domain, &views, local);
+        let live = views.values().filter(|view| !view.leaving);
+        let candidates: Vec<Candidate> =
+            live.map(|view| self.candidate(now, service, view)).collect();
+        let (floor, slots) = (f64::from(service.floor_slots), f64::from(service.slots));
+        let weights = allocate(floor, slots, &candidates);
+        let arithmetic = FloorArithmetic {
+            floor_slots: service.floor_slots,
+            available_slots: candidates.iter().map(|candidate| candidate.full * slots).sum(),
+            in_service_slots: weights.iter().map(|weight| weight * slots).sum(),
+        };
+        let mut plan: BTreeMap<UpstreamId, Share> = views
+            .keys()
+            .map(|id| (UpstreamId::clone(id), Share { weight: 0.0, standing: Standing::Leaving }))
+            .collect();
+        for (candidate, weight) in candidates.iter().zip(weights) {
+            let standing = self.standing(candidate, weight);
+            self.explain(now, candidate, Share { weight, standing }, arithmetic);
+            plan.insert(UpstreamId::clone(&candidate.id), Share { weight, standing });
+        }
+        plan
+    }
+
+    fn update_histories(
+        &mut self,
+        now: Instant,
+        service: &Service,
+        own_domain: &FailureDomain,
+        views: &BTreeMap<&UpstreamId, &UpstreamView>,
+        local: &[Verdict],
+    ) {
+        for (id, view) in views {
+            let judgement = self.votes.judge(id, view.incarnation, own_domain, local);
+            self.update_history(now, service, view, &judgement);
+        }
+        self.histories.retain(|_, history| !history.is_over(now));
+        while self.histories.len() > MAX_HISTORIES {
+            let absent = self.histories.keys().find(|id| !views.contains_key(id)).cloned();
+            let Some(absent) = absent else { break };
+            self.histories.remove(&absent);
+        }
+    }
+
+    fn update_history(
+        &mut self,
+        now: Instant,
+        service: &Service,
+        view: &UpstreamView,
+        judgement: &Judgement,
+    ) {
+        if let Some(history) = self.histories.get_mut(&view.id)
+            && view.incarnation > history.incarnation
+        {
+            *history = History::new(view.incarnation);
+        }
+        if judgement.fault.is_some() && !self.histories.contains_key(&view.id) {
+            let history = History::new(view.incarnation);
+            self.histories.insert(UpstreamId::clone(&view.id), history);
+        }
+        let Some(history) = self.histories.get_mut(&view.id) else { return };
+        let before = history.phase;
+        history.advance(now, service.detection.base_ejection.0, judgement);
+        let after = history.phase;
+        let action = match (before, after) {
+            (Phase::Trial { stage: old, .. }, Phase::Trial { stage, .. }) if old == stage => return,
+            (_, Phase::Trial { .. }) => Action::Trial { weight: history.weight() },
+            (Phase::Trial { .. } | Phase::Ejected { .. }, Phase::Clear) => Action::Readmitted,
+            _ => return,
+        };
+        let decision = self.decision(&view.id, action, None);
+        self.decisions.push(now, decision);
+    }
+
+    fn candidate(&self, now: Instant, service: &Service, view: &UpstreamView) -> Candidate {
+        let full = ramp_weight(now, service.ramp, view.cold_since);
+        let history = self.histories.get(&view.id);
+        Candidate {
+            id: UpstreamId::clone(&view.id),
+            full,
+            wanted: full * history.map_or(1.0, History::weight),
+            badness: history.map_or((-1.0, 0.0), History::badness),
+        }
+    }
+
+    fn standing(&self, candidate: &Candidate, weight: f64) -> Standing {
+        match self.histories.get(&candidate.id).map(|history| history.phase) {
+            Some(Phase::Ejected { .. }) if weight > 0.0 => Standing::KeptForFloor,
+            Some(Phase::Ejected { .. }) => Standing::Ejected,
+            Some(Phase::Trial { .. }) => Standing::Trial,
+            Some(Phase::Clear) | None if candidate.full < 1.0 => Standing::Ramping,
+            Some(Phase::Clear) | None => Standing::InService,
+        }
+    }
+
+    /// Records a change between ejected, kept for the floor and any other standing.
+    fn explain(
+        &mut self,
+        now: Instant,
+        candidate: &Candidate,
+        share: Share,
+        arithmetic: FloorArithmetic,
+    ) {
+        let Some(history) = self.histories.get_mut(&candidate.id) else { return };
+        let before = std::mem::replace(&mut history.standing, share.standing);
+        if before == share.standing {
+            return;
+        }
+        let action = match share.standing {
+            Standing::Ejected => Action::Ejected {
+                length: Millis(history.length),
+                repeats: history.ejections,
+                during_trial: before == Standing::Trial,
+            },
+            Standing::KeptForFloor => Action::KeptForFloor { weight: share.weight },
+            _ => return,
+        };
+        let decision = self.decision(&candidate.id, action, Some(arithmetic));
+        self.decisions.push(now, decision);
+    }
+
+    fn decision(
+        &self,
+        upstream: &UpstreamId,
+        action: Action,
+        floor: Option<FloorArithmetic>,
+    ) -> Decision {
+        let fault = self.histories.get(upstream).map(|history| history.fault).unwrap_or_default();
+        Decision {
+            at: Millis::default(),
+            service: ServiceId::clone(&self.service),
+            upstream: Some(UpstreamId::clone(upstream)),
+            action,
+            evidence: fault.evidence,
+            observers: fault.observers,
+            score: fault.score,
+            threshold: fault.threshold,
+            floor,
+        }
+    }
+}
+
+/// Weight of an upstream that is cold since the given time, from [`COLD_WEIGHT`] to 1.
+fn ramp_weight(now: Instant, ramp: Millis, cold_since: Option<Instant>) -> f64 {
+    let Some(since) = cold_since else { return 1.0 };
+    let elapsed = now.saturating_duration_since(since);
+    if elapsed >= ramp.0 {
+        return 1.0;
+    }
+    COLD_WEIGHT + (1.0 - COLD_WEIGHT) * elapsed.as_secs_f64() / ramp.0.as_secs_f64()
+}
