--- /dev/null
+++ b/crates/routing/src/deadline.rs
@@ -0,0 +1,90 @@
+//! The time by which a request must be answered.
+
+use std::time::{Duration, Instant};
+
+use derive_more::{Display, Error};
+use http::{HeaderMap, HeaderValue};
+
+use crate::headers;
+use crate::route::RouteMatch;
+
+/// Why the time that a caller asked for cannot be used.
+#[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
+pub enum DeadlineError {
+    /// The header is present more than once.
+    #[display("the request has several Cactustrack-Timeout-Ms headers")]
+    Duplicate,
+    /// The value is not a positive whole number.
+    #[display("Cactustrack-Timeout-Ms is not a positive whole number of milliseconds")]
+    Invalid,
+}
+
+/// Reads the time that the caller gives the request from `Cactustrack-Timeout-Ms`.
+///
+/// Numbers that do not fit are read as the largest one, because the route caps them anyway.
+///
+/// # Errors
+///
+/// Fails if the header is present more than once or is not a positive whole number.
+pub fn requested_timeout(headers: &HeaderMap) -> Result<Option<Duration>, DeadlineError> {
+    let mut values = headers.get_all(headers::TIMEOUT_MS).iter();
+    let Some(value) = values.next() else {
+        return Ok(None);
+    };
+    if values.next().is_some() {
+        return Err(DeadlineError::Duplicate);
+    }
+    let digits = value.as_bytes().trim_ascii();
+    if digits.is_empty() || !digits.iter().all(u8::is_ascii_digit) {
+        return Err(DeadlineError::Invalid);
+    }
+    let ms = digits
+        .iter()
+        .fold(0u64, |ms, digit| ms.saturating_mul(10).saturating_add(u64::from(digit - b'0')));
+    if ms == 0 { Err(DeadlineError::Invalid) } else { Ok(Some(Duration::from_millis(ms))) }
+}
+
+/// The time by which a request must be answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Deadline {
+    /// After this instant an answer is of no use to the caller.
+    pub at: Instant,
+}
+
+impl Deadline {
+    /// Applies the time that the caller asked for, or the default of the route, and its cap.
+    pub fn new(now: Instant, requested: Option<Duration>, route: &RouteMatch) -> Self {
+        Self { at: now + requested.unwrap_or(route.timeout).min(route.max_timeout) }
+    }
+
+    /// Reads the caller's header and applies the limits of the route.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the header is present more than once or is not a positive whole number.
+    pub fn from_headers(
+        now: Instant,
+        headers: &HeaderMap,
+        route: &RouteMatch,
+    ) -> Result<Self, DeadlineError> {
+        Ok(Self::new(now, requested_timeout(headers)?, route))
+    }
+
+    /// Time that remains, zero after the deadline.
+    pub fn remaining(self, now: Instant) -> Duration {
+        self.at.saturating_duration_since(now)
+    }
+
+    /// Returns true if no time remains.
+    pub fn is_expired(self, now: Instant) -> bool {
+        now >= self.at
+    }
+
+    /// Value of `Cactustrack-Timeout-Ms` for the upstream, in whole milliseconds rounded down.
+    ///
+    /// Returns `None` if less than a millisecond remains: the request must not be sent.
+    pub fn header_value(self, now: Instant) -> Option<HeaderValue> {
+        let ms = u64::try_from(self.remaining(now).as_millis()).unwrap_or(u64::MAX);
+        (ms > 0).then(|| HeaderValue::from(ms))
+    }
+}
