--- /dev/null
+++ b/crates/test-support/src/store/faults.rs
@@ -0,0 +1,267 @@
+//! Shared state of the stand-in: content, faults in force, counters and connections.
+
+use std::collections::VecDeque;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use futures::channel::mpsc::UnboundedSender;
+use futures::future::AbortHandle;
+
+use super::state::{Event, KeyRange, KvState};
+
+/// How the stand-in behaves at its listening socket.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Outage {
+    /// Serves.
+    #[default]
+    None,
+    /// Connection attempts are refused and open connections are closed.
+    Refuse,
+    /// Connections are accepted and closed at once.
+    Close,
+}
+
+/// Calls since the start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct StoreCounters {
+    /// Range calls, and transactions that only read.
+    pub reads: u64,
+    /// Transactions that may write, and lease calls.
+    pub writes: u64,
+    /// Watches that were opened.
+    pub watches: u64,
+    /// Watches that are open now.
+    pub open_watches: u64,
+    /// Largest number of watches that were open at the same time.
+    pub max_open_watches: u64,
+}
+
+/// What happens to one call.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum CallFault {
+    /// The connection is closed and the call has no effect.
+    Drop,
+    /// The call has no effect and an error is returned.
+    Fail { code: i64, message: String },
+    /// The call has its effect and this body is returned.
+    Garble(Vec<u8>),
+}
+
+/// Loses answers to writes of keys with a prefix.
+#[derive(Clone, Debug)]
+struct LostAnswers {
+    prefix: String,
+    remaining: usize,
+}
+
+pub(super) struct Watch {
+    pub(super) range: KeyRange,
+    pub(super) tx: UnboundedSender<(i64, Vec<Event>)>,
+    pub(super) next_event: usize,
+}
+
+#[derive(Default)]
+pub(super) struct Shared {
+    pub(super) state: KvState,
+    pub(super) counters: StoreCounters,
+    pub(super) delay_before: Duration,
+    pub(super) delay_after: Duration,
+    pub(super) holds_calls: bool,
+    pub(super) outage: Outage,
+    pub(super) watches: Vec<Watch>,
+    stale: Option<KvState>,
+    call_faults: VecDeque<CallFault>,
+    lost: Vec<LostAnswers>,
+    connections: Vec<AbortHandle>,
+}
+
+impl Shared {
+    /// State that range calls read from.
+    pub(super) fn read_state(&self) -> &KvState {
+        self.stale.as_ref().unwrap_or(&self.state)
+    }
+
+    pub(super) fn next_call_fault(&mut self) -> Option<CallFault> {
+        self.call_faults.pop_front()
+    }
+
+    /// Returns true if the answer to a call that caused the events from `first_event` on is lost.
+    pub(super) fn is_answer_lost(&mut self, first_event: usize) -> bool {
+        let events = &self.state.events()[first_event..];
+        let rule = self.lost.iter_mut().find(|rule| {
+            rule.remaining > 0
+                && events.iter().any(|event| event.key.starts_with(rule.prefix.as_bytes()))
+        });
+        if let Some(rule) = rule {
+            rule.remaining -= 1;
+            return true;
+        }
+        false
+    }
+
+    pub(super) fn add_connection(&mut self, handle: AbortHandle) {
+        self.connections.push(handle);
+    }
+
+    pub(super) fn abort_connections(&mut self) {
+        for connection in self.connections.drain(..) {
+            connection.abort();
+        }
+    }
+
+    /// Sends new events to the watches and removes watches whose reader is gone.
+    pub(super) fn notify(&mut self) {
+        let (revision, events) = (self.state.revision(), self.state.events());
+        self.watches.retain_mut(|watch| {
+            let news: Vec<Event> = events[watch.next_event..]
+                .iter()
+                .filter(|event| watch.range.contains(&event.key))
+                .cloned()
+                .collect();
+            watch.next_event = events.len();
+            news.is_empty() || watch.tx.unbounded_send((revision, news)).is_ok()
+        });
+    }
+
+    pub(super) fn expire_leases(&mut self) {
+        self.state.expire(Instant::now());
+        self.notify();
+    }
+}
+
+/// Fault controls and counters of a running stand-in. It can be used from any thread.
+#[derive(Clone)]
+pub struct StoreHandle {
+    pub(super) shared: Arc<Mutex<Shared>>,
+    pub(super) control: UnboundedSender<super::server::Control>,
+}
+
+impl StoreHandle {
+    pub(super) fn lock(&self) -> MutexGuard<'_, Shared> {
+        self.shared.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Starts or ends an outage. Returns when it is in force.
+    pub async fn set_outage(&self, outage: Outage) {
+        let (tx, rx) = futures::channel::oneshot::channel();
+        if self.control.unbounded_send((outage, tx)).is_ok() {
+            // The server may stop in the meantime, which is an outage as well.
+            let _ = rx.await;
+        }
+    }
+
+    /// Like [`StoreHandle::set_outage`] for threads without a runtime.
+    pub fn set_outage_blocking(&self, outage: Outage) {
+        futures::executor::block_on(self.set_outage(outage));
+    }
+
+    /// Delays every call before it takes effect.
+    ///
+    /// A call whose client gives up takes effect nevertheless when the delay is over.
+    pub fn set_delay_before_effect(&self, delay: Duration) {
+        self.lock().delay_before = delay;
+    }
+
+    /// Holds every call before it takes effect until [`StoreHandle::release_calls`].
+    ///
+    /// A call whose client gives up takes effect nevertheless when it is released.
+    pub fn hold_calls(&self) {
+        self.lock().holds_calls = true;
+    }
+
+    /// Lets held calls take effect.
+    pub fn release_calls(&self) {
+        self.lock().holds_calls = false;
+    }
+
+    /// Delays every answer after the call took effect.
+    pub fn set_delay_after_effect(&self, delay: Duration) {
+        self.lock().delay_after = delay;
+    }
+
+    /// Closes the connection after the next `count` calls that changed a key with the prefix.
+    pub fn lose_answers(&self, prefix: &str, count: usize) {
+        self.lock().lost.push(LostAnswers { prefix: prefix.to_owned(), remaining: count });
+    }
+
+    /// Answers all calls again.
+    pub fn stop_losing_answers(&self) {
+        self.lock().lost.clear();
+    }
+
+    /// Closes the connection of the next `count` calls before they take effect.
+    pub fn drop_calls(&self, count: usize) {
+        self.add_call_faults(count, &CallFault::Drop);
+    }
+
+    /// Answers the next `count` calls with an error, without effect. `code` is a gRPC status code.
+    pub fn fail_calls(&self, count: usize, code: i64, message: &str) {
+        self.add_call_faults(count, &CallFault::Fail { code, message: message.to_owned() });
+    }
+
+    /// Answers the next call with this body. A watch ends after it.
+    pub fn garble_answer(&self, body: &[u8]) {
+        self.add_call_faults(1, &CallFault::Garble(body.to_vec()));
+    }
+
+    fn add_call_faults(&self, count: usize, fault: &CallFault) {
+        self.lock().call_faults.extend(std::iter::repeat_n(fault.clone(), count));
+    }
+
+    /// Answers range calls from the present state until [`StoreHandle::stop_lagging_reads`].
+    pub fn lag_reads(&self) {
+        let mut shared = self.lock();
+        shared.stale = Some(shared.state.clone());
+    }
+
+    /// Answers range calls from the current state again.
+    pub fn stop_lagging_reads(&self) {
+        self.lock().stale = None;
+    }
+
+    /// Lets a lease lapse now.
+    pub fn lapse_lease(&self, lease: i64) {
+        let mut shared = self.lock();
+        shared.state.lapse(lease);
+        shared.notify();
+    }
+
+    /// Lets all leases lapse now.
+    pub fn lapse_all_leases(&self) {
+        let leases = self.lock().state.leases();
+        for lease in leases {
+            self.lapse_lease(lease);
+        }
+    }
+
+    /// Calls since the start.
+    pub fn counters(&self) -> StoreCounters {
+        self.lock().counters
+    }
+
+    /// Returns a copy of the content.
+    pub fn state(&self) -> KvState {
+        self.lock().state.clone()
+    }
+
+    /// Returns the keys that start with the prefix and their values.
+    pub fn keys(&self, prefix: &str) -> Vec<(String, Vec<u8>)> {
+        let all = KeyRange { key: prefix.into(), end: Some(vec![0]) };
+        self.lock()
+            .state
+            .range(&all)
+            .into_iter()
+            .take_while(|(key, _)| key.starts_with(prefix.as_bytes()))
+            .map(|(key, item)| (String::from_utf8_lossy(&key).into_owned(), item.value))
+            .collect()
+    }
+
+    /// Writes a key, as another client of the store would.
+    pub fn put(&self, key: &str, value: &[u8]) {
+        let op = super::state::Op::Put { key: key.into(), value: value.to_vec(), lease: 0 };
+        let mut shared = self.lock();
+        // A single write without a lease is never refused.
+        let _ = shared.state.txn(&[], &[op], &[]);
+        shared.notify();
+    }
+}
--- a/tests/all/store.rs
+++ b/tests/all/store.rs
@@ -1,1 +1,4 @@
-//! Tests of cactustrack-store.
+//! Tests of cactustrack-store against the stand-in for the platform's store.
+
+mod adapter;
+mod support;
--- /dev/null
+++ b/tests/all/store/support.rs
@@ -0,0 +1,55 @@
+//! Helpers for the store tests.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use cactustrack_store::{Compare, EtcdStore, Operation, Txn};
+use cactustrack_test_support::store::{StoreHandle, StoreServer};
+
+/// Far above what any call takes, so that no test depends on the machine's speed.
+pub(super) const AMPLE: Duration = Duration::from_secs(60);
+/// For calls that the stand-in never answers in time.
+pub(super) const BRIEF: Duration = Duration::from_millis(100);
+
+/// A running stand-in with an adapter for it.
+pub(super) struct Fixture {
+    pub(super) server: StoreServer,
+    pub(super) store: Rc<EtcdStore>,
+}
+
+impl Fixture {
+    pub(super) async fn start() -> Self {
+        let server = StoreServer::start().await.expect("the stand-in starts");
+        let store = Rc::new(adapter(&server, AMPLE));
+        Self { server, store }
+    }
+
+    pub(super) fn handle(&self) -> StoreHandle {
+        self.server.handle()
+    }
+}
+
+pub(super) fn adapter(server: &StoreServer, call_timeout: Duration) -> EtcdStore {
+    EtcdStore::new(&[server.url()]).expect("the endpoint is valid").with_call_timeout(call_timeout)
+}
+
+pub(super) fn put(key: &str, value: &[u8], lease: i64) -> Operation {
+    Operation::Put { key: key.into(), value: value.into(), lease }
+}
+
+pub(super) fn put_txn(key: &str, value: &[u8]) -> Txn {
+    Txn::new().with_then(put(key, value, 0))
+}
+
+pub(super) fn absent(key: &str) -> Compare {
+    Compare::ModRevision { key: key.into(), revision: 0 }
+}
+
+/// Waits until the condition holds. Only a test that fails anyway uses up the time.
+pub(super) async fn eventually(what: &str, condition: impl Fn() -> bool) {
+    let deadline = std::time::Instant::now() + AMPLE;
+    while !condition() {
+        assert!(std::time::Instant::now() < deadline, "{what} did not happen");
+        compio::time::sleep(Duration::from_millis(2)).await;
+    }
+}
