--- /dev/null
+++ b/src/daemon/blackboard.rs
@@ -0,0 +1,243 @@
+//! State that the controllers of one instance read and write.
+//!
+//! Each field has one writer. The blackboard lives in a `RefCell` that is never borrowed across an
+//! await point.
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, VecDeque};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Instant;
+
+use cactustrack_health::{Collector, EjectionPlanner, Evidence, LatencyRule, Observer};
+use cactustrack_members::{ConfigStatus, Membership};
+use cactustrack_routing::balancer::{Balancer, Candidate};
+use cactustrack_routing::fair_share::FairShares;
+use cactustrack_routing::limits::{ConcurrencyLimit, LimitBounds};
+use cactustrack_routing::retry::{HedgeDelay, RetryBudget};
+use cactustrack_routing::route::RouteTable;
+use cactustrack_types::{
+    Configuration, Incarnation, Listing, ListingState, Role, Service, ServiceId, Share, UpstreamId,
+    UpstreamView, Version,
+};
+use futures::channel::oneshot;
+
+use super::policy::AdmissionGuard;
+
+/// Requests that may wait for a place, for each place that a service has.
+const WAITING_PER_SLOT: usize = 4;
+
+/// Smallest concurrency limit of a service, so that an overloaded service is still probed by work.
+const MIN_SERVICE_LIMIT: u32 = 4;
+
+/// The blackboard, shared by the controllers of one instance.
+pub(crate) type SharedBoard = Rc<RefCell<Blackboard>>;
+
+/// The configuration in force with what is derived from it.
+pub(crate) struct InForce {
+    pub(crate) configuration: Rc<Configuration>,
+    pub(crate) routes: Rc<RouteTable>,
+    /// Weights of accounts for fair shares.
+    pub(crate) weights: BTreeMap<Arc<str>, u32>,
+}
+
+/// A request that waits for a place in its service.
+pub(crate) struct Waiter {
+    pub(crate) ticket: u64,
+    pub(crate) tx: oneshot::Sender<AdmissionGuard>,
+}
+
+/// State of one service.
+pub(crate) struct ServiceBoard {
+    pub(crate) service: Service,
+    // Written by the ejection controller.
+    pub(crate) planner: EjectionPlanner,
+    /// Judges from this instance's own evidence, for the time when no collector is heard.
+    pub(crate) local: Collector,
+    /// Judges from the fleet's evidence while this instance is a collector of the service.
+    pub(crate) fleet: Option<Collector>,
+    /// True if this instance is a collector of the service by its own view of the members.
+    pub(crate) is_collector: bool,
+    /// When another instance last reported on the service.
+    pub(crate) fleet_heard: Option<Instant>,
+    pub(crate) shares: BTreeMap<UpstreamId, Share>,
+    pub(crate) candidates: Vec<Candidate>,
+    // Written by the request path.
+    pub(crate) balancer: Balancer,
+    pub(crate) latency: LatencyRule,
+    pub(crate) limit: ConcurrencyLimit,
+    pub(crate) fair: FairShares,
+    pub(crate) budget: RetryBudget,
+    pub(crate) hedge: HedgeDelay,
+    pub(crate) waiters: VecDeque<Waiter>,
+}
+
+impl ServiceBoard {
+    fn new(now: Instant, service: Service) -> Self {
+        let id = service.id.clone();
+        Self {
+            planner: EjectionPlanner::new(now, id.clone()),
+            local: Collector::new(now, id, service.detection.clone()),
+            fleet: None,
+            is_collector: false,
+            fleet_heard: None,
+            shares: BTreeMap::new(),
+            candidates: Vec::new(),
+            balancer: Balancer::new(),
+            latency: LatencyRule::new(service.detection.slow_factor),
+            limit: ConcurrencyLimit::new(now, bounds(&service, 1)),
+            fair: FairShares::new(now, rand::random()),
+            budget: RetryBudget::new(service.retry_budget),
+            hedge: HedgeDelay::new(now),
+            waiters: VecDeque::new(),
+            service,
+        }
+    }
+
+    /// Takes over changed answers without losing what was learnt.
+    fn update(&mut self, service: Service) {
+        if self.service == service {
+            return;
+        }
+        self.local.set_policy(service.detection.clone());
+        if let Some(fleet) = &mut self.fleet {
+            fleet.set_policy(service.detection.clone());
+        }
+        self.latency = LatencyRule::new(service.detection.slow_factor);
+        self.budget = RetryBudget::new(service.retry_budget);
+        self.service = service;
+    }
+
+    /// Adapts the bounds of the concurrency limit to the number of upstreams.
+    pub(crate) fn set_upstreams(&mut self, upstreams: usize) {
+        self.limit.set_bounds(bounds(&self.service, upstreams));
+    }
+}
+
+fn bounds(service: &Service, upstreams: usize) -> LimitBounds {
+    let upstreams = u32::try_from(upstreams).unwrap_or(u32::MAX).max(1);
+    let max = service.slots.saturating_mul(upstreams).max(MIN_SERVICE_LIMIT);
+    let max_waiting = usize::try_from(max).unwrap_or(usize::MAX).saturating_mul(WAITING_PER_SLOT);
+    LimitBounds { min: MIN_SERVICE_LIMIT, max, max_waiting }
+}
+
+/// State of one instance.
+pub(crate) struct Blackboard {
+    /// This instance as an observer of upstreams.
+    pub(crate) observer: Observer,
+    // Written by the configuration controller.
+    pub(crate) in_force: Option<InForce>,
+    pub(crate) configuration_status: ConfigStatus,
+    pub(crate) services: BTreeMap<ServiceId, ServiceBoard>,
+    // Written by the membership controller.
+    pub(crate) membership: Membership,
+    pub(crate) upstreams: BTreeMap<UpstreamId, UpstreamView>,
+    /// When the instance list was first read. Upstreams listed then are not taken for cold.
+    pub(crate) list_known_since: Option<Instant>,
+    // Written by the request path.
+    pub(crate) evidence: Evidence,
+    pub(crate) boot_ids: BTreeMap<UpstreamId, String>,
+    pub(crate) next_ticket: u64,
+    // Written by the shutdown.
+    pub(crate) stopping: bool,
+}
+
+impl Blackboard {
+    /// Creates the blackboard of an instance that knows only itself.
+    pub(crate) fn new(membership: Membership) -> Self {
+        let own = membership.own();
+        let observer = Observer {
+            instance: own.id.clone(),
+            incarnation: own.incarnation,
+            failure_domain: own.failure_domain.clone(),
+        };
+        Self {
+            observer,
+            in_force: None,
+            configuration_status: ConfigStatus::Missing,
+            services: BTreeMap::new(),
+            membership,
+            upstreams: BTreeMap::new(),
+            list_known_since: None,
+            evidence: Evidence::new(),
+            boot_ids: BTreeMap::new(),
+            next_ticket: 0,
+            stopping: false,
+        }
+    }
+
+    /// Version in force, 0 if there is none.
+    pub(crate) fn version(&self) -> Version {
+        self.in_force.as_ref().map_or(0, |in_force| in_force.configuration.version)
+    }
+
+    /// Puts a configuration into force.
+    pub(crate) fn install(&mut self, now: Instant, configuration: Configuration) {
+        self.services.retain(|id, _| configuration.service(id).is_some());
+        for service in &configuration.services {
+            match self.services.get_mut(&service.id) {
+                Some(board) => board.update(service.clone()),
+                None => {
+                    let board = ServiceBoard::new(now, service.clone());
+                    self.services.insert(service.id.clone(), board);
+                }
+            }
+        }
+        let routes = Rc::new(RouteTable::new(&configuration));
+        let accounts = configuration.accounts.iter();
+        let weights = accounts.map(|account| (account.id.clone(), account.weight)).collect();
+        let configuration = Rc::new(configuration);
+        self.in_force = Some(InForce { configuration, routes, weights });
+    }
+
+    /// Takes over the upstreams of the instance list. The list lags: an upstream that it lists as
+    /// live stays leaving if this life of it has already said that it is.
+    pub(crate) fn update_upstreams(&mut self, now: Instant, list: &[Listing]) {
+        let first_list = self.list_known_since.is_none();
+        self.list_known_since.get_or_insert(now);
+        let mut upstreams = BTreeMap::new();
+        for listing in list {
+            let Role::Upstream { service } = &listing.role else { continue };
+            let known = self.upstreams.get(&listing.id);
+            if let Some(known) = known.filter(|known| known.incarnation > listing.incarnation) {
+                upstreams.insert(known.id.clone(), known.clone());
+                continue;
+            }
+            let same_life = known.filter(|known| known.incarnation == listing.incarnation);
+            let cold_since = match same_life {
+                Some(known) => known.cold_since,
+                None => (!first_list).then_some(now),
+            };
+            let said_so = same_life.is_some_and(|known| known.leaving);
+            let view = UpstreamView {
+                id: listing.id.clone(),
+                service: service.clone(),
+                address: listing.address,
+                failure_domain: listing.failure_domain.clone(),
+                region: listing.region.clone(),
+                incarnation: listing.incarnation,
+                leaving: said_so || listing.state == ListingState::Leaving,
+                cold_since,
+            };
+            upstreams.insert(view.id.clone(), view);
+        }
+        self.boot_ids.retain(|id, _| upstreams.contains_key(id));
+        self.upstreams = upstreams;
+    }
+
+    /// Notes that this life of an upstream says that it is about to stop.
+    pub(crate) fn set_leaving(&mut self, upstream: &str, incarnation: Incarnation) -> bool {
+        let view = self.upstreams.get_mut(upstream);
+        let Some(view) = view.filter(|view| view.incarnation == incarnation && !view.leaving) else {
+            return false;
+        };
+        view.leaving = true;
+        true
+    }
+
+    /// Upstreams of one service.
+    pub(crate) fn upstreams_of(&self, service: &str) -> Vec<UpstreamView> {
+        let views = self.upstreams.values();
+        views.filter(|view| &*view.service == service).cloned().collect()
+    }
+}
--- /dev/null
+++ b/src/daemon/configuration.rs
@@ -0,0 +1,282 @@
+//! The configuration controller: carries out what [`ConfigSync`] decides.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use cactustrack_members::{
+    ConfigAction, ConfigChunk, ConfigHead, ConfigParts, ConfigSource, ConfigStatus, ConfigSync,
+    ConfigWant, HeadRead, WatchEvent,
+};
+use cactustrack_observe::Metrics;
+use cactustrack_store::{ConfigurationRepository, Head, Revision, Store, StoredConfiguration};
+use cactustrack_types::InstanceId;
+use compio::runtime::JoinHandle;
+use slog::Logger;
+
+use super::blackboard::SharedBoard;
+
+/// Longest wait of one watch call. It ends before load balancers and firewalls forget a quiet
+/// connection.
+const WATCH_WAIT: Duration = Duration::from_secs(30);
+
+/// Upper end of the random delay of store calls after a start.
+const MAX_STAGGER: Duration = Duration::from_secs(2);
+
+/// Exchanges with other instances that the configuration controller asks for.
+pub(crate) trait ConfigPeers {
+    /// Exchanges with this many random instances.
+    fn exchange_with_some(&self, count: usize);
+
+    /// Asks an instance for a piece of a configuration.
+    fn fetch(&self, peer: InstanceId, want: ConfigWant);
+}
+
+/// Keeps the configuration of one instance up to date.
+pub(crate) struct ConfigurationController {
+    board: SharedBoard,
+    sync: RefCell<ConfigSync>,
+    store: Rc<dyn Store>,
+    repository: ConfigurationRepository,
+    peers: RefCell<Option<Rc<dyn ConfigPeers>>>,
+    watch: RefCell<Option<JoinHandle<()>>>,
+    metrics: Metrics,
+    log: Logger,
+}
+
+impl ConfigurationController {
+    /// Creates the controller of an instance without a configuration.
+    pub(crate) fn new(
+        board: SharedBoard,
+        store: Rc<dyn Store>,
+        prefix: &str,
+        metrics: Metrics,
+        log: Logger,
+    ) -> Rc<Self> {
+        let stagger = MAX_STAGGER.mul_f64(rand::random());
+        Rc::new(Self {
+            board,
+            sync: RefCell::new(ConfigSync::new(stagger, Instant::now())),
+            repository: ConfigurationRepository::new(Rc::clone(&store), prefix),
+            store,
+            peers: RefCell::default(),
+            watch: RefCell::default(),
+            metrics,
+            log,
+        })
+    }
+
+    /// Sets who exchanges with other instances.
+    pub(crate) fn set_peers(&self, peers: Rc<dyn ConfigPeers>) {
+        *self.peers.borrow_mut() = Some(peers);
+    }
+
+    /// Asks the store and peers for the first configuration.
+    pub(crate) fn start(self: &Rc<Self>) {
+        let actions = self.sync.borrow_mut().start(Instant::now());
+        self.perform(actions);
+    }
+
+    /// Handles time-outs and a changed set of watchers. Called several times a second.
+    pub(crate) fn tick(self: &Rc<Self>) {
+        let now = Instant::now();
+        let is_watcher = self.board.borrow().membership.is_watcher();
+        let mut actions = self.sync.borrow_mut().set_watcher(is_watcher, now);
+        actions.extend(self.sync.borrow_mut().tick(now));
+        self.perform(actions);
+    }
+
+    /// Version and checksum in force.
+    pub(crate) fn head(&self) -> Option<ConfigHead> {
+        self.sync.borrow().head().cloned()
+    }
+
+    /// Returns the piece of the configuration in force that a peer asks for.
+    pub(crate) fn serve(&self, want: &ConfigWant) -> Option<ConfigChunk> {
+        self.sync.borrow().serve(want)
+    }
+
+    /// Handles what a peer said about its configuration.
+    pub(crate) fn on_peer_head(self: &Rc<Self>, peer: &InstanceId, head: Option<ConfigHead>) {
+        let actions = self.sync.borrow_mut().on_peer_head(peer, head, Instant::now());
+        self.perform(actions);
+    }
+
+    /// Handles a piece from a peer, or that the peer does not have it.
+    pub(crate) fn on_chunk(self: &Rc<Self>, peer: &InstanceId, chunk: Option<&ConfigChunk>) {
+        let actions = self.sync.borrow_mut().on_chunk(peer, chunk, Instant::now());
+        self.perform(actions);
+    }
+
+    /// Handles that a peer gave no answer to a fetch.
+    pub(crate) fn on_fetch_failed(self: &Rc<Self>, peer: &InstanceId) {
+        let origin = ConfigSource::Peer(peer.clone());
+        let actions = self.sync.borrow_mut().on_fetch_failed(&origin, Instant::now());
+        self.perform(actions);
+    }
+
+    fn perform(self: &Rc<Self>, actions: Vec<ConfigAction>) {
+        for action in actions {
+            self.perform_one(action);
+        }
+    }
+
+    fn perform_one(self: &Rc<Self>, action: ConfigAction) {
+        let peers = self.peers.borrow().clone();
+        match action {
+            ConfigAction::ReadHead => {
+                let controller = Rc::clone(self);
+                compio::runtime::spawn(async move { controller.read_head().await }).detach();
+            }
+            ConfigAction::StartWatch => {
+                let controller = Rc::clone(self);
+                let task = compio::runtime::spawn(async move { controller.watch_head().await });
+                *self.watch.borrow_mut() = Some(task);
+            }
+            // Dropping the handle cancels the watch.
+            ConfigAction::StopWatch => drop(self.watch.borrow_mut().take()),
+            ConfigAction::FetchFromStore(head) => {
+                let controller = Rc::clone(self);
+                compio::runtime::spawn(async move { controller.fetch(head).await }).detach();
+            }
+            ConfigAction::FetchFromPeer { peer, want } => {
+                if let Some(peers) = peers {
+                    peers.fetch(peer, want);
+                }
+            }
+            ConfigAction::AskPeers(count) | ConfigAction::Push(count) => {
+                if let Some(peers) = peers {
+                    peers.exchange_with_some(count);
+                }
+            }
+            ConfigAction::Install { parts, origin } => self.install(&parts, &origin),
+            ConfigAction::Report(problem) => {
+                slog::error!(self.log, "config: {}", problem);
+            }
+            ConfigAction::SetStatus(status) => self.set_status(status),
+        }
+    }
+
+    fn set_status(&self, status: ConfigStatus) {
+        slog::info!(self.log, "config: status changed"; "status" => %status);
+        let unconfirmed = i64::from(status == ConfigStatus::Unconfirmed);
+        self.metrics.configuration_unconfirmed.set(unconfirmed);
+        self.board.borrow_mut().configuration_status = status;
+    }
+
+    async fn read_head(self: Rc<Self>) {
+        let read = self.repository.read_head().await;
+        let result = if read.is_ok() { "ok" } else { "error" };
+        self.metrics.store_calls.with_label_values(&["read_head", result]).inc();
+        let read = match read {
+            Ok(Some(head)) => HeadRead::Found(config_head(&head)),
+            Ok(None) => HeadRead::Absent,
+            Err(error) => {
+                slog::debug!(self.log, "config: cannot read the head: {}", error);
+                HeadRead::Failed
+            }
+        };
+        let actions = self.sync.borrow_mut().on_head(read, Instant::now());
+        self.perform(actions);
+    }
+
+    async fn watch_head(self: Rc<Self>) {
+        let key = self.repository.head_key();
+        let mut revision: Revision = 0;
+        let mut started = false;
+        loop {
+            // The head is read after each event, so that its format is checked in one place.
+            let read = self.repository.read_head().await;
+            let event = match &read {
+                Ok(Some(head)) => {
+                    revision = head.revision;
+                    Some(WatchEvent::Head(config_head(head)))
+                }
+                Ok(None) => None,
+                Err(_) => return self.on_watch(WatchEvent::Ended),
+            };
+            if !started {
+                started = true;
+                self.on_watch(WatchEvent::Started);
+            }
+            if let Some(event) = event {
+                self.on_watch(event);
+            }
+            let waited = self.wait_for_change(&key, revision).await;
+            if !waited {
+                return self.on_watch(WatchEvent::Ended);
+            }
+        }
+    }
+
+    /// Waits until the head has a revision above `revision` or the wait is over. Returns false if
+    /// the watch failed.
+    async fn wait_for_change(&self, key: &str, revision: Revision) -> bool {
+        let watched = self.store.watch(key, revision + 1, WATCH_WAIT).await;
+        let result = if watched.is_ok() { "ok" } else { "error" };
+        self.metrics.store_calls.with_label_values(&["watch", result]).inc();
+        watched.is_ok()
+    }
+
+    fn on_watch(self: &Rc<Self>, event: WatchEvent) {
+        let actions = self.sync.borrow_mut().on_watch(event, Instant::now());
+        self.perform(actions);
+    }
+
+    async fn fetch(self: Rc<Self>, head: ConfigHead) {
+        let read = self.repository.read(head.version).await;
+        let result = if read.is_ok() { "ok" } else { "error" };
+        self.metrics.store_calls.with_label_values(&["read_parts", result]).inc();
+        let now = Instant::now();
+        let actions = match read {
+            Ok(stored) if checksum(&stored.checksum) == head.checksum => {
+                let parts = config_parts(head, stored);
+                self.sync.borrow_mut().on_parts(&ConfigSource::Store, parts, now)
+            }
+            Ok(_) | Err(_) => self.sync.borrow_mut().on_fetch_failed(&ConfigSource::Store, now),
+        };
+        self.perform(actions);
+    }
+
+    fn install(self: &Rc<Self>, parts: &ConfigParts, origin: &ConfigSource) {
+        let now = Instant::now();
+        let actions = match decode(parts) {
+            Ok(configuration) => {
+                let version = configuration.version;
+                self.board.borrow_mut().install(now, configuration);
+                self.metrics.configuration_version.set(i64::try_from(version).unwrap_or(i64::MAX));
+                slog::info!(self.log, "config: version in force";
+                    "version" => version, "from" => %origin);
+                self.sync.borrow_mut().on_installed(now)
+            }
+            Err(reason) => self.sync.borrow_mut().on_rejected(&reason, now),
+        };
+        self.perform(actions);
+    }
+}
+
+fn decode(parts: &ConfigParts) -> Result<cactustrack_types::Configuration, String> {
+    let decoded = cactustrack_config::decode(&parts.parts).map_err(|error| error.to_string())?;
+    if checksum(&decoded.checksum.to_string()) != parts.head.checksum {
+        return Err("the checksum differs from the announced one".to_owned());
+    }
+    if decoded.configuration.version != parts.head.version {
+        let (inner, announced) = (decoded.configuration.version, parts.head.version);
+        return Err(format!("it contains version {inner} and was announced as {announced}"));
+    }
+    Ok(decoded.configuration)
+}
+
+fn checksum(text: &str) -> Arc<[u8]> {
+    Arc::from(text.as_bytes())
+}
+
+fn config_head(head: &Head) -> ConfigHead {
+    ConfigHead { version: head.version, checksum: checksum(&head.checksum) }
+}
+
+fn config_parts(head: ConfigHead, stored: StoredConfiguration) -> ConfigParts {
+    let parts: Vec<Arc<[u8]>> = stored.parts.into_iter().map(Arc::from).collect();
+    ConfigParts { head, parts: parts.into() }
+}
--- /dev/null
+++ b/src/daemon/exchange.rs
@@ -0,0 +1,431 @@
+//! Exchanges with other instances: membership, configuration, evidence and verdicts.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use cactustrack_health::Collector;
+use cactustrack_members::{ConfigWant, Identity};
+use cactustrack_peer::{
+    KnownSeq, PeerHandler, PeerPool, Report, ReportEntry, ReportReply, ServiceVerdicts, SyncReply,
+    SyncRequest,
+};
+use cactustrack_types::{Counts, Incarnation, InstanceId, ServiceId, UpstreamId};
+use slog::Logger;
+
+use super::blackboard::{Blackboard, SharedBoard};
+use super::configuration::{ConfigPeers, ConfigurationController};
+
+/// Members that are exchanged with in each round.
+const SYNC_PARTNERS: usize = 2;
+
+/// Time between two reports to a collector while there is no bad evidence and there are few
+/// collectors.
+const REPORT_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Reports that an instance sends in a second at most, apart from those with bad evidence. With
+/// more collectors each of them gets fewer, so that the traffic for control stays bounded.
+const MAX_REPORTS_PER_SECOND: u32 = 24;
+
+/// Longest time between two reports to a collector. Verdicts expire after 10 s.
+const MAX_REPORT_INTERVAL: Duration = Duration::from_secs(4);
+
+/// Time for which evidence is kept after this instance ceased to be a collector by its own view.
+/// Others may still report to it while their views differ.
+const COLLECTOR_LINGER: Duration = Duration::from_secs(10);
+
+/// Evidence that waits for one collector. It stays until the collector has confirmed it.
+#[derive(Default)]
+struct Outbox {
+    pending: BTreeMap<(ServiceId, UpstreamId, Incarnation), Counts>,
+    /// The report without an answer, to be sent again under the same number.
+    unanswered: Option<Report>,
+    in_flight: bool,
+    seq: u64,
+    last_sent: Option<Instant>,
+}
+
+impl Outbox {
+    fn has_bad_evidence(&self) -> bool {
+        self.pending.values().any(|counts| counts.failures() > 0 || counts.slow > 0)
+    }
+}
+
+/// Exchanges with other instances.
+pub(crate) struct Exchange {
+    board: SharedBoard,
+    pool: PeerPool,
+    configuration: Rc<ConfigurationController>,
+    bootstrap: Vec<SocketAddr>,
+    outboxes: RefCell<BTreeMap<InstanceId, Outbox>>,
+    /// Latest report number taken from each observer, so that a repeated report counts once.
+    taken: RefCell<BTreeMap<InstanceId, (Incarnation, u64)>>,
+    syncing: Cell<usize>,
+    log: Logger,
+}
+
+impl Exchange {
+    /// Creates the exchange of an instance.
+    pub(crate) fn new(
+        board: SharedBoard,
+        pool: PeerPool,
+        configuration: Rc<ConfigurationController>,
+        bootstrap: Vec<SocketAddr>,
+        log: Logger,
+    ) -> Rc<Self> {
+        let outboxes = RefCell::default();
+        let taken = RefCell::default();
+        let syncing = Cell::new(0);
+        Rc::new(Self { board, pool, configuration, bootstrap, outboxes, taken, syncing, log })
+    }
+
+    /// Introduces this instance to the addresses of the settings.
+    pub(crate) async fn bootstrap(self: Rc<Self>) {
+        let own = self.board.borrow().membership.own().clone();
+        for address in self.bootstrap.iter().filter(|address| **address != own.address) {
+            match self.pool.hello(*address, &own).await {
+                Ok(identity) => {
+                    self.board.borrow_mut().membership.heard(&identity, Instant::now());
+                    self.sync_with(identity.id, None).await;
+                }
+                Err(error) => {
+                    slog::info!(self.log, "peer: bootstrap address gave no answer: {}", error;
+                        "address" => %address);
+                }
+            }
+        }
+    }
+
+    /// Exchanges membership and configuration with a few members.
+    pub(crate) fn sync_round(self: &Rc<Self>) {
+        self.board.borrow_mut().membership.tick(Instant::now());
+        self.sync_with_some(SYNC_PARTNERS);
+    }
+
+    fn sync_with_some(self: &Rc<Self>, count: usize) {
+        let now = Instant::now();
+        let mut rng = rand::rng();
+        let partners = self.board.borrow().membership.sync_partners(&mut rng, count, now);
+        for partner in partners {
+            let exchange = Rc::clone(self);
+            compio::runtime::spawn(async move { exchange.sync_with(partner, None).await }).detach();
+        }
+    }
+
+    async fn sync_with(self: &Rc<Self>, peer: InstanceId, want: Option<ConfigWant>) {
+        self.syncing.set(self.syncing.get() + 1);
+        let mut delta = Some(self.board.borrow_mut().membership.sync_request(&peer));
+        let mut want = want;
+        while let Some(members) = delta.take() {
+            let Some((address, incarnation)) = self.address_of(&peer) else { break };
+            let sender = self.board.borrow().membership.own().clone();
+            let config = self.configuration.head();
+            let asked = want.is_some();
+            let request = SyncRequest { sender, config, want: want.take(), members };
+            match self.pool.sync(address, &request).await {
+                Ok(reply) => delta = self.on_sync_reply(&peer, reply, asked),
+                Err(_) => {
+                    let now = Instant::now();
+                    let mut board = self.board.borrow_mut();
+                    board.membership.call_failed(&peer, incarnation, now);
+                    drop(board);
+                    if asked {
+                        self.configuration.on_fetch_failed(&peer);
+                    }
+                }
+            }
+        }
+        self.syncing.set(self.syncing.get() - 1);
+    }
+
+    fn on_sync_reply(
+        self: &Rc<Self>,
+        peer: &InstanceId,
+        reply: SyncReply,
+        asked: bool,
+    ) -> Option<cactustrack_members::MembersDelta> {
+        let now = Instant::now();
+        let more = self.board.borrow_mut().membership.on_sync_reply(
+            peer,
+            &reply.responder,
+            &reply.members,
+            now,
+        );
+        self.configuration.on_peer_head(&reply.responder.id, reply.config);
+        if asked {
+            self.configuration.on_chunk(&reply.responder.id, reply.chunk.as_ref());
+        }
+        more
+    }
+
+    fn address_of(&self, peer: &str) -> Option<(SocketAddr, Incarnation)> {
+        let board = self.board.borrow();
+        let member = board.membership.member(peer)?;
+        Some((member.identity.address, member.identity.incarnation))
+    }
+
+    /// Queues own evidence for the collectors and sends what is due.
+    pub(crate) fn report_round(
+        self: &Rc<Self>,
+        now: Instant,
+        reports: &[cactustrack_health::Report],
+    ) {
+        let collectors = update_collectors(&mut self.board.borrow_mut(), now);
+        self.queue(reports, &collectors);
+        let due = self.due(now, &collectors);
+        for (collector, services) in due {
+            let exchange = Rc::clone(self);
+            let task = async move { exchange.send_report(collector, services).await };
+            compio::runtime::spawn(task).detach();
+        }
+    }
+
+    fn queue(
+        &self,
+        reports: &[cactustrack_health::Report],
+        collectors: &BTreeMap<InstanceId, BTreeSet<ServiceId>>,
+    ) {
+        let mut outboxes = self.outboxes.borrow_mut();
+        outboxes.retain(|id, _| collectors.contains_key(id));
+        for (id, services) in collectors {
+            let outbox = outboxes.entry(id.clone()).or_default();
+            for report in reports.iter().filter(|report| services.contains(&report.service)) {
+                for (upstream, incarnation, counts) in &report.entries {
+                    let key = (report.service.clone(), upstream.clone(), *incarnation);
+                    *outbox.pending.entry(key).or_default() += *counts;
+                }
+            }
+        }
+    }
+
+    fn due(
+        &self,
+        now: Instant,
+        collectors: &BTreeMap<InstanceId, BTreeSet<ServiceId>>,
+    ) -> Vec<(InstanceId, BTreeSet<ServiceId>)> {
+        let count = u32::try_from(collectors.len()).unwrap_or(u32::MAX);
+        let spread = Duration::from_secs(1) * count / MAX_REPORTS_PER_SECOND;
+        let interval = spread.clamp(REPORT_INTERVAL, MAX_REPORT_INTERVAL);
+        let mut outboxes = self.outboxes.borrow_mut();
+        let mut due = Vec::new();
+        for (id, services) in collectors {
+            let Some(outbox) = outboxes.get_mut(id) else { continue };
+            // Half an interval of tolerance keeps a timer that fires a little early from skipping
+            // a round.
+            let waited = outbox.last_sent.is_none_or(|at| {
+                now.saturating_duration_since(at) + REPORT_INTERVAL / 2 >= interval
+            });
+            if !outbox.in_flight && (waited || outbox.has_bad_evidence()) {
+                outbox.in_flight = true;
+                outbox.last_sent = Some(now);
+                due.push((id.clone(), services.clone()));
+            }
+        }
+        due
+    }
+
+    async fn send_report(self: Rc<Self>, collector: InstanceId, services: BTreeSet<ServiceId>) {
+        let Some((address, incarnation)) = self.address_of(&collector) else { return };
+        let report = self.next_report(&collector, incarnation, &services);
+        let reply = self.pool.report(address, &report).await;
+        let mut outboxes = self.outboxes.borrow_mut();
+        if let Some(outbox) = outboxes.get_mut(&collector) {
+            outbox.in_flight = false;
+            outbox.unanswered = reply.is_err().then_some(report);
+        }
+        drop(outboxes);
+        let now = Instant::now();
+        let mut board = self.board.borrow_mut();
+        match reply {
+            Ok(reply) => on_report_reply(&mut board, now, &collector, &reply),
+            Err(_) => board.membership.call_failed(&collector, incarnation, now),
+        }
+    }
+
+    fn next_report(
+        &self,
+        collector: &InstanceId,
+        incarnation: Incarnation,
+        services: &BTreeSet<ServiceId>,
+    ) -> Report {
+        let board = self.board.borrow();
+        let known_seqs = services.iter().filter_map(|id| {
+            let service = board.services.get(id)?;
+            let seq = service.planner.seq(collector, incarnation);
+            Some(KnownSeq { service: id.clone(), collector: incarnation, seq })
+        });
+        let known_seqs: Vec<KnownSeq> = known_seqs.collect();
+        let observer = board.observer.clone();
+        let mut outboxes = self.outboxes.borrow_mut();
+        let outbox = outboxes.entry(collector.clone()).or_default();
+        if let Some(unanswered) = &outbox.unanswered {
+            return Report { known_seqs, ..unanswered.clone() };
+        }
+        outbox.seq += 1;
+        let pending = std::mem::take(&mut outbox.pending).into_iter();
+        let entries = pending.map(|((service, upstream, incarnation), counts)| ReportEntry {
+            service,
+            upstream,
+            incarnation,
+            counts,
+        });
+        Report {
+            observer: observer.instance,
+            incarnation: observer.incarnation,
+            seq: outbox.seq,
+            failure_domain: observer.failure_domain,
+            entries: entries.collect(),
+            known_seqs,
+        }
+    }
+
+    /// Returns true if the report was not taken before.
+    fn is_new(&self, report: &Report) -> bool {
+        let mut taken = self.taken.borrow_mut();
+        let latest = taken.entry(report.observer.clone()).or_default();
+        let number = (report.incarnation, report.seq);
+        let is_new = number > *latest;
+        *latest = number.max(*latest);
+        is_new
+    }
+}
+
+impl ConfigPeers for Rc<Exchange> {
+    fn exchange_with_some(&self, count: usize) {
+        self.sync_with_some(count);
+    }
+
+    fn fetch(&self, peer: InstanceId, want: ConfigWant) {
+        let exchange = Rc::clone(self);
+        let task = async move { exchange.sync_with(peer, Some(want)).await };
+        compio::runtime::spawn(task).detach();
+    }
+}
+
+impl PeerHandler for Exchange {
+    fn hello(&self, from: Identity) -> Identity {
+        let mut board = self.board.borrow_mut();
+        board.membership.heard(&from, Instant::now());
+        board.membership.own().clone()
+    }
+
+    fn report(&self, report: Report) -> ReportReply {
+        let now = Instant::now();
+        let is_new = self.is_new(&report);
+        let mut board = self.board.borrow_mut();
+        if is_new {
+            take_report(&mut board, now, &report);
+        }
+        let own = board.observer.incarnation;
+        let services = report.known_seqs.iter().filter_map(|known| {
+            let fleet = fleet_collector(&mut board, now, &known.service)?;
+            let since = if known.collector == own { known.seq } else { 0 };
+            let verdicts = fleet.verdicts_since(since);
+            Some(ServiceVerdicts { service: known.service.clone(), seq: fleet.seq(), verdicts })
+        });
+        let services: Vec<ServiceVerdicts> = services.collect();
+        let collector = board.observer.instance.clone();
+        ReportReply { collector, incarnation: own, services }
+    }
+
+    fn sync(&self, request: SyncRequest) -> SyncReply {
+        let now = Instant::now();
+        let sender = request.sender.id.clone();
+        let (members, responder) = {
+            let mut board = self.board.borrow_mut();
+            let members =
+                board.membership.on_sync_request(&request.sender, &request.members, now);
+            (members, board.membership.own().clone())
+        };
+        let chunk = request.want.as_ref().and_then(|want| self.configuration.serve(want));
+        let config = self.configuration.head();
+        self.configuration.on_peer_head(&sender, request.config);
+        SyncReply { responder, config, chunk, members }
+    }
+}
+
+/// Sets for which services this instance collects, and returns the collectors of all services.
+fn update_collectors(
+    board: &mut Blackboard,
+    now: Instant,
+) -> BTreeMap<InstanceId, BTreeSet<ServiceId>> {
+    let own = board.observer.instance.clone();
+    let mut collectors: BTreeMap<InstanceId, BTreeSet<ServiceId>> = BTreeMap::new();
+    let ids: Vec<ServiceId> = board.services.keys().cloned().collect();
+    for id in ids {
+        let chosen = board.membership.collectors(&id);
+        let Some(service) = board.services.get_mut(&id) else { continue };
+        service.is_collector = chosen.contains(&own);
+        let silent = service
+            .fleet_heard
+            .is_none_or(|at| now.saturating_duration_since(at) > COLLECTOR_LINGER);
+        if service.is_collector {
+            fleet_collector(board, now, &id);
+        } else if silent {
+            service.fleet = None;
+        }
+        for collector in chosen.into_iter().filter(|collector| *collector != own) {
+            collectors.entry(collector).or_default().insert(id.clone());
+        }
+    }
+    collectors
+}
+
+/// Returns the collector of a service on this instance, creating it if others report to it.
+fn fleet_collector<'a>(
+    board: &'a mut Blackboard,
+    now: Instant,
+    id: &ServiceId,
+) -> Option<&'a mut Collector> {
+    let service = board.services.get_mut(id)?;
+    let policy = &service.service.detection;
+    let fleet = &mut service.fleet;
+    Some(fleet.get_or_insert_with(|| Collector::new(now, id.clone(), policy.clone())))
+}
+
+/// Feeds the evidence of another instance to the collectors of its services.
+fn take_report(board: &mut Blackboard, now: Instant, report: &Report) {
+    let observer = cactustrack_health::Observer {
+        instance: report.observer.clone(),
+        incarnation: report.incarnation,
+        failure_domain: report.failure_domain.clone(),
+    };
+    // An observer without bad evidence still reports, so that its silence is not taken for loss.
+    for known in &report.known_seqs {
+        let of_service = report.entries.iter().filter(|entry| entry.service == known.service);
+        let entries =
+            of_service.map(|entry| (entry.upstream.clone(), entry.incarnation, entry.counts));
+        let report = cactustrack_health::Report {
+            observer: observer.clone(),
+            service: known.service.clone(),
+            entries: entries.collect(),
+        };
+        if let Some(fleet) = fleet_collector(board, now, &known.service) {
+            fleet.report(now, &report);
+        }
+        if let Some(service) = board.services.get_mut(&known.service) {
+            service.fleet_heard = Some(now);
+        }
+    }
+}
+
+/// Takes over the verdicts of a collector.
+fn on_report_reply(
+    board: &mut Blackboard,
+    now: Instant,
+    called: &InstanceId,
+    reply: &ReportReply,
+) {
+    if reply.collector != *called {
+        // Another instance took over the address. The next exchange of members will tell.
+        return;
+    }
+    for verdicts in &reply.services {
+        if let Some(service) = board.services.get_mut(&verdicts.service) {
+            let (collector, incarnation) = (&reply.collector, reply.incarnation);
+            service.planner.exchange(now, collector, incarnation, &verdicts.verdicts);
+        }
+    }
+}
--- /dev/null
+++ b/src/daemon/health.rs
@@ -0,0 +1,151 @@
+//! The ejection controller: judges upstreams and sets their shares.
+
+use std::collections::BTreeMap;
+use std::time::Instant;
+
+use cactustrack_health::{Report, ReportEntry};
+use cactustrack_observe::Metrics;
+use cactustrack_routing::balancer::Candidate;
+use cactustrack_routing::subset::Assignment;
+use cactustrack_types::{InstanceId, ServiceId, Standing, UpstreamId};
+use slog::Logger;
+
+use super::blackboard::{Blackboard, ServiceBoard};
+
+/// Takes the evidence that is due, by service.
+pub(crate) fn take_reports(board: &mut Blackboard, now: Instant) -> Vec<Report> {
+    let mut by_service: BTreeMap<ServiceId, Vec<ReportEntry>> = BTreeMap::new();
+    for entry in board.evidence.take_report(now) {
+        if let Some(view) = board.upstreams.get(&entry.0) {
+            by_service.entry(view.service.clone()).or_default().push(entry);
+        }
+    }
+    let observer = &board.observer;
+    let report = |(service, entries)| Report { observer: observer.clone(), service, entries };
+    by_service.into_iter().map(report).collect()
+}
+
+/// Feeds own evidence to the collectors on this instance.
+pub(crate) fn feed_own(board: &mut Blackboard, now: Instant, reports: &[Report]) {
+    for report in reports {
+        let Some(service) = board.services.get_mut(&report.service) else { continue };
+        service.local.report(now, report);
+        if let Some(fleet) = &mut service.fleet {
+            fleet.report(now, report);
+        }
+    }
+}
+
+/// Judges all services and computes their plans.
+pub(crate) fn replan(board: &mut Blackboard, now: Instant) {
+    let services: Vec<ServiceId> = board.services.keys().cloned().collect();
+    for service in services {
+        replan_service(board, now, &service);
+    }
+}
+
+/// Judges one service and computes its plan.
+pub(crate) fn replan_service(board: &mut Blackboard, now: Instant, id: &ServiceId) {
+    let views = board.upstreams_of(id);
+    let instances = live_instances(board);
+    let observer = board.observer.clone();
+    let Some(service) = board.services.get_mut(id) else { return };
+    service.local.retain(|known| views.iter().any(|view| view.id == *known));
+    service.local.tick(now);
+    if let Some(fleet) = &mut service.fleet {
+        fleet.retain(|known| views.iter().any(|view| view.id == *known));
+        fleet.tick(now);
+        if service.is_collector {
+            let seq = service.planner.seq(&observer.instance, observer.incarnation);
+            let verdicts = fleet.verdicts_since(seq);
+            service.planner.exchange(now, &observer.instance, observer.incarnation, &verdicts);
+        }
+    }
+    let local = service.local.verdicts_since(0);
+    let domain = &observer.failure_domain;
+    service.shares = service.planner.plan(now, &service.service, domain, &views, &local);
+    service.set_upstreams(views.len());
+    let known = |id: &UpstreamId| views.iter().any(|view| view.id == *id);
+    service.balancer.retain(known);
+    service.latency.retain(known);
+    set_candidates(service, &observer.instance, &instances, &views);
+}
+
+fn live_instances(board: &Blackboard) -> Vec<InstanceId> {
+    let members = board.membership.members();
+    members.filter(|view| view.state.may_respond()).map(|view| view.identity.id.clone()).collect()
+}
+
+/// Draws this instance's subset from the upstreams in service.
+fn set_candidates(
+    service: &mut ServiceBoard,
+    instance: &InstanceId,
+    instances: &[InstanceId],
+    views: &[cactustrack_types::UpstreamView],
+) {
+    let in_service = |id: &&UpstreamId| service.shares.get(*id).is_some_and(|s| s.weight > 0.0);
+    let ids: Vec<UpstreamId> =
+        views.iter().map(|view| &view.id).filter(in_service).cloned().collect();
+    let assignment = Assignment::new(instances, &ids, service.service.connections);
+    let candidates = assignment.subset(instance).filter_map(|id| {
+        let view = views.iter().find(|view| view.id == *id)?;
+        Some(Candidate {
+            id: id.clone(),
+            failure_domain: view.failure_domain.clone(),
+            share: *service.shares.get(id)?,
+            max_in_flight: service.service.slots,
+            max_connections: assignment.connection_limit(id),
+        })
+    });
+    service.candidates = candidates.collect();
+}
+
+/// Writes decisions that were taken since the last call to log and metrics.
+pub(crate) struct DecisionLog {
+    /// Decisions that were already written, by service.
+    written: BTreeMap<ServiceId, cactustrack_types::Millis>,
+}
+
+impl DecisionLog {
+    /// Creates a log that has written nothing.
+    pub(crate) fn new() -> Self {
+        Self { written: BTreeMap::new() }
+    }
+
+    /// Writes what is new.
+    pub(crate) fn update(&mut self, board: &Blackboard, metrics: &Metrics, log: &Logger) {
+        for (id, service) in &board.services {
+            let written = self.written.get(id).copied();
+            let new = service.planner.decisions().iter().filter(|d| Some(d.at) > written);
+            for decision in new {
+                slog::info!(log, "health: {}", decision; "service" => &**id);
+                count(metrics, id, &decision.action);
+                self.written.insert(id.clone(), decision.at);
+            }
+            export(metrics, id, service);
+        }
+    }
+}
+
+fn count(metrics: &Metrics, service: &ServiceId, action: &cactustrack_health::Action) {
+    use cactustrack_health::Action;
+    let counter = match action {
+        Action::Ejected { .. } => &metrics.ejections,
+        Action::Readmitted => &metrics.readmissions,
+        Action::KeptForFloor { .. } => &metrics.floor_refusals,
+        _ => return,
+    };
+    counter.with_label_values(&[&**service]).inc();
+}
+
+fn export(metrics: &Metrics, id: &ServiceId, service: &ServiceBoard) {
+    let mut capacity = 0.0;
+    for (upstream, share) in &service.shares {
+        if share.standing != Standing::Leaving {
+            capacity += share.weight * f64::from(service.service.slots);
+        }
+        metrics.upstream_weight.with_label_values(&[&**id, &**upstream]).set(share.weight);
+    }
+    metrics.capacity_slots.with_label_values(&[&**id]).set(capacity);
+    metrics.floor_slots.with_label_values(&[&**id]).set(i64::from(service.service.floor_slots));
+}
--- /dev/null
+++ b/src/daemon/mod.rs
@@ -0,0 +1,15 @@
+//! One instance: controllers around the blackboard, and the network at the edge.
+
+mod admin;
+mod blackboard;
+mod configuration;
+mod exchange;
+mod health;
+mod instance;
+mod listing;
+mod policy;
+mod run;
+mod status;
+
+pub use instance::{Addresses, Instance, StopHandle};
+pub use run::run;
--- /dev/null
+++ b/src/daemon/policy.rs
@@ -0,0 +1,353 @@
+//! The request path's decisions over the blackboard.
+
+use std::cell::RefCell;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use cactustrack_observe::Metrics;
+use cactustrack_proxy::{Admission, Extra, Reason, Rejection, Routed, Target, TrafficPolicy};
+use cactustrack_routing::balancer::{LoadReport, PickError, PickRequest};
+use cactustrack_routing::deadline::Deadline;
+use cactustrack_routing::headers;
+use cactustrack_routing::limits::{self, Completion, RefuseReason};
+use cactustrack_routing::route::RouteError;
+use cactustrack_types::{Outcome, RequestClass, ServiceId, UpstreamId};
+use futures::FutureExt;
+use futures::channel::oneshot;
+use http::{HeaderMap, StatusCode};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use slog::Logger;
+
+use super::blackboard::{Blackboard, SharedBoard, Waiter};
+use super::health;
+
+/// Wait that is named to a caller when the instance cannot tell a better one.
+const DEFAULT_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Time without an answer after which an abandoned attempt counts as slow while the usual latency
+/// of the service is not known.
+const SLOW_WITHOUT_SAMPLES: Duration = Duration::from_secs(1);
+
+/// Decides with the state of the blackboard.
+pub(crate) struct BoardPolicy {
+    board: SharedBoard,
+    metrics: Metrics,
+    log: Logger,
+    rng: RefCell<SmallRng>,
+}
+
+impl BoardPolicy {
+    /// Creates the policy of an instance.
+    pub(crate) fn new(board: SharedBoard, metrics: Metrics, log: Logger) -> Rc<Self> {
+        let rng = RefCell::new(SmallRng::seed_from_u64(rand::random()));
+        Rc::new(Self { board, metrics, log, rng })
+    }
+
+    fn record(&self, board: &mut Blackboard, now: Instant, target: &Target, outcome: Outcome) {
+        board.evidence.record(now, &target.upstream, target.incarnation, outcome);
+        let labels = [&*target.service, &outcome.to_string()];
+        self.metrics.evidence.with_label_values(&labels).inc();
+    }
+}
+
+impl TrafficPolicy for BoardPolicy {
+    fn route(
+        &self,
+        now: Instant,
+        host: &str,
+        path: &str,
+        headers: &HeaderMap,
+    ) -> Result<Routed, Rejection> {
+        let routes = match &self.board.borrow().in_force {
+            Some(in_force) => Rc::clone(&in_force.routes),
+            None => return Err(not_configured()),
+        };
+        let route = routes.find(host, path).map_err(route_rejection)?;
+        let deadline = Deadline::from_headers(now, headers, &route).map_err(|error| {
+            Rejection::not_run(Reason::Malformed, StatusCode::BAD_REQUEST, error.to_string())
+        })?;
+        Ok(Routed { service: route.service, class: route.class, deadline: deadline.at })
+    }
+
+    fn admit<'a>(
+        &'a self,
+        routed: &'a Routed,
+        account: &'a str,
+    ) -> Pin<Box<dyn Future<Output = Result<Admission, Rejection>> + 'a>> {
+        self.admit_request(routed, account).boxed_local()
+    }
+
+    fn pick(
+        &self,
+        now: Instant,
+        routed: &Routed,
+        exclude: &[UpstreamId],
+    ) -> Result<Target, Rejection> {
+        let board = self.board.borrow();
+        let service = board.services.get(&routed.service).ok_or_else(not_configured)?;
+        let request = PickRequest {
+            class: routed.class,
+            exclude,
+            failure_domain: &board.observer.failure_domain,
+        };
+        let mut rng = self.rng.borrow_mut();
+        let picked = service.balancer.pick(now, &mut *rng, &service.candidates, request);
+        let id = picked.map_err(|error| pick_rejection(now, error))?;
+        let view = board.upstreams.get(&id).ok_or_else(no_upstream)?;
+        let candidate = service.candidates.iter().find(|candidate| candidate.id == id);
+        let max_connections = candidate.map_or(1, |candidate| candidate.max_connections);
+        Ok(Target {
+            service: routed.service.clone(),
+            upstream: id,
+            incarnation: view.incarnation,
+            address: view.address,
+            max_connections: usize::try_from(max_connections).unwrap_or(usize::MAX),
+        })
+    }
+
+    fn allow_extra(&self, _now: Instant, routed: &Routed, _extra: Extra) -> bool {
+        let mut board = self.board.borrow_mut();
+        board.services.get_mut(&routed.service).is_some_and(|service| service.budget.try_take())
+    }
+
+    fn hedge_delay(&self, routed: &Routed) -> Option<Duration> {
+        if routed.class != RequestClass::Idempotent {
+            return None;
+        }
+        self.board.borrow().services.get(&routed.service)?.hedge.delay()
+    }
+
+    fn on_start(&self, _now: Instant, target: &Target) {
+        if let Some(service) = self.board.borrow_mut().services.get_mut(&target.service) {
+            service.balancer.on_start(&target.upstream);
+        }
+    }
+
+    fn on_response_head(&self, now: Instant, target: &Target, headers: &HeaderMap) {
+        let mut board = self.board.borrow_mut();
+        let board = &mut *board;
+        let load = headers.get(headers::LOAD).and_then(|value| LoadReport::parse(value.to_str().ok()?));
+        if let (Some(load), Some(service)) = (load, board.services.get_mut(&target.service)) {
+            service.balancer.on_load_report(now, &target.upstream, load);
+        }
+        if headers::announces_drain(headers) && board.set_leaving(&target.upstream, target.incarnation)
+        {
+            slog::info!(self.log, "health: upstream says that it is leaving";
+                "service" => &*target.service, "upstream" => &*target.upstream);
+            health::replan_service(board, now, &target.service);
+        }
+        let boot_id = headers.get(headers::BOOT_ID).and_then(|value| value.to_str().ok());
+        if let Some(boot_id) = boot_id {
+            self.note_boot_id(board, now, target, boot_id);
+        }
+    }
+
+    fn on_finish(
+        &self,
+        now: Instant,
+        target: &Target,
+        outcome: Outcome,
+        latency: Option<Duration>,
+    ) {
+        let mut board = self.board.borrow_mut();
+        let board = &mut *board;
+        let Some(service) = board.services.get_mut(&target.service) else { return };
+        let mut judged = outcome;
+        if let (Outcome::Ok, Some(latency)) = (outcome, latency) {
+            judged = service.latency.judge(now, &target.upstream, latency);
+            service.hedge.on_latency(now, latency);
+        }
+        if outcome == Outcome::Shed {
+            service.balancer.on_shed(now, &target.upstream, None);
+        }
+        service.balancer.on_finish(now, &target.upstream, judged, latency.unwrap_or_default());
+        self.record(board, now, target, judged);
+    }
+
+    fn on_cancel(&self, now: Instant, target: &Target, elapsed: Duration) {
+        let mut board = self.board.borrow_mut();
+        let board = &mut *board;
+        let Some(service) = board.services.get_mut(&target.service) else { return };
+        // An upstream whose attempts are always overtaken by hedges gives no answer at all, so the
+        // time that it let pass is the only evidence there is.
+        let slow_after = service.hedge.delay().unwrap_or(SLOW_WITHOUT_SAMPLES);
+        let is_slow = elapsed >= slow_after;
+        let outcome = if is_slow { Outcome::Slow } else { Outcome::Silent };
+        service.balancer.on_finish(now, &target.upstream, outcome, elapsed);
+        if is_slow {
+            self.record(board, now, target, Outcome::Slow);
+        }
+    }
+}
+
+impl BoardPolicy {
+    async fn admit_request(&self, routed: &Routed, account: &str) -> Result<Admission, Rejection> {
+        let now = Instant::now();
+        let (ticket, rx, until) = {
+            let mut board = self.board.borrow_mut();
+            let board = &mut *board;
+            let in_force = board.in_force.as_ref().ok_or_else(not_configured)?;
+            let weight = in_force.weights.get(account).copied().unwrap_or(1);
+            let service = board.services.get_mut(&routed.service).ok_or_else(not_configured)?;
+            service.budget.on_request();
+            let pressure = service.limit.pressure();
+            if service.fair.is_refused(now, account, pressure) {
+                return Err(overloaded(RefuseReason::OverShare, DEFAULT_RETRY_AFTER));
+            }
+            match service.limit.admit(now, Deadline { at: routed.deadline }) {
+                limits::Admission::Admit => {
+                    service.fair.on_admit(now, account, weight);
+                    return Ok(Box::new(self.guard(routed)));
+                }
+                limits::Admission::Refuse { reason, retry_after } => {
+                    return Err(overloaded(reason, retry_after));
+                }
+                limits::Admission::Wait(until) => {
+                    service.fair.on_admit(now, account, weight);
+                    let ticket = board.next_ticket;
+                    board.next_ticket += 1;
+                    let (tx, rx) = oneshot::channel();
+                    service.waiters.push_back(Waiter { ticket, tx });
+                    (ticket, rx, until)
+                }
+            }
+        };
+        let place = Place { board: Rc::clone(&self.board), service: routed.service.clone(), ticket };
+        let wait = until.saturating_duration_since(now);
+        let granted = compio::time::timeout(wait, rx).await;
+        drop(place);
+        match granted {
+            Ok(Ok(guard)) => Ok(Box::new(guard)),
+            _ => Err(overloaded(RefuseReason::DeadlineTooClose, DEFAULT_RETRY_AFTER)),
+        }
+    }
+
+    fn guard(&self, routed: &Routed) -> AdmissionGuard {
+        AdmissionGuard {
+            board: Rc::clone(&self.board),
+            service: routed.service.clone(),
+            class: routed.class,
+            started: Instant::now(),
+        }
+    }
+
+    fn note_boot_id(&self, board: &mut Blackboard, now: Instant, target: &Target, boot_id: &str) {
+        let known = board.boot_ids.get(&target.upstream);
+        if known.is_some_and(|known| known == boot_id) {
+            return;
+        }
+        let restarted = known.is_some();
+        board.boot_ids.insert(target.upstream.clone(), boot_id.to_owned());
+        if !restarted {
+            return;
+        }
+        slog::info!(self.log, "health: upstream was restarted";
+            "service" => &*target.service, "upstream" => &*target.upstream);
+        if let Some(view) = board.upstreams.get_mut(&target.upstream) {
+            view.cold_since = Some(now);
+            view.leaving = false;
+        }
+        if let Some(service) = board.services.get_mut(&target.service) {
+            service.balancer.on_restart(&target.upstream);
+        }
+    }
+}
+
+/// A place in the queue of a service. Dropping it leaves the queue, if the request still waits.
+struct Place {
+    board: SharedBoard,
+    service: ServiceId,
+    ticket: u64,
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        let mut board = self.board.borrow_mut();
+        let Some(service) = board.services.get_mut(&self.service) else { return };
+        let position = service.waiters.iter().position(|waiter| waiter.ticket == self.ticket);
+        if let Some(position) = position {
+            service.waiters.remove(position);
+            service.limit.on_wait_abandoned();
+        }
+    }
+}
+
+/// The place of an admitted request. Dropping it frees the place for the next one that waits.
+pub(crate) struct AdmissionGuard {
+    board: SharedBoard,
+    service: ServiceId,
+    class: RequestClass,
+    started: Instant,
+}
+
+impl Drop for AdmissionGuard {
+    fn drop(&mut self) {
+        let now = Instant::now();
+        let mut board = self.board.borrow_mut();
+        let Some(service) = board.services.get_mut(&self.service) else { return };
+        // The time of a large answer depends on its size and on the caller, not on load.
+        let completion = match self.class {
+            RequestClass::Large => Completion::Failed,
+            _ => Completion::Answered(now.duration_since(self.started)),
+        };
+        service.limit.on_finish(now, completion);
+        let mut unclaimed = Vec::new();
+        while service.limit.admit_waiting() {
+            let Some(waiter) = service.waiters.pop_front() else { break };
+            let guard = AdmissionGuard {
+                board: Rc::clone(&self.board),
+                service: self.service.clone(),
+                class: self.class,
+                started: now,
+            };
+            // A request that left just now gives the place back.
+            unclaimed.extend(waiter.tx.send(guard).err());
+        }
+        drop(board);
+        drop(unclaimed);
+    }
+}
+
+fn not_configured() -> Rejection {
+    let detail = "the instance has no configuration for this request yet";
+    Rejection::not_run(Reason::NotConfigured, StatusCode::SERVICE_UNAVAILABLE, detail)
+        .with_retry_after(DEFAULT_RETRY_AFTER)
+}
+
+fn no_upstream() -> Rejection {
+    let detail = "no upstream of the service can take the request";
+    Rejection::not_run(Reason::NoUpstream, StatusCode::SERVICE_UNAVAILABLE, detail)
+        .with_retry_after(DEFAULT_RETRY_AFTER)
+}
+
+fn overloaded(reason: RefuseReason, retry_after: Duration) -> Rejection {
+    let detail = format!("the service is overloaded: {reason}");
+    Rejection::not_run(Reason::Overloaded, StatusCode::SERVICE_UNAVAILABLE, detail)
+        .with_retry_after(retry_after)
+}
+
+fn pick_rejection(now: Instant, error: PickError) -> Rejection {
+    match error {
+        PickError::NoneInService | PickError::AllTried => no_upstream(),
+        PickError::Busy { shed_until } => {
+            let wait = shed_until.map(|until| until.saturating_duration_since(now));
+            let detail = "all upstreams of the service are at their limits";
+            Rejection::not_run(Reason::Overloaded, StatusCode::SERVICE_UNAVAILABLE, detail)
+                .with_retry_after(wait.unwrap_or(DEFAULT_RETRY_AFTER))
+        }
+    }
+}
+
+fn route_rejection(error: RouteError) -> Rejection {
+    let status = StatusCode::from_u16(error.status()).unwrap_or(StatusCode::BAD_REQUEST);
+    let reason = match error {
+        RouteError::NoRoute => Reason::NoRoute,
+        RouteError::MissingHost | RouteError::DuplicateHost | RouteError::InvalidHost => {
+            Reason::Malformed
+        }
+        _ => Reason::UnacceptablePath,
+    };
+    Rejection::not_run(reason, status, error.to_string())
+}
