Add the authenticated peer RPC

Cause: instances exchange evidence, membership and configurations over networks that may forge, replay or lose data (docs/design.md, 5).

--- a/crates/peer/schema/peer.capnp
+++ b/crates/peer/schema/peer.capnp
@@ -88,6 +88,8 @@
   failureDomain @2 :Text;
   services @3 :List(ServiceEvidence);
   knownSeqs @4 :List(KnownSeq);
+  # Number of the report among those of the observer to the collector.
+  seq @5 :UInt64;
 }
 
 struct Verdict {
--- /dev/null
+++ b/crates/peer/src/rpc.rs
@@ -0,0 +1,111 @@
+//! Calls of the generated interface in terms of plain types.
+
+use std::future::{Future, ready};
+use std::rc::Rc;
+
+use cactustrack_members::Identity;
+use capnp::{Error, MessageSize, Result};
+
+use crate::codec::{
+    self, MAX_MESSAGE_BYTES, read_identity, read_reply, read_report, read_sync_reply,
+    read_sync_request, write_identity, write_reply, write_report, write_sync_reply,
+    write_sync_request,
+};
+use crate::messages::{PeerHandler, Report, ReportReply, SyncReply, SyncRequest};
+use crate::peer_capnp::peer;
+
+/// Serves the generated interface through a handler.
+pub(crate) struct Service {
+    pub(crate) handler: Rc<dyn PeerHandler>,
+}
+
+impl Service {
+    fn answer_hello(
+        &self,
+        params: &peer::HelloParams,
+        results: &mut peer::HelloResults,
+    ) -> Result<()> {
+        let from = read_identity(params.get()?.get_identity()?)?;
+        write_identity(&self.handler.hello(from), results.get().init_identity());
+        check_size(results.get().into_reader().total_size()?)
+    }
+
+    fn answer_report(
+        &self,
+        params: &peer::ReportParams,
+        results: &mut peer::ReportResults,
+    ) -> Result<()> {
+        let report = read_report(params.get()?.get_report()?)?;
+        write_reply(&self.handler.report(report), results.get().init_reply());
+        check_size(results.get().into_reader().total_size()?)
+    }
+
+    fn answer_sync(
+        &self,
+        params: &peer::SyncParams,
+        results: &mut peer::SyncResults,
+    ) -> Result<()> {
+        let request = read_sync_request(params.get()?.get_request()?)?;
+        write_sync_reply(&self.handler.sync(request), results.get().init_reply());
+        check_size(results.get().into_reader().total_size()?)
+    }
+}
+
+impl peer::Server for Service {
+    fn hello(
+        self: Rc<Self>,
+        params: peer::HelloParams,
+        mut results: peer::HelloResults,
+    ) -> impl Future<Output = Result<()>> + 'static {
+        ready(self.answer_hello(&params, &mut results))
+    }
+
+    fn report(
+        self: Rc<Self>,
+        params: peer::ReportParams,
+        mut results: peer::ReportResults,
+    ) -> impl Future<Output = Result<()>> + 'static {
+        ready(self.answer_report(&params, &mut results))
+    }
+
+    fn sync(
+        self: Rc<Self>,
+        params: peer::SyncParams,
+        mut results: peer::SyncResults,
+    ) -> impl Future<Output = Result<()>> + 'static {
+        ready(self.answer_sync(&params, &mut results))
+    }
+}
+
+pub(crate) async fn call_hello(client: &peer::Client, own: &Identity) -> Result<Identity> {
+    let mut call = client.hello_request();
+    write_identity(own, call.get().init_identity());
+    let response = call.send().promise.await?;
+    read_identity(response.get()?.get_identity()?)
+}
+
+pub(crate) async fn call_report(client: &peer::Client, report: &Report) -> Result<ReportReply> {
+    let mut call = client.report_request();
+    write_report(report, call.get().init_report());
+    check_size(call.get().into_reader().total_size()?)?;
+    let response = call.send().promise.await?;
+    read_reply(response.get()?.get_reply()?)
+}
+
+pub(crate) async fn call_sync(client: &peer::Client, request: &SyncRequest) -> Result<SyncReply> {
+    let mut call = client.sync_request();
+    write_sync_request(request, call.get().init_request());
+    check_size(call.get().into_reader().total_size()?)?;
+    let response = call.send().promise.await?;
+    read_sync_reply(response.get()?.get_reply()?)
+}
+
+/// Rejects a message that might not fit into a frame, so that it fails alone and the connection
+/// stays.
+fn check_size(size: MessageSize) -> Result<()> {
+    let bytes = size.word_count.saturating_mul(codec::WORD_BYTES as u64);
+    if bytes > MAX_MESSAGE_BYTES as u64 {
+        return Err(Error::failed(format!("message of {bytes} bytes exceeds the bound")));
+    }
+    Ok(())
+}
