Test settings, questionnaire, generation, encoding and command line

The tests found three faults, which are fixed here. A bad element of a list hid the findings of the next element, because the elements were read lazily. A bad route caused a second finding that the service has no route. A comparison said that a weight is 1 instead of 1 for an account that is no longer named.

Findings no longer quote URLs, which may hold a password. A questionnaire without services is an error.

--- a/crates/config/src/contradictions.rs
+++ b/crates/config/src/contradictions.rs
@@ -66,10 +66,6 @@
 }
 
 fn check_routes(reader: &Reader, service: &ServiceAnswers) {
-    if service.routes.is_empty() {
-        let problem = "the service has no route, so it gets no requests";
-        reader.warning(service.id.line, &service.id.key, problem, "add a route");
-    }
     for route in &service.routes {
         check_times(reader, service, route);
         check_resume(reader, route);
--- a/crates/config/src/diff.rs
+++ b/crates/config/src/diff.rs
@@ -204,8 +204,9 @@
                 self.added(subject, &b, effect);
             }
             (_, None) => {
-                let effect =
-                    format!("Account {id} is no longer named; its weight is {b} instead of {a}.");
+                let weight =
+                    if a == 1 { "stays 1".to_owned() } else { format!("is 1 instead of {a}") };
+                let effect = format!("Account {id} is no longer named; its weight {weight}.");
                 self.removed(subject, &a, effect);
             }
             _ => self.value(subject + ".weight", &a, &b, |a, b| {
--- a/crates/config/src/name.rs
+++ b/crates/config/src/name.rs
@@ -25,7 +25,7 @@
     type Err = FormError;
 
     fn from_str(text: &str) -> Result<Self, Self::Err> {
-        check(is_label(text), "not a name of 1 to 63 lower-case letters, digits and hyphens")?;
+        check(is_label(text), "not a valid name")?;
         Ok(Self(text.into()))
     }
 }
--- a/crates/config/src/questionnaire.rs
+++ b/crates/config/src/questionnaire.rs
@@ -12,6 +12,7 @@
 const NAME: &str = "write a name of 1 to 63 lower-case letters, digits and hyphens";
 const HOST: &str = "write a host name in lower case, for example \"listings.example\", or \"*\"";
 const PATH: &str = "write a path such as \"/\" or \"/listings\", without a slash at its end";
+const SERVICES: &str = "describe at least one service";
 const FLOOR: &str = "write a number of upstreams, for example 9, or a share, for example \"60%\"";
 
 /// Longest time in a questionnaire: a day.
@@ -145,7 +146,7 @@
         let mut root = reader.root(&table);
         let team = name(&root.field("team").required(NAME));
         let accounts: Vec<_> = read_all(&root.field("accounts"), read_account);
-        let services = root.field("services").required("describe at least one service");
+        let services = root.field("services").required(SERVICES).not_empty(SERVICES);
         let services: Vec<_> = read_all(&services, |table| read_service(&reader, table));
         root.finish();
         contradictions::check(&reader, &accounts, &services);
@@ -189,7 +190,12 @@
     let hurts_more = hurts_more(table);
     let cold_start_ms = time(table.field("cold_start_ms"), 0);
     let service_time_ms = time(table.field("service_time_ms"), 1);
-    let routes = read_all(&table.field("routes"), read_route);
+    let routes = table.field("routes");
+    if !routes.is_present() {
+        let problem = "the service has no route, so it gets no requests";
+        reader.warning(table.line(), table.path(), problem, "add a route");
+    }
+    let routes = read_all(&routes, read_route);
     Some(ServiceAnswers {
         id: id?,
         host: host?.map(Into::into),
--- a/crates/config/src/reader.rs
+++ b/crates/config/src/reader.rs
@@ -208,6 +208,15 @@
         self
     }
 
+    /// Reports an error if the value is an array without elements.
+    pub(crate) fn not_empty(self, remedy: &str) -> Self {
+        let array = self.value.and_then(|value| value.get_ref().as_array());
+        if array.is_some_and(|array| array.is_empty()) {
+            self.reader.error(self.line, &self.key, "the list is empty", remedy);
+        }
+        self
+    }
+
     /// Reads text.
     pub(crate) fn text(&self) -> Option<Located<String>> {
         let value = self.value?;
@@ -222,11 +231,27 @@
     where
         T::Err: Display,
     {
+        self.parse_text(remedy, |text, error| format!("{text:?}: {error}"))
+    }
+
+    /// Reads text that parses as `T` and may hold a secret, so that findings do not quote it.
+    pub(crate) fn parsed_unquoted<T: FromStr>(&self, remedy: &str) -> Option<Located<T>>
+    where
+        T::Err: Display,
+    {
+        self.parse_text(remedy, |_, error: T::Err| error.to_string())
+    }
+
+    fn parse_text<T: FromStr>(
+        &self,
+        remedy: &str,
+        problem: impl FnOnce(&str, T::Err) -> String,
+    ) -> Option<Located<T>> {
         let text = self.text()?;
         match text.value.parse() {
             Ok(value) => Some(self.located(value)),
             Err(error) => {
-                self.reader.error_at(&text, format!("{:?}: {error}", text.value), remedy);
+                self.reader.error_at(&text, problem(&text.value, error), remedy);
                 None
             }
         }
@@ -277,7 +302,7 @@
         }
         let words: Vec<_> = choices.iter().map(|(word, _)| format!("{word:?}")).collect();
         let remedy = format!("use one of {}", words.join(", "));
-        self.reader.error_at(&text, format!("{:?} is not one of the answers", text.value), remedy);
+        self.reader.error_at(&text, format!("{:?} is not one of the choices", text.value), remedy);
         None
     }
 
@@ -312,7 +337,7 @@
     }
 
     /// Reports that the value has another type than the expected one.
-    pub(crate) fn wrong_type<T>(&self, expected: &str) -> Option<T> {
+    fn wrong_type<T>(&self, expected: &str) -> Option<T> {
         let found = self.value.map_or("nothing", |value| value.get_ref().type_str());
         let problem = format!("found {found}");
         self.reader.error(self.line, &self.key, problem, format!("write {expected}"));
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -254,15 +254,11 @@
 }
 
 fn read_store(table: &mut Section<'_, '_>) -> Option<StoreSettings> {
-    let field = table.field("endpoints").required("write a list of URLs");
-    let elements = field.elements();
-    if field.is_present() && elements.is_empty() {
-        field.wrong_type::<()>("a list with at least one URL");
-    }
-    let endpoints: Option<Vec<_>> = elements.iter().map(url).collect();
+    let field = table.field("endpoints").required("write a list of URLs").not_empty(URL);
+    let endpoints: Vec<_> = field.elements().iter().map(url).collect();
     let prefix = table.field("prefix").required("write a prefix, for example \"cactustrack/\"");
     let prefix = prefix.text().map(|text| text.value.trim_end_matches('/').to_owned() + "/");
-    Some(StoreSettings { endpoints: endpoints?, prefix: prefix?.into() })
+    Some(StoreSettings { endpoints: all(endpoints)?, prefix: prefix?.into() })
 }
 
 fn read_peers(
@@ -277,10 +273,16 @@
         let problem = "there is neither an instance list nor a bootstrap address";
         reader.warning(line, &path, problem, "add one, unless the fleet has a single instance");
     }
-    let bootstrap: Option<Vec<_>> =
-        elements.iter().map(|field| Some(field.parsed(ADDRESS)?.value)).collect();
+    let bootstrap: Vec<_> = elements.iter().map(|field| field.parsed(ADDRESS)).collect();
     let key = read_key(reader, table);
-    Some(PeerSettings { bootstrap: bootstrap?, key: key? })
+    let bootstrap = all(bootstrap)?.into_iter().map(|address| address.value).collect();
+    Some(PeerSettings { bootstrap, key: key? })
+}
+
+/// Returns the elements if all could be read. They are read before, so that a bad element does not
+/// hide the findings of the next.
+fn all<T>(elements: Vec<Option<T>>) -> Option<Vec<T>> {
+    elements.into_iter().collect()
 }
 
 /// Reads `key` or `key_file`. Findings about `key` never quote its value.
@@ -359,5 +361,6 @@
 }
 
 fn url(field: &Field<'_, '_>) -> Option<HttpUrl> {
-    Some(field.parsed(URL)?.value)
+    // Operators may have put a password into the URL.
+    Some(field.parsed_unquoted(URL)?.value)
 }
--- a/src/cli/generate.rs
+++ b/src/cli/generate.rs
@@ -1,9 +1,10 @@
 //! `cactustrack generate`: shows the configuration that follows from a questionnaire.
 
-use cactustrack_config::generate;
+use cactustrack_config::{Findings, Generated, generate};
 use cactustrack_types::Version;
 use clap::{Arg, ArgMatches, Command, value_parser};
 use eyre::Result;
+use serde::Serialize;
 
 use super::{Exit, Output, Subcommand, input};
 
@@ -23,6 +24,14 @@
         .arg(input::output_arg())
 }
 
+/// Result as JSON.
+#[derive(Serialize)]
+struct Report<'a> {
+    findings: &'a Findings,
+    #[serde(flatten)]
+    generated: &'a Generated,
+}
+
 fn run(matches: &ArgMatches, output: &mut Output<'_>) -> Result<Exit> {
     let questionnaire = match input::questionnaire(input::path(matches, "file")?)? {
         Ok(questionnaire) => questionnaire,
@@ -34,7 +43,8 @@
     let version = matches.get_one("config-version").copied().unwrap_or_default();
     let generated = generate(&questionnaire, version);
     let text = if output.json {
-        serde_json::to_string_pretty(&generated)? + "\n"
+        let report = Report { findings: &questionnaire.warnings, generated: &generated };
+        serde_json::to_string_pretty(&report)? + "\n"
     } else {
         generated.to_toml()
     };
--- a/src/cli/input.rs
+++ b/src/cli/input.rs
@@ -1,7 +1,7 @@
 //! Files that several subcommands read and write.
 
-use std::fs::{self, File};
-use std::io::Write;
+use std::fs::File;
+use std::io::{Read, Write};
 use std::path::{Path, PathBuf};
 
 use cactustrack_config::{Findings, Questionnaire};
@@ -40,12 +40,14 @@
     Ok(path)
 }
 
-/// Reads a text file.
+/// Reads a text file of at most [`MAX_FILE_BYTES`].
 pub(super) fn read(path: &Path) -> eyre::Result<String> {
     let context = || format!("{} cannot be read", path.display());
-    let size = fs::metadata(path).wrap_err_with(context)?.len();
-    eyre::ensure!(size <= MAX_FILE_BYTES, "{} is larger than 64 MiB", path.display());
-    fs::read_to_string(path).wrap_err_with(context)
+    let file = File::open(path).wrap_err_with(context)?;
+    let mut text = String::new();
+    let size = file.take(MAX_FILE_BYTES + 1).read_to_string(&mut text).wrap_err_with(context)?;
+    eyre::ensure!(size as u64 <= MAX_FILE_BYTES, "{} is larger than 64 MiB", path.display());
+    Ok(text)
 }
 
 /// Writes text to the file of [`output_arg`] or to standard output.
