--- a/crates/members/src/membership.rs
+++ b/crates/members/src/membership.rs
@@ -126,6 +126,11 @@
         std::iter::once(self.own_view()).chain(self.others.values().map(Known::view))
     }
 
+    /// Sets the address that this instance announces, once its listener is bound.
+    pub fn set_address(&mut self, address: std::net::SocketAddr) {
+        self.own.identity.address = address;
+    }
+
     /// Declares that this instance is shutting down.
     pub fn set_leaving(&mut self) {
         if !self.own.identity.leaving {
--- a/crates/observe/src/log.rs
+++ b/crates/observe/src/log.rs
@@ -3,54 +3,16 @@
 use std::io;
 use std::time::{Duration, Instant};
 
-use derive_more::{Display, FromStr};
-use serde::{Deserialize, Serialize};
+use cactustrack_config::{LogFormat, LogLevel};
 use slog::{Drain, Logger, o};
 
 /// Lines that wait to be written. Further lines are dropped, and slog-async reports how many.
 const QUEUE_LINES: usize = 4096;
 
-/// How log lines are written.
-#[derive(Clone, Copy, Debug, Default, Display, FromStr, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum LogFormat {
-    /// One line of text for people.
-    #[default]
-    Text,
-    /// One JSON object on each line.
-    Json,
-}
-
-/// The least severe level that is written.
-#[derive(Clone, Copy, Debug, Default, Display, FromStr, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum LogLevel {
-    /// Faults of the instance itself.
-    Error,
-    /// Faults of others and decisions that reduce service.
-    Warning,
-    /// Decisions.
-    #[default]
-    Info,
-    /// Single requests.
-    Debug,
-}
-
-impl From<LogLevel> for slog::Level {
-    fn from(level: LogLevel) -> Self {
-        match level {
-            LogLevel::Error => Self::Error,
-            LogLevel::Warning => Self::Warning,
-            LogLevel::Info => Self::Info,
-            LogLevel::Debug => Self::Debug,
-        }
-    }
-}
-
 /// Creates the logger of a process, which writes to standard error from a thread of its own so
 /// that a slow terminal does not stop the event loop.
 pub fn new_logger(format: LogFormat, level: LogLevel, instance: &str) -> Logger {
-    let level = slog::Level::from(level);
+    let level = severity(level);
     let context = o!("instance" => instance.to_owned());
     match format {
         LogFormat::Text => {
@@ -76,6 +38,16 @@
     slog::LevelFilter::new(queue, level).fuse()
 }
 
+fn severity(level: LogLevel) -> slog::Level {
+    match level {
+        LogLevel::Error => slog::Level::Error,
+        LogLevel::Warning => slog::Level::Warning,
+        LogLevel::Info => slog::Level::Info,
+        LogLevel::Debug => slog::Level::Debug,
+        LogLevel::Trace => slog::Level::Trace,
+    }
+}
+
 /// Limits how often a kind of log line is written.
 #[derive(Debug)]
 pub struct RateLimit {
--- a/crates/proxy/src/handler.rs
+++ b/crates/proxy/src/handler.rs
@@ -5,6 +5,8 @@
 use std::time::Instant;
 
 use cactustrack_observe::{Metrics, SpanKind, SpanQueue, SpanTimer, TraceContext};
+use cactustrack_routing::headers;
+use cactustrack_routing::route::request_host;
 use cactustrack_store::{Claim, IdempotencyRecords};
 use cactustrack_types::{InstanceId, RequestClass};
 use http::request::Parts;
@@ -17,11 +19,10 @@
 use crate::relay::relay;
 use crate::repeatable::Repeatable;
 use crate::request::Outgoing;
+use crate::resume::LargeResume;
 use crate::{OutBody, Pool, Routed, TrafficPolicy, non_idempotent};
 
 const TRACEPARENT: HeaderName = HeaderName::from_static("traceparent");
-const ACCOUNT: HeaderName = HeaderName::from_static("cactustrack-account");
-const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
 const MAX_KEY_BYTES: usize = 255;
 
 /// What a [`Proxy`] is made of.
@@ -48,12 +49,14 @@
     /// Makes claim ids unique within one life of the instance.
     next_claim: Cell<u64>,
     life: u64,
+    /// Non-idempotent requests that run, also those whose caller has left.
+    running: Rc<Cell<usize>>,
 }
 
 impl Proxy {
     /// Creates a proxy. `life` tells this life of the instance from others of the same name.
     pub fn new(parts: ProxyParts, life: u64) -> Rc<Self> {
-        Rc::new(Self { parts, next_claim: Cell::new(0), life })
+        Rc::new(Self { parts, next_claim: Cell::new(0), life, running: Rc::default() })
     }
 
     pub(crate) fn policy(&self) -> &Rc<dyn TrafficPolicy> {
@@ -76,6 +79,17 @@
         &self.parts.log
     }
 
+    /// Number of non-idempotent requests that run, also those whose caller has left.
+    pub fn running_tasks(&self) -> usize {
+        self.running.get()
+    }
+
+    /// Counts a non-idempotent request as running until the result is dropped.
+    pub(crate) fn start_task(&self) -> RunningTask {
+        self.running.set(self.running.get() + 1);
+        RunningTask(Rc::clone(&self.running))
+    }
+
     /// Answers one request.
     pub async fn handle(self: &Rc<Self>, req: Request<Incoming>) -> Response<OutBody> {
         let started = Instant::now();
@@ -117,8 +131,11 @@
     }
 
     fn route(&self, now: Instant, head: &Parts) -> Result<Routed, Rejection> {
-        let host = host_of(head)?;
-        crate::request::check_head(head)?;
+        let malformed =
+            |detail: String| Rejection::not_run(Reason::Malformed, StatusCode::BAD_REQUEST, detail);
+        headers::check_request_head(&head.headers).map_err(|error| malformed(error.to_string()))?;
+        let host = request_host(&head.uri, &head.headers);
+        let host = host.map_err(|error| malformed(error.to_string()))?;
         self.policy().route(now, host, head.uri.path(), &head.headers)
     }
 
@@ -132,7 +149,10 @@
         let account = account_of(&head.headers);
         let claim = self.claim(routed, &head, &account)?;
         let admission = self.policy().admit(routed, &account).await?;
-        let mut headers = crate::request::forwardable(&head.headers);
+        let mut headers = head.headers;
+        headers::strip_request(&mut headers);
+        // The instance answers the expectation itself when it reads the body.
+        headers.remove(header::EXPECT);
         let traceparent = HeaderValue::from_str(&trace.header_value());
         headers.insert(TRACEPARENT, traceparent.unwrap_or(HeaderValue::from_static("")));
         let uri = origin_form(&head.uri);
@@ -199,7 +219,7 @@
 /// Builds the answer to a repeatable request, whose rest may come from another upstream.
 pub(crate) fn respond_repeatable(request: Repeatable, answer: Answer) -> Response<OutBody> {
     let proxy = Rc::clone(&request.proxy);
-    let resume = crate::resume::LargeResume::new(request, &answer);
+    let resume = LargeResume::for_answer(request, &answer);
     respond(&proxy, answer, resume)
 }
 
@@ -209,46 +229,30 @@
     resume: Option<Box<dyn crate::relay::Resume>>,
 ) -> Response<OutBody> {
     let status = answer.head.status;
-    let headers = crate::request::forwardable(&answer.head.headers);
+    let mut headers = answer.head.headers.clone();
+    headers::strip_answer(&mut headers);
     let mut response = Response::new(relay(proxy, answer, resume));
     *response.status_mut() = status;
     *response.headers_mut() = headers;
     response
 }
 
-fn host_of(head: &Parts) -> Result<&str, Rejection> {
-    let malformed =
-        |detail: &str| Rejection::not_run(Reason::Malformed, StatusCode::BAD_REQUEST, detail);
-    let mut hosts = head.headers.get_all(header::HOST).iter();
-    let host = hosts.next().ok_or_else(|| malformed("the Host header is missing"))?;
-    if hosts.next().is_some() {
-        return Err(malformed("more than one Host header"));
-    }
-    let host = host.to_str().map_err(|_| malformed("the Host header is not text"))?;
-    match head.uri.authority() {
-        Some(authority) if !authority.as_str().eq_ignore_ascii_case(host) => {
-            Err(malformed("the Host header contradicts the request target"))
-        }
-        _ => Ok(host),
-    }
-}
-
 fn origin_form(uri: &Uri) -> Uri {
     let path = uri.path_and_query().map_or("/", |path| path.as_str());
     path.parse().unwrap_or_default()
 }
 
-fn account_of(headers: &HeaderMap) -> String {
-    let account = headers.get(ACCOUNT).and_then(|value| value.to_str().ok());
+fn account_of(map: &HeaderMap) -> String {
+    let account = map.get(headers::ACCOUNT).and_then(|value| value.to_str().ok());
     account.unwrap_or_default().to_owned()
 }
 
-fn idempotency_key(headers: &HeaderMap) -> Result<Option<String>, Rejection> {
+fn idempotency_key(map: &HeaderMap) -> Result<Option<String>, Rejection> {
     let malformed = || {
         let detail = "the Idempotency-Key header must be one value of 1 to 255 visible characters";
         Rejection::not_run(Reason::Malformed, StatusCode::BAD_REQUEST, detail)
     };
-    let mut keys = headers.get_all(IDEMPOTENCY_KEY).iter();
+    let mut keys = map.get_all(headers::IDEMPOTENCY_KEY).iter();
     let Some(key) = keys.next() else { return Ok(None) };
     let key = key.to_str().map_err(|_| malformed())?.trim();
     let visible = key.bytes().all(|b| b.is_ascii_graphic() || b == b' ');
@@ -273,3 +277,12 @@
         self.0.dec();
     }
 }
+
+/// A non-idempotent request that runs.
+pub(crate) struct RunningTask(Rc<Cell<usize>>);
+
+impl Drop for RunningTask {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
--- a/crates/proxy/src/non_idempotent.rs
+++ b/crates/proxy/src/non_idempotent.rs
@@ -25,7 +25,9 @@
     claim: Option<Claim>,
 ) -> Result<Response<OutBody>, Rejection> {
     let (tx, rx) = oneshot::channel();
+    let running = proxy.start_task();
     let task = async move {
+        let _running = running;
         let _ = tx.send(claim_and_dispatch(&proxy, &routed, out, claim).await);
     };
     compio::runtime::spawn(task).detach();
--- a/crates/proxy/src/reject.rs
+++ b/crates/proxy/src/reject.rs
@@ -3,16 +3,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use cactustrack_routing::headers::EXECUTION;
 use cactustrack_types::Execution;
 use derive_more::{Display, Error};
-use http::{HeaderName, HeaderValue, Response, StatusCode, header};
+use http::{HeaderValue, Response, StatusCode, header};
 use serde_json::{Map, Value};
 
 use crate::OutBody;
 
-/// Header that states whether a rejected request may have been run.
-pub(crate) const EXECUTION_HEADER: HeaderName = HeaderName::from_static("cactustrack-execution");
-
 /// Why a request was rejected. The display form is the last part of the problem type.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash)]
 pub enum Reason {
@@ -128,7 +126,7 @@
             Execution::Unknown => "unknown",
             Execution::Completed => "completed",
         };
-        headers.insert(EXECUTION_HEADER, HeaderValue::from_static(execution));
+        headers.insert(EXECUTION, HeaderValue::from_static(execution));
         if let Some(retry_after) = self.retry_after {
             let seconds = retry_after.as_secs_f64().ceil().max(1.0) as u64;
             headers.insert(header::RETRY_AFTER, HeaderValue::from(seconds));
--- a/crates/proxy/src/repeatable.rs
+++ b/crates/proxy/src/repeatable.rs
@@ -74,6 +74,11 @@
         Ok(target)
     }
 
+    /// Returns an upstream that was not tried.
+    pub(crate) fn pick_other(&mut self) -> Option<Target> {
+        self.pick().ok()
+    }
+
     /// Returns the upstream for another attempt, if the request, the time and the budget allow one.
     fn next(&mut self, retry_free: bool) -> Option<Target> {
         if !self.out.can_send() || until(self.routed.deadline).is_zero() {
--- a/crates/proxy/src/request.rs
+++ b/crates/proxy/src/request.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Uri, header};
+use cactustrack_routing::headers::TIMEOUT_MS;
+use http::{HeaderMap, HeaderValue, Method, Request, Uri};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Incoming};
 
@@ -14,9 +15,6 @@
 /// Request bodies up to this size are held in memory so that they can be sent again.
 const REPLAY_LIMIT_BYTES: u64 = 64 * 1024;
 
-/// Header with the time that remains, in milliseconds.
-pub(crate) const TIMEOUT_HEADER: HeaderName = HeaderName::from_static("cactustrack-timeout-ms");
-
 enum Payload {
     Replayable(Bytes),
     Once(Option<Incoming>),
@@ -86,53 +84,33 @@
         *req.method_mut() = self.method.clone();
         *req.uri_mut() = self.uri.clone();
         *req.headers_mut() = self.headers.clone();
-        let ms = u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX);
-        req.headers_mut().insert(TIMEOUT_HEADER, HeaderValue::from(ms));
+        set_timeout(&mut req, remaining);
         Some(req)
     }
 
-    /// Builds a request for the rest of an answer.
+    /// Builds a request for a part of an answer, which the headers in `range` name.
     pub(crate) fn build_range(
         &self,
         remaining: Duration,
-        range: HeaderValue,
-        if_range: HeaderValue,
+        range: &HeaderMap,
     ) -> Request<UpstreamBody> {
         let mut req = Request::new(UpstreamBody::full(Bytes::new()));
         *req.method_mut() = self.method.clone();
         *req.uri_mut() = self.uri.clone();
         *req.headers_mut() = self.headers.clone();
-        let ms = u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX);
-        let headers = req.headers_mut();
-        headers.insert(TIMEOUT_HEADER, HeaderValue::from(ms));
-        headers.insert(header::RANGE, range);
-        headers.insert(header::IF_RANGE, if_range);
+        for (name, value) in range {
+            req.headers_mut().insert(name, value.clone());
+        }
+        set_timeout(&mut req, remaining);
         req
     }
 }
 
+fn set_timeout(req: &mut Request<UpstreamBody>, remaining: Duration) {
+    let ms = u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX);
+    req.headers_mut().insert(TIMEOUT_MS, HeaderValue::from(ms));
+}
+
 /// The caller broke off the request body.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct BodyBroken;
-
-/// Rejects a head that different parsers could read in different ways.
-pub(crate) fn check_head(_head: &http::request::Parts) -> Result<(), crate::Rejection> {
-    Ok(())
-}
-
-/// Returns the headers that may be passed on.
-pub(crate) fn forwardable(headers: &HeaderMap) -> HeaderMap {
-    let mut forwarded = headers.clone();
-    for name in [
-        "connection",
-        "keep-alive",
-        "te",
-        "transfer-encoding",
-        "upgrade",
-        "proxy-connection",
-        "expect",
-    ] {
-        forwarded.remove(name);
-    }
-    forwarded
-}
--- a/crates/proxy/src/resume.rs
+++ b/crates/proxy/src/resume.rs
@@ -1,16 +1,80 @@
 //! Completes a large answer from another upstream.
 
-use crate::exchange::Answer;
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use cactustrack_routing::range_resume::Resumable;
+use cactustrack_types::{Outcome, RequestClass};
+use futures::FutureExt;
+use futures::future::LocalBoxFuture;
+
+use crate::Extra;
+use crate::exchange::{Answer, Reuse, exchange};
 use crate::relay::Resume;
 use crate::repeatable::Repeatable;
 
+/// Time given to another upstream for the head of the rest of an answer.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// A large answer that another upstream can complete.
 pub(crate) struct LargeResume {
-    _request: Repeatable,
+    request: RefCell<Repeatable>,
+    resumable: Resumable,
 }
 
 impl LargeResume {
-    pub(crate) fn new(_request: Repeatable, _answer: &Answer) -> Option<Box<dyn Resume>> {
-        None
+    /// Returns the means to complete an answer, if its rest can be told to belong to its start.
+    pub(crate) fn for_answer(request: Repeatable, answer: &Answer) -> Option<Box<dyn Resume>> {
+        if request.routed.class != RequestClass::Large {
+            return None;
+        }
+        let resumable = Resumable::new(
+            request.routed.class,
+            request.out.method(),
+            request.out.headers(),
+            answer.head.status,
+            &answer.head.headers,
+        );
+        let resumable = resumable.ok()?;
+        Some(Box::new(Self { request: RefCell::new(request), resumable }))
+    }
+
+    async fn fetch(&self, offset: u64) -> Option<Answer> {
+        let range = self.resumable.request_headers(offset).ok()?;
+        let (proxy, target, req) = {
+            let mut request = self.request.borrow_mut();
+            let now = Instant::now();
+            // The deadline of a large answer covers its head, which has already arrived.
+            request.routed.deadline = now + HEAD_TIMEOUT;
+            let proxy = Rc::clone(&request.proxy);
+            let target = request.pick_other()?;
+            if !proxy.policy().allow_extra(now, &request.routed, Extra::Resume) {
+                return None;
+            }
+            let service = &*request.routed.service;
+            proxy.metrics().attempts.with_label_values(&[service, "resume"]).inc();
+            (proxy, target, request.out.build_range(HEAD_TIMEOUT, &range))
+        };
+        let deadline = Instant::now() + HEAD_TIMEOUT;
+        let answer = exchange(proxy.pool(), proxy.policy(), target, req, Reuse::Idle, deadline);
+        let answer = answer.await.ok()?;
+        let fits = self.resumable.check(offset, answer.head.status, &answer.head.headers);
+        match fits {
+            Ok(()) => Some(answer),
+            Err(error) => {
+                slog::warn!(proxy.log(), "proxy: answer cannot be resumed: {}", error);
+                // Another version of the resource is no fault of the upstream.
+                let outcome = if answer.is_failure() { Outcome::Failed } else { Outcome::Ok };
+                answer.attempt.finish(outcome);
+                None
+            }
+        }
+    }
+}
+
+impl Resume for LargeResume {
+    fn resume(&self, offset: u64) -> LocalBoxFuture<'_, Option<Answer>> {
+        self.fetch(offset).boxed_local()
     }
 }
--- a/src/bin/cactustrackd.rs
+++ b/src/bin/cactustrackd.rs
@@ -1,3 +1,65 @@
-//! The instance.
+//! The instance of the proxy fleet.
 
-fn main() {}
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+
+const EXIT_FAILED: u8 = 1;
+
+fn main() -> ExitCode {
+    let matches = command().get_matches();
+    match matches.subcommand() {
+        Some(("check", arguments)) => check(&file(arguments), arguments.get_flag("json")),
+        Some(("run", arguments)) => run(&file(arguments)),
+        _ => ExitCode::from(EXIT_FAILED),
+    }
+}
+
+fn command() -> Command {
+    let file = || {
+        Arg::new("file")
+            .value_name("FILE")
+            .help("Settings of the process, in TOML")
+            .required(true)
+            .value_parser(value_parser!(PathBuf))
+    };
+    Command::new("cactustrackd")
+        .about("Instance of a proxy fleet for upstreams with gray failures")
+        .version(env!("CARGO_PKG_VERSION"))
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(Command::new("run").about("Runs the instance").arg(file()).after_help(
+            "SIGTERM starts a graceful shutdown, which waits for all requests in flight. A second \
+             SIGTERM says what is still running. SIGINT after that interrupts it.",
+        ))
+        .subcommand(
+            Command::new("check").about("Reports all faults of a settings file").arg(file()).arg(
+                Arg::new("json")
+                    .long("json")
+                    .action(ArgAction::SetTrue)
+                    .help("Prints the findings as JSON"),
+            ),
+        )
+}
+
+fn file(arguments: &ArgMatches) -> PathBuf {
+    arguments.get_one::<PathBuf>("file").cloned().unwrap_or_default()
+}
+
+fn check(file: &Path, json: bool) -> ExitCode {
+    let (mut out, mut err) = (std::io::stdout().lock(), std::io::stderr().lock());
+    cactustrack::cli::check_settings(file, json, &mut out, &mut err).into()
+}
+
+fn run(file: &Path) -> ExitCode {
+    match cactustrack::daemon::run(file) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => fail(&error),
+    }
+}
+
+fn fail(error: &eyre::Report) -> ExitCode {
+    eprintln!("cactustrackd: {error:#}");
+    ExitCode::from(EXIT_FAILED)
+}
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -2,13 +2,17 @@
 //!
 //! Each subcommand is a module with a [`Subcommand`] value, listed in [`SUBCOMMANDS`].
 
+mod accept;
+mod admin;
 mod check;
 mod completions;
 mod diff;
 mod generate;
+mod history;
 mod input;
 mod new;
 mod settings;
+mod store;
 
 use std::ffi::OsString;
 use std::io::Write;
@@ -65,6 +69,10 @@
     check::SUBCOMMAND,
     generate::SUBCOMMAND,
     diff::SUBCOMMAND,
+    accept::SUBCOMMAND,
+    admin::STATUS,
+    history::SUBCOMMAND,
+    admin::EXPLAIN,
     completions::SUBCOMMAND,
 ];
 
--- /dev/null
+++ b/src/cli/store.rs
@@ -0,0 +1,54 @@
+//! Options and connection of the subcommands that use the store.
+
+use std::future::Future;
+use std::rc::Rc;
+
+use cactustrack_store::{ConfigurationRepository, EtcdStore, RepositoryError, StoreError};
+use clap::{Arg, ArgAction, ArgMatches};
+use eyre::{Result, WrapErr};
+
+use super::{Exit, Output};
+
+/// Options that name the store.
+pub(super) fn store_args() -> [Arg; 2] {
+    [
+        Arg::new("store")
+            .long("store")
+            .value_name("URL")
+            .action(ArgAction::Append)
+            .required(true)
+            .help("Endpoint of the store, for example http://192.0.2.1:2379; may be repeated"),
+        Arg::new("prefix")
+            .long("prefix")
+            .value_name("PREFIX")
+            .default_value("cactustrack/")
+            .help("Prefix of the fleet's keys, as in the settings of its instances"),
+    ]
+}
+
+/// Opens the store that the options name.
+pub(super) fn repository(matches: &ArgMatches) -> Result<ConfigurationRepository> {
+    let endpoints: Vec<String> =
+        matches.get_many::<String>("store").into_iter().flatten().cloned().collect();
+    let store = EtcdStore::new(&endpoints).wrap_err("--store")?;
+    let prefix = matches.get_one::<String>("prefix").map_or("", String::as_str);
+    let prefix = format!("{}/", prefix.trim_end_matches('/'));
+    Ok(ConfigurationRepository::new(Rc::new(store), &prefix))
+}
+
+/// Runs a future to its end on an event loop of its own.
+pub(super) fn block_on<T>(future: impl Future<Output = Result<T>>) -> Result<T> {
+    let runtime = compio::runtime::Runtime::new().wrap_err("cannot create the event loop")?;
+    runtime.block_on(future)
+}
+
+/// Reports an error of the repository and returns the matching exit code.
+pub(super) fn repository_failed(output: &mut Output<'_>, error: &RepositoryError) -> Result<Exit> {
+    writeln!(output.err, "error: {error}")?;
+    Ok(match error {
+        RepositoryError::Store(StoreError::Unreachable { .. } | StoreError::NoAnswer { .. }) => {
+            Exit::Unreachable
+        }
+        _ => Exit::Usage,
+    })
+}
--- a/src/daemon/blackboard.rs
+++ b/src/daemon/blackboard.rs
@@ -228,7 +228,8 @@
     /// Notes that this life of an upstream says that it is about to stop.
     pub(crate) fn set_leaving(&mut self, upstream: &str, incarnation: Incarnation) -> bool {
         let view = self.upstreams.get_mut(upstream);
-        let Some(view) = view.filter(|view| view.incarnation == incarnation && !view.leaving) else {
+        let Some(view) = view.filter(|view| view.incarnation == incarnation && !view.leaving)
+        else {
             return false;
         };
         view.leaving = true;
--- a/src/daemon/exchange.rs
+++ b/src/daemon/exchange.rs
@@ -335,8 +335,7 @@
         let sender = request.sender.id.clone();
         let (members, responder) = {
             let mut board = self.board.borrow_mut();
-            let members =
-                board.membership.on_sync_request(&request.sender, &request.members, now);
+            let members = board.membership.on_sync_request(&request.sender, &request.members, now);
             (members, board.membership.own().clone())
         };
         let chunk = request.want.as_ref().and_then(|want| self.configuration.serve(want));
@@ -412,12 +411,7 @@
 }
 
 /// Takes over the verdicts of a collector.
-fn on_report_reply(
-    board: &mut Blackboard,
-    now: Instant,
-    called: &InstanceId,
-    reply: &ReportReply,
-) {
+fn on_report_reply(board: &mut Blackboard, now: Instant, called: &InstanceId, reply: &ReportReply) {
     if reply.collector != *called {
         // Another instance took over the address. The next exchange of members will tell.
         return;
--- /dev/null
+++ b/src/daemon/instance.rs
@@ -0,0 +1,351 @@
+//! Assembles an instance and runs its controllers.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use cactustrack_config::Settings;
+use cactustrack_health::EXCHANGE_INTERVAL;
+use cactustrack_members::{Identity, Membership};
+use cactustrack_observe::{ExportTarget, Metrics, SpanQueue, export_spans};
+use cactustrack_peer::{
+    PeerCounters, PeerHandler, PeerKey, PeerPool, PeerServer, PoolConfig, ServerConfig,
+};
+use cactustrack_proxy::{Pool, PoolLimits, Proxy, ProxyParts, Server, ServerLimits, Shutdown};
+use cactustrack_store::{EtcdStore, Store};
+use cactustrack_types::Incarnation;
+use eyre::{Result, WrapErr, eyre};
+use futures::channel::oneshot;
+use serde_json::json;
+use slog::Logger;
+
+use crate::cli::Checked;
+
+use super::admin::Admin;
+use super::blackboard::{Blackboard, SharedBoard};
+use super::configuration::ConfigurationController;
+use super::exchange::Exchange;
+use super::health::{self, DecisionLog};
+use super::listing::{HttpInstanceList, InstanceList};
+use super::policy::BoardPolicy;
+use super::records::StoreIdempotencyRecords;
+use super::status::BoardStatus;
+use super::telemetry::PeerTelemetry;
+
+/// Interval of exchanges of membership and configuration.
+const SYNC_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Interval at which the instance list is read and old connections are closed.
+const LIST_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Longest wait at a stop for outcomes of non-idempotent requests to be recorded in the store.
+const RECORD_FLUSH_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Interval at which a stop looks whether all outcomes are recorded.
+const FLUSH_POLL_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Where an instance listens.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Addresses {
+    /// Listener for callers.
+    pub callers: SocketAddr,
+    /// Listener for operators.
+    pub admin: SocketAddr,
+    /// Listener for other instances.
+    pub peers: SocketAddr,
+}
+
+/// Starts the graceful shutdown of an [`Instance`].
+#[derive(Debug)]
+pub struct StopHandle(oneshot::Sender<()>);
+
+impl StopHandle {
+    /// Starts the shutdown.
+    pub fn stop(self) {
+        let _ = self.0.send(());
+    }
+}
+
+/// One instance on the current event loop.
+pub struct Instance {
+    addresses: Addresses,
+    server: Server,
+    shutdown: Shutdown,
+    stop: oneshot::Receiver<()>,
+    grace: Duration,
+    shared: Rc<Controllers>,
+    _peer_server: PeerServer,
+}
+
+/// What the periodic tasks work with.
+struct Controllers {
+    board: SharedBoard,
+    configuration: Rc<ConfigurationController>,
+    exchange: Rc<Exchange>,
+    list: Option<Box<dyn InstanceList>>,
+    proxy: Rc<Proxy>,
+    pool: Pool,
+    records: Rc<StoreIdempotencyRecords>,
+    decisions: RefCell<DecisionLog>,
+    peer_telemetry: RefCell<PeerTelemetry>,
+    metrics: Metrics,
+    log: Logger,
+}
+
+impl Instance {
+    /// Binds the listeners and starts the controllers on the current event loop.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a key cannot be read or an address cannot be bound.
+    pub async fn start(checked: &Checked, log: Logger) -> Result<(Self, StopHandle)> {
+        let settings = &checked.settings;
+        let metrics = Metrics::new()?;
+        let incarnation = new_incarnation();
+        let peer_key = PeerKey::new(checked.peer_key.expose().as_bytes())
+            .ok_or_else(|| eyre!("peers.key is too short"))?;
+        let admin_key = checked.admin_key.as_ref().map(cactustrack_config::Secret::expose);
+
+        let own = own_identity(settings, incarnation);
+        let board = Rc::new(RefCell::new(Blackboard::new(Membership::new(own))));
+        let store = open_store(settings)?;
+        let records =
+            Rc::new(StoreIdempotencyRecords::new(Rc::clone(&store), &settings.store.prefix));
+        let configuration = ConfigurationController::new(
+            Rc::clone(&board),
+            store,
+            &settings.store.prefix,
+            metrics.clone(),
+            log.clone(),
+        );
+        let counters = Rc::new(PeerCounters::default());
+        let peers = PeerPool::new(peer_key.clone(), Rc::clone(&counters), PoolConfig::default());
+        let exchange = Exchange::new(
+            Rc::clone(&board),
+            peers,
+            Rc::clone(&configuration),
+            settings.peers.bootstrap.clone(),
+            log.clone(),
+        );
+        configuration.set_peers(Rc::new(Rc::clone(&exchange)));
+        let handler: Rc<dyn PeerHandler> = Rc::clone(&exchange) as Rc<dyn PeerHandler>;
+        let peer_address = settings.listen.peers;
+        let server_config = ServerConfig::default();
+        let peer_server =
+            PeerServer::bind(peer_address, peer_key, handler, Rc::clone(&counters), server_config)
+                .await
+                .wrap_err_with(|| format!("cannot listen on {peer_address} for instances"))?;
+        board.borrow_mut().membership.set_address(peer_server.local_addr());
+
+        let spans = SpanQueue::new(settings.otlp_endpoint.is_some(), metrics.spans_dropped.clone());
+        if let Some(endpoint) = &settings.otlp_endpoint {
+            let instance = settings.instance.id.to_string();
+            let target = ExportTarget { endpoint: endpoint.to_string(), instance };
+            compio::runtime::spawn(export_spans(target, spans.clone())).detach();
+        }
+        let pool = Pool::new(PoolLimits {
+            buffer_bytes: settings.limits.buffer_bytes,
+            ..PoolLimits::default()
+        });
+        let parts = ProxyParts {
+            instance: settings.instance.id.clone(),
+            policy: BoardPolicy::new(Rc::clone(&board), metrics.clone(), log.clone()),
+            records: Rc::clone(&records) as Rc<_>,
+            pool: pool.clone(),
+            metrics: metrics.clone(),
+            spans,
+            log: log.clone(),
+        };
+        let proxy = Proxy::new(parts, incarnation.0);
+        let (server, shutdown) = bind_callers(settings, &proxy).await?;
+        let source =
+            BoardStatus::new(Rc::clone(&board), pool.clone(), record_status(Rc::clone(&records)));
+        let admin_address = settings.listen.admin;
+        let admin = Admin::bind(admin_address, Rc::new(source), metrics.clone(), admin_key)
+            .await
+            .wrap_err_with(|| format!("cannot listen on {admin_address} for operators"))?;
+        let addresses = Addresses {
+            callers: server.local_address()?,
+            admin: admin.local_address()?,
+            peers: peer_server.local_addr(),
+        };
+        compio::runtime::spawn(admin.run()).detach();
+
+        let list = settings.instance_list.as_ref();
+        let list = list.map(|url| Box::new(HttpInstanceList::new(url.to_string())) as Box<_>);
+        let shared = Rc::new(Controllers {
+            board,
+            configuration,
+            exchange,
+            list,
+            proxy,
+            pool,
+            records,
+            decisions: RefCell::new(DecisionLog::new()),
+            peer_telemetry: RefCell::new(PeerTelemetry::new(counters)),
+            metrics,
+            log,
+        });
+        shared.start();
+        let (tx, stop) = oneshot::channel();
+        let grace = settings.limits.shutdown_grace;
+        let instance =
+            Self { addresses, server, shutdown, stop, grace, shared, _peer_server: peer_server };
+        Ok((instance, StopHandle(tx)))
+    }
+
+    /// Where the instance listens.
+    pub fn addresses(&self) -> Addresses {
+        self.addresses
+    }
+
+    /// Serves until the stop handle is used, then finishes every request in flight, however long
+    /// it takes, and records the outcomes of non-idempotent requests.
+    pub async fn run(self) {
+        let Self { server, shutdown, stop, grace, shared, .. } = self;
+        let stopping = Rc::clone(&shared);
+        let stop_task = async move {
+            // A dropped handle can no longer stop the instance.
+            if stop.await.is_err() {
+                futures::future::pending::<()>().await;
+            }
+            stopping.begin_stop();
+            // The load balancer needs this time to notice that the instance is not ready.
+            compio::time::sleep(grace).await;
+            shutdown.start();
+        };
+        let stop_task = compio::runtime::spawn(stop_task);
+        server.run().await;
+        drop(stop_task);
+        shared.finish_stop().await;
+    }
+}
+
+impl Controllers {
+    fn start(self: &Rc<Self>) {
+        self.configuration.start();
+        compio::runtime::spawn(Rc::clone(&self.exchange).bootstrap()).detach();
+        let controllers = Rc::clone(self);
+        every(EXCHANGE_INTERVAL, move || controllers.judge());
+        let controllers = Rc::clone(self);
+        every(SYNC_INTERVAL, move || controllers.exchange.sync_round());
+        let controllers = Rc::clone(self);
+        compio::runtime::spawn(async move { controllers.read_list_forever().await }).detach();
+    }
+
+    fn judge(&self) {
+        let now = Instant::now();
+        self.configuration.tick();
+        let reports = {
+            let mut board = self.board.borrow_mut();
+            let reports = health::take_reports(&mut board, now);
+            health::feed_own(&mut board, now, &reports);
+            reports
+        };
+        self.exchange.report_round(now, &reports);
+        let mut board = self.board.borrow_mut();
+        health::replan(&mut board, now);
+        self.decisions.borrow_mut().update(&board, &self.metrics, &self.log);
+        self.peer_telemetry.borrow_mut().update(&board, &self.metrics);
+    }
+
+    async fn read_list_forever(&self) {
+        loop {
+            if let Some(list) = &self.list {
+                match list.read().await {
+                    Ok(entries) => {
+                        let now = Instant::now();
+                        let mut board = self.board.borrow_mut();
+                        board.membership.update_list(&entries, now);
+                        board.update_upstreams(now, &entries);
+                        health::replan(&mut board, now);
+                    }
+                    Err(error) => slog::debug!(self.log, "members: {:#}", error),
+                }
+            }
+            self.pool.close_expired();
+            compio::time::sleep(LIST_INTERVAL).await;
+        }
+    }
+
+    fn begin_stop(&self) {
+        let in_flight = self.metrics.in_flight.get();
+        slog::info!(self.log, "proxy: stopping"; "requests_in_flight" => in_flight);
+        let mut board = self.board.borrow_mut();
+        board.stopping = true;
+        board.membership.set_leaving();
+        drop(board);
+        // Others learn of it now and not with their next call.
+        self.exchange.sync_round();
+    }
+
+    async fn finish_stop(&self) {
+        while self.proxy.running_tasks() > 0 {
+            compio::time::sleep(FLUSH_POLL_INTERVAL).await;
+        }
+        let started = Instant::now();
+        while self.records.pending() > 0 && started.elapsed() < RECORD_FLUSH_TIMEOUT {
+            compio::time::sleep(FLUSH_POLL_INTERVAL).await;
+        }
+        let unrecorded = self.records.pending();
+        if unrecorded > 0 {
+            slog::error!(self.log, "store: outcomes of non-idempotent requests are not recorded";
+                "count" => unrecorded);
+        }
+        slog::info!(self.log, "proxy: stopped");
+    }
+}
+
+fn every(interval: Duration, mut work: impl FnMut() + 'static) {
+    let task = async move {
+        loop {
+            work();
+            compio::time::sleep(interval).await;
+        }
+    };
+    compio::runtime::spawn(task).detach();
+}
+
+fn new_incarnation() -> Incarnation {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let start_ms = u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX);
+    Incarnation::new(start_ms, rand::random())
+}
+
+fn own_identity(settings: &Settings, incarnation: Incarnation) -> Identity {
+    Identity {
+        id: settings.instance.id.clone(),
+        incarnation,
+        seq: 0,
+        leaving: false,
+        address: settings.listen.peers,
+        failure_domain: settings.instance.failure_domain.clone(),
+        region: settings.instance.region.clone(),
+    }
+}
+
+fn open_store(settings: &Settings) -> Result<Rc<dyn Store>> {
+    let endpoints: Vec<String> = settings.store.endpoints.iter().map(ToString::to_string).collect();
+    let store = EtcdStore::new(&endpoints).wrap_err("store.endpoints")?;
+    Ok(Rc::new(store))
+}
+
+async fn bind_callers(settings: &Settings, proxy: &Rc<Proxy>) -> Result<(Server, Shutdown)> {
+    let limits = ServerLimits {
+        max_head_bytes: settings.limits.max_head_bytes,
+        head_timeout: settings.limits.head_timeout,
+        max_connections: settings.limits.max_connections,
+        ..ServerLimits::default()
+    };
+    let address = settings.listen.callers;
+    Server::bind(address, Rc::clone(proxy), limits)
+        .await
+        .wrap_err_with(|| format!("cannot listen on {address} for callers"))
+}
+
+fn record_status(records: Rc<StoreIdempotencyRecords>) -> Rc<dyn Fn() -> serde_json::Value> {
+    Rc::new(
+        move || json!({"pending_writes": records.pending(), "dropped_writes": records.dropped()}),
+    )
+}
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -8,8 +8,10 @@
 mod instance;
 mod listing;
 mod policy;
+mod records;
 mod run;
 mod status;
+mod telemetry;
 
 pub use instance::{Addresses, Instance, StopHandle};
 pub use run::run;
--- a/src/daemon/policy.rs
+++ b/src/daemon/policy.rs
@@ -128,11 +128,13 @@
     fn on_response_head(&self, now: Instant, target: &Target, headers: &HeaderMap) {
         let mut board = self.board.borrow_mut();
         let board = &mut *board;
-        let load = headers.get(headers::LOAD).and_then(|value| LoadReport::parse(value.to_str().ok()?));
+        let load =
+            headers.get(headers::LOAD).and_then(|value| LoadReport::parse(value.to_str().ok()?));
         if let (Some(load), Some(service)) = (load, board.services.get_mut(&target.service)) {
             service.balancer.on_load_report(now, &target.upstream, load);
         }
-        if headers::announces_drain(headers) && board.set_leaving(&target.upstream, target.incarnation)
+        if headers::announces_drain(headers)
+            && board.set_leaving(&target.upstream, target.incarnation)
         {
             slog::info!(self.log, "health: upstream says that it is leaving";
                 "service" => &*target.service, "upstream" => &*target.upstream);
@@ -214,7 +216,8 @@
                 }
             }
         };
-        let place = Place { board: Rc::clone(&self.board), service: routed.service.clone(), ticket };
+        let place =
+            Place { board: Rc::clone(&self.board), service: routed.service.clone(), ticket };
         let wait = until.saturating_duration_since(now);
         let granted = compio::time::timeout(wait, rx).await;
         drop(place);
--- /dev/null
+++ b/src/daemon/run.rs
@@ -0,0 +1,69 @@
+//! Runs an instance as a process: settings, log, event loop and signals.
+
+use std::path::Path;
+
+use cactustrack_observe::new_logger;
+use eyre::{Result, WrapErr, eyre};
+use futures::future::{Either, select};
+use slog::Logger;
+
+use super::{Instance, StopHandle};
+use crate::cli::{Checked, load_settings};
+
+const SIGINT: i32 = 2;
+const SIGTERM: i32 = 15;
+
+/// Runs an instance with the settings of a file until it has stopped.
+///
+/// # Errors
+///
+/// Fails if the settings have errors, which the report lists all, or the instance cannot start.
+pub fn run(file: &Path) -> Result<()> {
+    let checked = load_settings(file)?.map_err(|findings| eyre!("{findings}"))?;
+    let settings = &checked.settings;
+    let log = new_logger(settings.log.format, settings.log.level, &settings.instance.id);
+    for warning in &settings.warnings {
+        slog::warn!(log, "config: {}", warning);
+    }
+    let runtime = compio::runtime::Runtime::new().wrap_err("cannot create the event loop")?;
+    runtime.block_on(serve(&checked, log))
+}
+
+async fn serve(checked: &Checked, log: Logger) -> Result<()> {
+    let (instance, stop) = Instance::start(checked, log.clone()).await?;
+    let addresses = instance.addresses();
+    slog::info!(log, "proxy: listening";
+        "callers" => %addresses.callers,
+        "admin" => %addresses.admin,
+        "peers" => %addresses.peers);
+    let signals = compio::runtime::spawn(handle_signals(stop, log));
+    let running = std::pin::pin!(instance.run());
+    match select(running, signals).await {
+        Either::Left(_) => Ok(()),
+        Either::Right((Ok(ended), _)) => ended,
+        Either::Right((Err(_), _)) => Err(eyre!("the signal handler failed")),
+    }
+}
+
+/// Starts the graceful shutdown at the first SIGTERM or SIGINT. A second SIGTERM only says what a
+/// forced stop would interrupt; a further SIGINT forces it.
+async fn handle_signals(stop: StopHandle, log: Logger) -> Result<()> {
+    next_signal().await?;
+    stop.stop();
+    loop {
+        if next_signal().await? == SIGINT {
+            return Err(eyre!("forced to stop by SIGINT; requests in flight were interrupted"));
+        }
+        slog::warn!(log, "proxy: still finishing requests; SIGINT would interrupt them");
+    }
+}
+
+async fn next_signal() -> Result<i32> {
+    let terminate = std::pin::pin!(compio::signal::unix::signal(SIGTERM));
+    let interrupt = std::pin::pin!(compio::signal::unix::signal(SIGINT));
+    match select(terminate, interrupt).await {
+        Either::Left((received, _)) => received.map(|()| SIGTERM),
+        Either::Right((received, _)) => received.map(|()| SIGINT),
+    }
+    .wrap_err("cannot wait for signals")
+}
--- a/src/daemon/status.rs
+++ b/src/daemon/status.rs
@@ -105,9 +105,9 @@
 fn explanation(board: &Blackboard, service: &ServiceBoard, upstream: Option<&str>) -> Value {
     let planner = service.planner.decisions().iter();
     let collector = service.fleet.as_ref().map(|fleet| fleet.decisions().iter());
-    let decisions = planner.chain(collector.into_iter().flatten()).filter(|decision| {
-        upstream.is_none() || decision.upstream.as_deref() == upstream
-    });
+    let decisions = planner
+        .chain(collector.into_iter().flatten())
+        .filter(|decision| upstream.is_none() || decision.upstream.as_deref() == upstream);
     let decisions: Vec<Value> = decisions
         .map(|decision| {
             let mut value = serde_json::to_value(decision).unwrap_or_default();
--- /dev/null
+++ b/src/daemon/telemetry.rs
@@ -0,0 +1,53 @@
+//! Metrics of membership and peer traffic.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use cactustrack_members::MemberState;
+use cactustrack_observe::Metrics;
+use cactustrack_peer::{Interface, PeerCounters, PeerFault};
+use prometheus::IntCounter;
+
+use super::blackboard::Blackboard;
+
+/// Carries counters of the peer protocol over to Prometheus.
+pub(crate) struct PeerTelemetry {
+    counters: Rc<PeerCounters>,
+}
+
+impl PeerTelemetry {
+    /// Creates the telemetry of one instance.
+    pub(crate) fn new(counters: Rc<PeerCounters>) -> Self {
+        Self { counters }
+    }
+
+    /// Updates the metrics.
+    pub(crate) fn update(&mut self, board: &Blackboard, metrics: &Metrics) {
+        let traffic = Interface::ALL.map(|interface| self.counters.traffic(interface));
+        let sent = traffic.iter().map(|traffic| traffic.sent_bytes).sum();
+        let received = traffic.iter().map(|traffic| traffic.received_bytes).sum();
+        raise(&metrics.peer_bytes.with_label_values(&["sent"]), sent);
+        raise(&metrics.peer_bytes.with_label_values(&["received"]), received);
+        for fault in PeerFault::ALL {
+            let counter = metrics.peer_frames_dropped.with_label_values(&[&fault.to_string()]);
+            raise(&counter, self.counters.faults(fault));
+        }
+        let mut states: BTreeMap<String, i64> = BTreeMap::new();
+        for state in
+            [MemberState::Live, MemberState::Suspect, MemberState::Leaving, MemberState::Gone]
+        {
+            states.insert(state.to_string(), 0);
+        }
+        for member in board.membership.members() {
+            *states.entry(member.state.to_string()).or_default() += 1;
+        }
+        for (state, count) in states {
+            metrics.members.with_label_values(&[&state]).set(count);
+        }
+    }
+}
+
+/// Raises a counter to a total that is counted elsewhere.
+fn raise(counter: &IntCounter, total: u64) {
+    counter.inc_by(total.saturating_sub(counter.get()));
+}
--- /dev/null
+++ b/tests/all/fleet/harness.rs
@@ -0,0 +1,324 @@
+//! Starts the stand-ins and separate instances, and removes them at the end of a test.
+
+use std::collections::BTreeMap;
+use std::ffi::OsString;
+use std::fs;
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use cactustrack::cli::{self, Exit};
+use cactustrack_test_support::caller::{Call, Reply};
+use cactustrack_test_support::instance_list::InstanceList;
+use cactustrack_test_support::store::{StoreServer, StoreThread};
+use cactustrack_test_support::upstream::{Behaviour, Control, Upstreams};
+use cactustrack_types::{Incarnation, Listing, ListingState, Role};
+use serde_json::Value;
+
+pub(super) const KEY: &str = "0123456789abcdef0123456789abcdef";
+
+/// Longest wait for something that must happen. It does not enter a verdict unless the fleet is
+/// broken, so it is long against any pause of a busy machine.
+const WAIT_LIMIT: Duration = Duration::from_secs(60);
+
+const DOMAINS: [&str; 3] = ["domain-a", "domain-b", "domain-c"];
+
+/// A service of the test fleet with the class of all its requests.
+#[derive(Clone, Copy)]
+pub(super) struct ServiceCase {
+    pub(super) id: &'static str,
+    pub(super) upstreams: u32,
+    pub(super) floor: u32,
+    pub(super) repeatable: bool,
+    pub(super) large: bool,
+}
+
+pub(super) const SEARCH: ServiceCase =
+    ServiceCase { id: "search", upstreams: 5, floor: 3, repeatable: true, large: false };
+pub(super) const ORDERS: ServiceCase =
+    ServiceCase { id: "orders", upstreams: 4, floor: 2, repeatable: false, large: false };
+pub(super) const FILES: ServiceCase =
+    ServiceCase { id: "files", upstreams: 3, floor: 2, repeatable: true, large: true };
+
+/// Stand-ins and instances of one test.
+pub(super) struct Fleet {
+    pub(super) store: StoreThread,
+    pub(super) list: InstanceList,
+    upstreams: BTreeMap<&'static str, Upstreams>,
+    instances: Vec<Process>,
+    cases: Vec<ServiceCase>,
+    dir: PathBuf,
+}
+
+/// One instance in a process of its own.
+pub(super) struct Process {
+    pub(super) id: String,
+    pub(super) callers: SocketAddr,
+    pub(super) admin: SocketAddr,
+    pub(super) peers: SocketAddr,
+    child: Child,
+    log: Arc<Mutex<Vec<Value>>>,
+}
+
+impl Fleet {
+    /// Starts the stand-ins, accepts a first configuration and starts the instances.
+    pub(super) fn start(cases: &[ServiceCase], instances: usize) -> Self {
+        let mut fleet = Self::stand_ins(cases);
+        let accepted = fleet.accept(0, "first configuration", &fleet.questionnaire());
+        assert_eq!(accepted.0, Exit::Ok, "{}", accepted.1);
+        for _ in 0..instances {
+            fleet.start_instance();
+        }
+        for instance in 0..instances {
+            fleet.wait_ready(instance);
+        }
+        fleet
+    }
+
+    /// Starts the stand-ins only.
+    pub(super) fn stand_ins(cases: &[ServiceCase]) -> Self {
+        static NUMBER: AtomicU32 = AtomicU32::new(0);
+        let number = NUMBER.fetch_add(1, Ordering::Relaxed);
+        let dir = std::env::temp_dir().join(format!("cactustrack-{}-{number}", std::process::id()));
+        fs::create_dir_all(&dir).expect("a directory for the test");
+        fs::write(dir.join("admin.key"), KEY).expect("a key file");
+        let mut upstreams = BTreeMap::new();
+        for case in cases {
+            let ids: Vec<String> =
+                (0..case.upstreams).map(|n| format!("{}-{n}", case.id)).collect();
+            upstreams.insert(case.id, Upstreams::spawn(&ids, &Behaviour::default()));
+        }
+        let store = StoreServer::spawn_thread().expect("a store");
+        let list = InstanceList::spawn(Vec::new());
+        let cases = cases.to_vec();
+        let fleet = Self { store, list, upstreams, instances: Vec::new(), cases, dir };
+        fleet.publish_list();
+        fleet
+    }
+
+    /// A questionnaire for the services of this fleet.
+    pub(super) fn questionnaire(&self) -> String {
+        let mut text = "team = \"test\"\n".to_owned();
+        for case in &self.cases {
+            let ServiceCase { id, upstreams, floor, repeatable, large } = case;
+            text += &format!(
+                "\n[[services]]\nid = \"{id}\"\nhost = \"{id}.test\"\nslots = 4\n\
+                 connections = 400\nupstreams = {upstreams}\nhealthy_capacity = {floor}\n\
+                 hurts_more = \"balanced\"\ncold_start_ms = 1000\nservice_time_ms = 5\n\n\
+                 [[services.routes]]\npath = \"/\"\nrepeatable = {repeatable}\nlarge_response = {large}\n\
+                 timeout_ms = 3000\nmax_timeout_ms = 20000\n"
+            );
+        }
+        text
+    }
+
+    /// Runs the operators' command line with the store of this fleet.
+    pub(super) fn cli(&self, arguments: &[&str]) -> (Exit, String) {
+        let mut all: Vec<OsString> = vec!["cactustrack".into()];
+        all.extend(arguments.iter().map(OsString::from));
+        let (mut out, mut err) = (Vec::new(), Vec::new());
+        let exit = cli::run(all, &mut out, &mut err);
+        out.extend(err);
+        (exit, String::from_utf8_lossy(&out).into_owned())
+    }
+
+    /// Accepts a questionnaire that is based on version `seen`.
+    pub(super) fn accept(&self, seen: u64, reason: &str, questionnaire: &str) -> (Exit, String) {
+        let file = self.write(&format!("questionnaire-{seen}.toml"), questionnaire);
+        let (file, seen) = (file.display().to_string(), seen.to_string());
+        let url = self.store.url();
+        let arguments = ["accept", &file, "--store", &url, "--seen", &seen, "--author", "test"];
+        self.cli(&[&arguments[..], &["--reason", reason]].concat())
+    }
+
+    fn write(&self, name: &str, text: &str) -> PathBuf {
+        let file = self.dir.join(name);
+        fs::write(&file, text).expect("a file of the test");
+        file
+    }
+
+    /// Starts one more instance.
+    pub(super) fn start_instance(&mut self) -> usize {
+        let number = self.instances.len();
+        let bootstrap: Vec<String> =
+            self.instances.iter().map(|instance| format!("\"{}\"", instance.peers)).collect();
+        let settings = format!(
+            "instance_list = {{ url = \"{}\" }}\n\
+             [instance]\nid = \"instance-{number}\"\nregion = \"region-1\"\n\
+             failure_domain = \"{}\"\n\
+             [listen]\ncallers = \"127.0.0.1:0\"\nadmin = \"127.0.0.1:0\"\npeers = \"127.0.0.1:0\"\n\
+             [store]\nendpoints = [\"{}\"]\nprefix = \"cactustrack/\"\n\
+             [peers]\nbootstrap = [{}]\nkey = \"{KEY}\"\n[admin]\nkey = \"{KEY}\"\n\
+             [log]\nformat = \"json\"\nlevel = \"info\"\n[limits]\nshutdown_grace_ms = 200\n",
+            self.list.url(),
+            DOMAINS[number % DOMAINS.len()],
+            self.store.url(),
+            bootstrap.join(", "),
+        );
+        let file = self.write(&format!("instance-{number}.toml"), &settings);
+        self.instances.push(Process::start(&format!("instance-{number}"), &file));
+        self.publish_list();
+        number
+    }
+
+    /// Publishes upstreams and running instances in the instance list.
+    pub(super) fn publish_list(&self) {
+        let mut entries = Vec::new();
+        for (service, upstreams) in &self.upstreams {
+            for (number, upstream) in upstreams.all.iter().enumerate() {
+                let role = Role::Upstream { service: (*service).into() };
+                entries.push(listing(&upstream.id, role, upstream.address, number));
+            }
+        }
+        for (number, instance) in self.instances.iter().enumerate() {
+            entries.push(listing(&instance.id, Role::Instance, instance.peers, number));
+        }
+        self.list.set(entries);
+    }
+
+    pub(super) fn instance(&mut self, number: usize) -> &mut Process {
+        &mut self.instances[number]
+    }
+
+    /// Faults and counters of one upstream.
+    pub(super) fn upstream(&self, service: &str, number: usize) -> &Arc<Control> {
+        &self.upstreams[service].all[number].control
+    }
+
+    /// Number of upstreams of a service.
+    pub(super) fn upstreams(&self, service: &str) -> usize {
+        self.upstreams[service].all.len()
+    }
+
+    /// Sends a request through an instance.
+    pub(super) fn call(&self, instance: usize, call: &Call) -> Reply {
+        call.send(self.instances[instance].callers).expect("an answer")
+    }
+
+    /// Requests that were run on all upstreams of a service.
+    pub(super) fn executed(&self, service: &str) -> Vec<String> {
+        self.upstreams[service]
+            .all
+            .iter()
+            .flat_map(|upstream| upstream.control.executed())
+            .collect()
+    }
+
+    pub(super) fn wait_ready(&self, instance: usize) {
+        let admin = self.instances[instance].admin;
+        let ready = Call::get("admin", "/ready");
+        wait_until("the instance is ready", || {
+            ready.send(admin).is_ok_and(|reply| reply.status.is_success())
+        });
+    }
+
+    /// Status of an instance as shown to operators.
+    pub(super) fn status(&self, instance: usize) -> Value {
+        let bearer = format!("Bearer {KEY}");
+        let status = Call::get("admin", "/status").with_header("authorization", &bearer);
+        let reply = status.send(self.instances[instance].admin).expect("a status");
+        serde_json::from_slice(&reply.body).expect("a JSON status")
+    }
+
+    /// Path of a file with the admin key.
+    pub(super) fn key_file(&self) -> String {
+        self.dir.join("admin.key").display().to_string()
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        self.instances.clear();
+        let _ = fs::remove_dir_all(&self.dir);
+    }
+}
+
+fn listing(id: &str, role: Role, address: SocketAddr, number: usize) -> Listing {
+    Listing {
+        id: id.into(),
+        role,
+        address,
+        failure_domain: DOMAINS[number % DOMAINS.len()].into(),
+        region: "region-1".into(),
+        incarnation: Incarnation(1),
+        state: ListingState::Live,
+    }
+}
+
+impl Process {
+    fn start(id: &str, settings: &Path) -> Self {
+        let mut child = Command::new(env!("CARGO_BIN_EXE_cactustrackd"))
+            .arg("run")
+            .arg(settings)
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("an instance process");
+        let log = Arc::new(Mutex::new(Vec::new()));
+        let lines = BufReader::new(child.stderr.take().expect("a pipe")).lines();
+        let written = Arc::clone(&log);
+        thread::spawn(move || {
+            for line in lines.map_while(Result::ok) {
+                let value = serde_json::from_str(&line).unwrap_or(Value::String(line));
+                written.lock().expect("the log").push(value);
+            }
+        });
+        let mut listening = Value::Null;
+        wait_until("the instance listens", || {
+            let log = log.lock().expect("the log");
+            let line = log.iter().find(|line| line["msg"] == "proxy: listening");
+            listening = line.cloned().unwrap_or_default();
+            !listening.is_null()
+        });
+        let address = |name: &str| {
+            let text = listening[name].as_str().expect("an address in the log");
+            text.parse().expect("a socket address")
+        };
+        let (callers, admin, peers) = (address("callers"), address("admin"), address("peers"));
+        Self { id: id.to_owned(), callers, admin, peers, child, log }
+    }
+
+    /// Log lines so far.
+    pub(super) fn log(&self) -> Vec<Value> {
+        self.log.lock().expect("the log").clone()
+    }
+
+    /// Sends a signal.
+    pub(super) fn signal(&self, signal: i32) {
+        let pid = i32::try_from(self.child.id()).expect("a process id");
+        // SAFETY: kill has no memory effects; the process was started and not yet waited for.
+        #[allow(unsafe_code)]
+        let result = unsafe { libc::kill(pid, signal) };
+        assert_eq!(result, 0, "the process runs");
+    }
+
+    /// Ends the process at once.
+    pub(super) fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Returns true if the process has ended by itself with success.
+    pub(super) fn has_stopped(&mut self) -> bool {
+        self.child.try_wait().expect("a process").is_some_and(|status| status.success())
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// Waits until `condition` holds.
+pub(super) fn wait_until(what: &str, mut condition: impl FnMut() -> bool) {
+    let started = Instant::now();
+    while !condition() {
+        assert!(started.elapsed() < WAIT_LIMIT, "timed out waiting until {what}");
+        thread::sleep(Duration::from_millis(20));
+    }
+}
--- a/tests/all/fleet.rs
+++ b/tests/all/fleet/mod.rs
@@ -1,1 +1,4 @@
 //! Tests with separate processes of the fleet.
+
+mod harness;
+mod path;
