Test the readers with changed documents and deep nesting

Random lines mostly end in duplicate keys, so the property test seldom reached the checks behind the parser. It now also replaces a few lines of valid documents. Nesting of 100,000 levels is refused with one finding.

--- a/tests/all/config.rs
+++ b/tests/all/config.rs
@@ -117,7 +117,8 @@
     insta::assert_snapshot!(findings);
 }
 
-/// Guards against syntax errors that stop the check, and against spurious findings after them.
+/// Guards against syntax errors that stop the check, against spurious findings after them, and
+/// against nesting that exhausts the stack.
 #[test]
 fn syntax_errors_do_not_hide_other_findings() {
     let text = SETTINGS
@@ -127,6 +128,9 @@
     let findings = Settings::parse("s.toml", &text).unwrap_err();
     assert!(!findings.to_string().contains("planted"), "{findings}");
     insta::assert_snapshot!(findings);
+    for nested in ["a = ".to_owned() + &"[".repeat(100_000), "a.".repeat(100_000) + "a = 1"] {
+        assert_eq!(Questionnaire::parse("q.toml", &nested).unwrap_err().errors(), 1);
+    }
 }
 
 /// Guards against secrets that are shown by the usual formatting, and against accepting a short
@@ -388,16 +392,34 @@
     assert!(matches!(encode(&large), Err(EncodeError::Oversized { .. })));
 }
 
-/// Lines that a random document is made of: valid ones, and ones that break it.
-fn lines() -> impl Strategy<Value = String> {
+/// A line that is valid somewhere, or one that breaks a document.
+fn line() -> impl Strategy<Value = String> {
     let valid: Vec<String> =
         [SETTINGS, QUESTIONNAIRE].iter().flat_map(|t| t.lines()).map(str::to_owned).collect();
-    let line = prop_oneof![
+    prop_oneof![
         8 => proptest::sample::select(valid),
         1 => "\\PC{0,20}",
-        1 => "[a-z]{1,8} = (-?[0-9]{1,30}|\"\\\\u00e4\"|\\[\\[|\\{a.b = 1\\}|nan|1979-05-27)",
-    ];
-    proptest::collection::vec(line, 0..40).prop_map(|lines| lines.join("\n"))
+        2 => "[a-z]{1,8} = (-?[0-9]{1,30}|\"\\u00e4\"|\\[\\[|\\{a.b = 1\\}|nan|1979-05-27)",
+    ]
+}
+
+/// Random lines, or a valid document in which a few lines are replaced.
+fn document() -> impl Strategy<Value = String> {
+    let generated = generate(
+        &Questionnaire::parse("q.toml", QUESTIONNAIRE).expect("the answers have no errors"),
+        1,
+    );
+    let valid = vec![SETTINGS.to_owned(), QUESTIONNAIRE.to_owned(), generated.to_toml()];
+    let changes = proptest::collection::vec((any::<prop::sample::Index>(), line()), 0..4);
+    let changed = (proptest::sample::select(valid), changes).prop_map(|(text, changes)| {
+        let mut lines: Vec<_> = text.lines().map(str::to_owned).collect();
+        for (at, line) in changes {
+            *at.get_mut(&mut lines) = line;
+        }
+        lines.join("\n")
+    });
+    let random = proptest::collection::vec(line(), 0..40).prop_map(|lines| lines.join("\n"));
+    prop_oneof![3 => changed, 1 => random]
 }
 
 proptest! {
@@ -405,7 +427,7 @@
 
     /// Guards against input that stops the process, and against a refusal without an error.
     #[test]
-    fn no_text_makes_a_reader_panic(text in lines()) {
+    fn no_text_makes_a_reader_panic(text in document()) {
         let settings = Settings::parse("s.toml", &text).map(|_| ());
         let questionnaire = Questionnaire::parse("q.toml", &text).map(|_| ());
         let configuration = parse_configuration("c.toml", &text).map(|_| ());
