Test the request path decisions and fix what the tests found

Faults found by them: - subset: the balance bound could exceed the connections that an upstream accepts (98 instances, 7 upstreams, 16 connections gave 18 connections), and an instance could be left with 2 of 3 upstreams when places were tight. The first pass is now capped, the second one may use the reserve. - balancer: an upstream with one slow answer was never selected again on an idle service. The estimate of an unused upstream now falls below the typical latency. - limits: growth outweighed the decrease on high latency. The limit no longer grows after a window of high latency. Also: Connection can no longer remove Content-Length, a Host header that differs from the request target is refused, and the check for control characters is gone because a HeaderValue cannot hold them.

--- a/crates/routing/src/balancer.rs
+++ b/crates/routing/src/balancer.rs
@@ -11,6 +11,9 @@
 
 /// Time constant of the latency average.
 const LATENCY_MEMORY: Duration = Duration::from_secs(10);
+/// Part of the typical latency that the estimate of an unused upstream falls to. It is below 1 so
+/// that the upstream is tried again even if others are idle.
+const UNUSED_ESTIMATE: f64 = 0.5;
 /// Age from which a load report is ignored.
 const MAX_REPORT_AGE: Duration = Duration::from_secs(2);
 /// Factor by which a report may differ from the observed latency.
@@ -110,10 +113,10 @@
         *self = Self { seconds: average.max(sample), at: now };
     }
 
-    /// Estimate that approaches `typical` from above while there are no samples. Otherwise an
-    /// upstream with one very slow answer would never be selected again.
+    /// Estimate that falls to a part of `typical` while there are no samples. Otherwise an upstream
+    /// with one very slow answer would never be selected again.
     fn estimate(&self, now: Instant, typical: f64) -> f64 {
-        let excess = (self.seconds - typical).max(0.0);
+        let excess = (self.seconds - typical * UNUSED_ESTIMATE).max(0.0);
         self.seconds - excess * (1.0 - kept_share(now.saturating_duration_since(self.at)))
     }
 }
@@ -353,10 +356,7 @@
     }
 
     fn load_mut(&mut self, upstream: &UpstreamId) -> &mut UpstreamLoad {
-        if !self.loads.contains_key(upstream) {
-            self.loads.insert(upstream.clone(), UpstreamLoad::default());
-        }
-        self.loads.get_mut(upstream).expect("the entry was just inserted")
+        self.loads.entry(upstream.clone()).or_default()
     }
 }
 
--- a/crates/routing/src/deadline.rs
+++ b/crates/routing/src/deadline.rs
@@ -8,6 +8,9 @@
 use crate::headers;
 use crate::route::RouteMatch;
 
+/// Longest time that a route can give. It keeps the sum of an instant and a duration in range.
+const MAX_TIMEOUT: Duration = Duration::from_secs(7 * 24 * 3600);
+
 /// Why the time that a caller asked for cannot be used.
 #[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
 pub enum DeadlineError {
@@ -54,7 +57,8 @@
 impl Deadline {
     /// Applies the time that the caller asked for, or the default of the route, and its cap.
     pub fn new(now: Instant, requested: Option<Duration>, route: &RouteMatch) -> Self {
-        Self { at: now + requested.unwrap_or(route.timeout).min(route.max_timeout) }
+        let timeout = requested.unwrap_or(route.timeout).min(route.max_timeout);
+        Self { at: now + timeout.min(MAX_TIMEOUT) }
     }
 
     /// Reads the caller's header and applies the limits of the route.
--- a/crates/routing/src/headers.rs
+++ b/crates/routing/src/headers.rs
@@ -38,8 +38,8 @@
     UPGRADE,
 ];
 
-/// Headers of requests that `Connection` cannot remove, because the fleet or the upstream decides
-/// by them.
+/// Headers that `Connection` cannot remove, because the receiver decides by them. Without
+/// `Content-Length` a cut body could not be told from a complete one.
 const PROTECTED: [HeaderName; 5] = [HOST, CONTENT_LENGTH, TIMEOUT_MS, ACCOUNT, IDEMPOTENCY_KEY];
 
 /// Why a request head is refused.
@@ -52,14 +52,11 @@
     #[display("Content-Length is invalid or has several values")]
     InvalidContentLength,
     /// The body has a length and is chunked.
-    #[display("the request has both Content-Length and Transfer-Encoding")]
+    #[display("the message has both Content-Length and Transfer-Encoding")]
     LengthAndEncoding,
     /// The transfer encoding is not just `chunked`.
     #[display("the transfer encoding is not supported")]
     UnsupportedEncoding,
-    /// A value contains a line break, which includes folded headers, or another control character.
-    #[display("a header value has a control character")]
-    ControlCharacter,
     /// `Connection` names a header that must reach the upstream.
     #[display("Connection names a header that must not be removed")]
     ProtectedHeader,
@@ -71,15 +68,14 @@
 /// Checks a request head as far as it is visible after parsing.
 ///
 /// Two parsers that disagree about where a request ends let one caller prepend bytes to the request
-/// of another, so every form that allows two readings is refused.
+/// of another, so every form that allows two readings is refused. Folded headers and bare carriage
+/// returns are not visible here: a [`http::HeaderValue`] cannot hold control characters, and the
+/// parser must refuse them.
 ///
 /// # Errors
 ///
 /// Fails with the first form found. The request was not run; the status is 400.
 pub fn check_request_head(headers: &HeaderMap) -> Result<(), HeadError> {
-    if headers.values().any(|value| value.as_bytes().iter().any(|&b| is_control(b))) {
-        return Err(HeadError::ControlCharacter);
-    }
     if headers.get_all(HOST).iter().nth(1).is_some() {
         return Err(HeadError::SeveralHosts);
     }
@@ -95,11 +91,13 @@
     Ok(())
 }
 
-fn is_control(byte: u8) -> bool {
-    byte == 0x7f || (byte < 0x20 && byte != b'\t')
-}
-
-fn check_framing(headers: &HeaderMap) -> Result<(), HeadError> {
+/// Checks that the headers of a request or an answer give its body one length at most.
+///
+/// # Errors
+///
+/// Fails if `Content-Length` is invalid or repeated, if it is present together with
+/// `Transfer-Encoding`, or if the transfer encoding is not just `chunked`.
+pub fn check_framing(headers: &HeaderMap) -> Result<(), HeadError> {
     let has_encoding = headers.contains_key(TRANSFER_ENCODING);
     let mut lengths = headers.get_all(CONTENT_LENGTH).iter();
     if let Some(length) = lengths.next() {
@@ -134,9 +132,12 @@
 }
 
 /// Removes headers that concern one connection only, including those that `Connection` names.
+///
+/// `Content-Length` and other headers that the receiver decides by stay even if they are named.
 pub fn strip_hop_by_hop(headers: &mut HeaderMap) {
     let listed: Vec<HeaderName> = connection_options(headers).collect();
-    for name in listed.iter().chain(&HOP_BY_HOP) {
+    let removable = listed.iter().filter(|name| !PROTECTED.contains(name));
+    for name in removable.chain(&HOP_BY_HOP) {
         headers.remove(name);
     }
 }
--- a/crates/routing/src/idempotency.rs
+++ b/crates/routing/src/idempotency.rs
@@ -31,7 +31,8 @@
     },
     /// No upstream can be selected.
     NoUpstream,
-    /// The first byte of the request is handed to the socket.
+    /// The first byte of the request is about to be handed to the socket. It must be reported
+    /// before the write, because a write that fails may have sent bytes.
     FirstByteHanded,
     /// The upstream shed the request: 429, or 503 with `Retry-After`.
     Shed {
--- a/crates/routing/src/limits.rs
+++ b/crates/routing/src/limits.rs
@@ -24,8 +24,9 @@
 const WINDOW: Duration = Duration::from_secs(1);
 /// Fewest samples in a latency window.
 const WINDOW_SAMPLES: u32 = 20;
-/// Number of window means of which the lowest is the usual latency.
-const RECENT_WINDOWS: usize = 30;
+/// Number of window means of which the lowest is the usual latency. A lasting rise becomes usual
+/// after as many windows, in which the limit shrinks to 0.35 of its value at most.
+const RECENT_WINDOWS: usize = 10;
 /// Bounds of the time after which a refused caller is told to come back.
 const RETRY_AFTER: (Duration, Duration) = (Duration::from_secs(1), Duration::from_secs(10));
 
@@ -195,9 +196,11 @@
     }
 
     fn on_answer(&mut self, now: Instant, latency: Duration, was_in_use: bool) {
-        if self.latency.record(now, latency) {
+        let closes_window = self.latency.record(now, latency);
+        let is_lowered = self.lowered_until.is_some_and(|until| now < until);
+        if closes_window && self.latency.is_high {
             self.set_limit(self.limit * LATENCY_FACTOR);
-        } else if was_in_use && self.lowered_until.is_none_or(|until| now >= until) {
+        } else if was_in_use && !is_lowered && !self.latency.is_high {
             self.set_limit(self.limit + 1.0 / self.limit);
         }
     }
@@ -239,11 +242,15 @@
     samples: u32,
     sum: Duration,
     means: VecDeque<Duration>,
+    /// True if the last closed window had a high mean. The limit does not grow then: with many
+    /// answers in a window, growth would outweigh the decrease at its end.
+    is_high: bool,
 }
 
 impl LatencyWindows {
     fn new(now: Instant) -> Self {
-        Self { start: now, samples: 0, sum: Duration::ZERO, means: VecDeque::new() }
+        let (sum, means) = (Duration::ZERO, VecDeque::new());
+        Self { start: now, samples: 0, sum, means, is_high: false }
     }
 
     /// Lowest mean of recent windows, or the mean of the first window while it lasts.
@@ -252,7 +259,7 @@
         self.means.iter().min().copied().or_else(running)
     }
 
-    /// Adds a sample. Returns true if it closes a window of high latency.
+    /// Adds a sample. Returns true if it closes a window.
     fn record(&mut self, now: Instant, latency: Duration) -> bool {
         self.samples += 1;
         self.sum = self.sum.saturating_add(latency);
@@ -261,12 +268,12 @@
             return false;
         }
         let mean = self.sum / self.samples;
-        let is_high = self.means.iter().min().is_some_and(|low| mean > low.mul_f64(HIGH_LATENCY));
+        self.is_high = self.means.iter().min().is_some_and(|low| mean > low.mul_f64(HIGH_LATENCY));
         if self.means.len() == RECENT_WINDOWS {
             self.means.pop_front();
         }
         self.means.push_back(mean);
         (self.start, self.samples, self.sum) = (now, 0, Duration::ZERO);
-        is_high
+        true
     }
 }
--- a/crates/routing/src/route.rs
+++ b/crates/routing/src/route.rs
@@ -6,7 +6,8 @@
 use cactustrack_types::{Configuration, RequestClass, Route, ServiceId};
 use derive_more::{Display, Error};
 use http::header::HOST;
-use http::{HeaderMap, Uri};
+use http::uri::Authority;
+use http::{HeaderMap, HeaderValue, Uri};
 use rapidhash::fast::RandomState;
 
 /// Host of routes that apply to any host.
@@ -45,7 +46,8 @@
     /// The request has more than one `Host` header.
     #[display("the request has several Host headers")]
     DuplicateHost,
-    /// The host contains characters that a host name cannot have, or its port is no number.
+    /// The host contains characters that a host name cannot have, its port is no number, or the
+    /// request target names another host than the header.
     #[display("the host is invalid")]
     InvalidHost,
     /// The path does not start with `/`.
@@ -162,23 +164,27 @@
 
 /// Returns the host that a request names, with its port if it has one.
 ///
-/// The authority of an absolute request target takes precedence over the `Host` header, which is
-/// nevertheless required at most once.
+/// An absolute request target may name the host instead of the `Host` header. If both do, they must
+/// agree, because the upstream may decide by either.
 ///
 /// # Errors
 ///
-/// Fails if no host is named, or if there are several `Host` headers.
+/// Fails if no host is named, if there are several `Host` headers, or if the names differ.
 pub fn request_host<'a>(uri: &'a Uri, headers: &'a HeaderMap) -> Result<&'a str, RouteError> {
     let mut values = headers.get_all(HOST).iter();
     let header = values.next();
     if values.next().is_some() {
         return Err(RouteError::DuplicateHost);
     }
-    if let Some(authority) = uri.authority() {
-        return Ok(authority.as_str());
+    let header = header.map(HeaderValue::to_str).transpose();
+    let header = header.map_err(|_| RouteError::InvalidHost)?;
+    match (uri.authority().map(Authority::as_str), header) {
+        (Some(target), Some(header)) if !target.eq_ignore_ascii_case(header) => {
+            Err(RouteError::InvalidHost)
+        }
+        (Some(host), _) | (None, Some(host)) => Ok(host),
+        (None, None) => Err(RouteError::MissingHost),
     }
-    let value = header.ok_or(RouteError::MissingHost)?;
-    value.to_str().map_err(|_| RouteError::InvalidHost)
 }
 
 /// Removes the port and a final dot.
--- a/crates/routing/src/subset.rs
+++ b/crates/routing/src/subset.rs
@@ -67,10 +67,10 @@
     pub fn new(instances: &[InstanceId], upstreams: &[UpstreamId], connections: u32) -> Self {
         let mut builder = Builder::new(instances, upstreams, connections);
         let pairs = scored_pairs(instances, upstreams);
-        builder.accept(&pairs, builder.balanced_users());
-        // A pair left over for an instance that still needs one may exceed the balance, but not the
-        // connections that the upstream accepts.
-        builder.accept(&pairs, fleet_connections(connections));
+        builder.accept(&pairs, builder.balanced_users().min(fleet_connections(connections)));
+        // An instance that still needs upstreams may exceed the balance and use the reserved tenth,
+        // but not the connections that the upstream accepts.
+        builder.accept(&pairs, usize::try_from(connections).unwrap_or(usize::MAX));
         builder.serve_the_rest(&pairs);
         let Builder { subsets, users, .. } = builder;
         let subsets = instances.iter().cloned().zip(subsets).collect();
--- /dev/null
+++ b/tests/all/routing/heads.rs
@@ -0,0 +1,79 @@
+//! Headers: refused request heads and stripping.
+
+use cactustrack_routing::headers::{
+    HeadError, announces_drain, check_request_head, strip_answer, strip_hop_by_hop, strip_request,
+};
+use http::{HeaderMap, HeaderValue};
+
+use super::headers;
+
+/// Guards against request smuggling by heads that two parsers read differently.
+#[test]
+fn refuses_heads_that_allow_two_readings() {
+    struct Case(&'static [(&'static str, &'static str)], Option<HeadError>);
+    const CHUNKED: (&str, &str) = ("transfer-encoding", "Chunked");
+    const LENGTH: (&str, &str) = ("content-length", "3");
+    let bad_length = Some(HeadError::InvalidContentLength);
+    let bad_encoding = Some(HeadError::UnsupportedEncoding);
+    let cases = [
+        Case(&[("host", "a"), LENGTH], None),
+        Case(&[CHUNKED], None),
+        Case(&[("connection", "keep-alive, x-own"), ("x-own", "1")], None),
+        Case(&[("host", "a"), ("host", "a")], Some(HeadError::SeveralHosts)),
+        Case(&[LENGTH, ("content-length", "4")], bad_length),
+        Case(&[("content-length", "3, 3")], bad_length),
+        Case(&[("content-length", "+3")], bad_length),
+        Case(&[("content-length", "")], bad_length),
+        Case(&[("content-length", "18446744073709551616")], bad_length),
+        Case(&[LENGTH, CHUNKED], Some(HeadError::LengthAndEncoding)),
+        Case(&[("transfer-encoding", "gzip, chunked")], bad_encoding),
+        Case(&[CHUNKED, CHUNKED], bad_encoding),
+        Case(&[("connection", "close, Content-Length")], Some(HeadError::ProtectedHeader)),
+        Case(&[("idempotency-key", "a"), ("idempotency-key", "b")], Some(HeadError::Duplicate)),
+    ];
+    for Case(pairs, expected) in cases {
+        assert_eq!(check_request_head(&headers(pairs)).err(), expected, "{pairs:?}");
+    }
+}
+
+/// Guards against a release of the http crate that lets folded headers or bare carriage returns
+/// through, which `check_request_head` relies on never to see.
+#[test]
+fn header_values_hold_no_control_characters() {
+    for bytes in [&b"a\rb"[..], b"a\n b", b"a\x00b", b"a\x7fb"] {
+        assert!(HeaderValue::from_bytes(bytes).is_err(), "{bytes:?}");
+    }
+}
+
+/// Guards against headers of one connection that leak into the next, and against callers or
+/// upstreams that speak for the fleet.
+#[test]
+fn strips_connection_headers_and_forged_fleet_headers() {
+    struct Case(fn(&mut HeaderMap), &'static [&'static str]);
+    let head = headers(&[
+        ("connection", "close, x-own, content-length"),
+        ("x-own", "1"),
+        ("te", "trailers"),
+        ("content-length", "3"),
+        ("cactustrack-draining", "1"),
+        ("cactustrack-timeout-ms", "50"),
+        ("x-other", "2"),
+    ]);
+    assert!(announces_drain(&head));
+    assert!(!announces_drain(&headers(&[("cactustrack-draining", "1")])));
+    let cases = [
+        Case(
+            strip_hop_by_hop,
+            &["cactustrack-draining", "cactustrack-timeout-ms", "content-length", "x-other"],
+        ),
+        Case(strip_request, &["cactustrack-timeout-ms", "content-length", "x-other"]),
+        Case(strip_answer, &["content-length", "x-other"]),
+    ];
+    for Case(strip, expected) in cases {
+        let mut head = head.clone();
+        strip(&mut head);
+        let mut kept: Vec<_> = head.keys().map(http::HeaderName::as_str).collect();
+        kept.sort_unstable();
+        assert_eq!(kept, expected);
+    }
+}
--- /dev/null
+++ b/tests/all/routing/idempotency.rs
@@ -0,0 +1,107 @@
+//! At-most-once execution.
+
+use cactustrack_routing::idempotency::{Attempt, ClaimResult as C, Event as E, Next};
+use cactustrack_routing::idempotency::{RecordAction as R, Step};
+use cactustrack_types::Execution;
+
+const GRANTED: E = E::Claim(C::Granted);
+const REFUSED: E = E::ConnectFailed { another: false };
+const ANOTHER: E = E::ConnectFailed { another: true };
+const SENT: E = E::FirstByteHanded;
+const SHED: E = E::Shed { status: 429 };
+const ANSWER: E = E::Answer { status: 500 };
+const EVENTS: [E; 15] = [
+    GRANTED,
+    E::Claim(C::HeldRunning),
+    E::Claim(C::HeldCompleted(201)),
+    E::Claim(C::Mismatch),
+    E::Claim(C::RecordError),
+    E::Connected,
+    ANOTHER,
+    REFUSED,
+    E::NoUpstream,
+    SENT,
+    SHED,
+    ANSWER,
+    E::Broken,
+    E::DeadlinePassed,
+    E::CallerGone,
+];
+
+/// Checks the last step of a path of events that all had an effect.
+fn check(has_key: bool, path: &[(E, Step)]) {
+    let (event, Step { record, next }) = path[path.len() - 1];
+    let count = |is: fn(&Step) -> bool| path.iter().filter(|(_, step)| is(step)).count();
+    let is_shed = matches!(event, E::Shed { .. });
+    let not_run = matches!(next, Next::Reject { execution: Execution::NotRun, .. });
+    let sent = path.iter().any(|(event, _)| *event == SENT);
+    let granted = path.iter().any(|(event, _)| *event == GRANTED);
+    assert!(!(not_run && sent) || is_shed, "not_run after a byte: {path:?}");
+    assert!(count(|step| step.next == Next::Dispatch) <= 1, "dispatched twice: {path:?}");
+    assert!(next != Next::Dispatch || granted || !has_key, "dispatched unclaimed: {path:?}");
+    assert!(!sent || next != Next::TryAnother, "tried another after a byte: {path:?}");
+    assert!(record != R::Release || !sent || is_shed, "released after a byte: {path:?}");
+    assert!(count(|step| step.record != R::None) <= 1, "record changed twice: {path:?}");
+    assert!(has_key || record == R::None, "record without a key: {path:?}");
+    assert!(!(not_run && granted) || record == R::Release, "key stays claimed: {path:?}");
+}
+
+/// Guards against `not_run` for a request that may have run and against a second dispatch, on every
+/// path of up to seven events. Ignored events must leave the state as it was and are not followed.
+#[test]
+fn no_path_runs_twice_or_denies_a_run() {
+    let mut visited = 0;
+    for has_key in [false, true] {
+        let mut paths = vec![(Attempt::new(has_key).0, Vec::new())];
+        while let Some((attempt, path)) = paths.pop() {
+            for event in EVENTS {
+                let mut after = attempt;
+                let step = after.on(event);
+                if step.next == Next::Ignore {
+                    assert_eq!((after, step.record), (attempt, R::None), "{path:?} {event:?}");
+                    continue;
+                }
+                let path = [&path[..], &[(event, step)]].concat();
+                check(has_key, &path);
+                visited += 1;
+                if path.len() < 7 {
+                    paths.push((after, path));
+                }
+            }
+        }
+    }
+    assert!(visited > 100, "only {visited} paths");
+}
+
+/// Guards against a change of status, execution or record handling on the usual paths.
+#[test]
+fn decisions_on_known_paths() {
+    struct Case(bool, &'static [E], R, Next);
+    let reject = |status, execution| Next::Reject { status, execution, recorded: None };
+    let not_run = |status| reject(status, Execution::NotRun);
+    let unknown = |status| reject(status, Execution::Unknown);
+    let done = Next::Reject { status: 409, execution: Execution::Unknown, recorded: Some(201) };
+    let cases = [
+        Case(true, &[GRANTED], R::None, Next::Connect),
+        Case(true, &[E::Claim(C::HeldRunning)], R::None, unknown(409)),
+        Case(true, &[E::Claim(C::HeldCompleted(201))], R::None, done),
+        Case(true, &[E::Claim(C::Mismatch)], R::None, not_run(422)),
+        Case(true, &[E::Claim(C::RecordError)], R::Release, not_run(503)),
+        Case(true, &[E::DeadlinePassed], R::Release, not_run(504)),
+        Case(true, &[GRANTED, E::NoUpstream], R::Release, not_run(503)),
+        Case(true, &[GRANTED, ANOTHER], R::None, Next::TryAnother),
+        Case(true, &[GRANTED, ANOTHER, REFUSED], R::Release, not_run(502)),
+        Case(false, &[E::Connected], R::None, Next::Dispatch),
+        Case(false, &[E::Connected, E::Broken], R::None, not_run(502)),
+        Case(false, &[E::Connected, SENT, E::Broken], R::None, unknown(502)),
+        Case(true, &[GRANTED, E::Connected, SENT, E::DeadlinePassed], R::None, unknown(504)),
+        Case(true, &[GRANTED, E::Connected, SENT, SHED], R::Release, not_run(503)),
+        Case(true, &[GRANTED, E::Connected, SENT, ANSWER], R::Complete(500), Next::Forward),
+        Case(false, &[E::Connected, SENT, ANSWER, E::Broken], R::None, Next::Abort),
+    ];
+    for Case(has_key, events, record, next) in cases {
+        let mut attempt = Attempt::new(has_key).0;
+        let steps: Vec<Step> = events.iter().map(|&event| attempt.on(event)).collect();
+        assert_eq!(steps.last(), Some(&Step { record, next }), "{has_key} {events:?}");
+    }
+}
--- /dev/null
+++ b/tests/all/routing/retry.rs
@@ -0,0 +1,110 @@
+//! Budget and rules of extra attempts.
+
+use std::time::{Duration, Instant};
+
+use cactustrack_routing::deadline::Deadline;
+use cactustrack_routing::retry::{
+    AttemptState, ExtraAttempt, HedgeDelay, NoAttempt, RetryBudget, take_attempt,
+};
+use cactustrack_types::RequestClass;
+use proptest::prelude::*;
+
+proptest! {
+    /// Guards against retry storms: extra attempts stay within a tenth of the requests seen so far,
+    /// at every point of any sequence.
+    #[test]
+    fn amplification_is_at_most_1_1(
+        share in prop_oneof![Just(0.1), Just(1.0), Just(f64::NAN), -1.0..1.0f64],
+        is_request in prop::collection::vec(prop::bool::weighted(0.7), 0..4_000),
+    ) {
+        let mut budget = RetryBudget::new(share);
+        let (mut requests, mut extra) = (0u32, 0u32);
+        for is_request in is_request {
+            if is_request {
+                budget.on_request();
+                requests += 1;
+            } else {
+                extra += u32::from(budget.try_take());
+            }
+            prop_assert!(extra * 10 <= requests, "{} extra for {} requests", extra, requests);
+        }
+    }
+}
+
+/// Guards against a budget that is unused under total failure or that runs over after a calm time.
+#[test]
+fn budget_is_used_and_bounded() {
+    let mut budget = RetryBudget::new(0.1);
+    let mut extra = 0;
+    for _ in 0..10_000 {
+        budget.on_request();
+        extra += u32::from(budget.try_take());
+    }
+    assert_eq!(extra, 1_000);
+    (0..1_000_000).for_each(|_| budget.on_request());
+    assert_eq!(budget.available(), 100);
+}
+
+/// Guards against extra attempts that the design forbids, and against charging for them.
+#[test]
+fn rules_of_extra_attempts() {
+    struct Case {
+        kind: ExtraAttempt,
+        change: fn(&mut AttemptState),
+        expected: Option<NoAttempt>,
+    }
+    let now = Instant::now();
+    let usual = AttemptState {
+        class: RequestClass::Idempotent,
+        answer_started: false,
+        body_replayable: true,
+        another_upstream: true,
+        deadline: Deadline { at: now + Duration::from_secs(1) },
+    };
+    let case = |kind, change, expected| Case { kind, change, expected };
+    let cases = [
+        case(ExtraAttempt::Retry, |_| {}, None),
+        case(ExtraAttempt::Hedge, |s| s.class = RequestClass::Large, None),
+        case(ExtraAttempt::Resume, |s| s.answer_started = true, None),
+        case(
+            ExtraAttempt::Resume,
+            |s| s.class = RequestClass::NonIdempotent,
+            Some(NoAttempt::NonIdempotent),
+        ),
+        case(ExtraAttempt::Retry, |s| s.answer_started = true, Some(NoAttempt::AnswerStarted)),
+        case(ExtraAttempt::Hedge, |s| s.answer_started = true, Some(NoAttempt::AnswerStarted)),
+        case(ExtraAttempt::Retry, |s| s.body_replayable = false, Some(NoAttempt::BodyGone)),
+        case(ExtraAttempt::Hedge, |s| s.another_upstream = false, Some(NoAttempt::NoOtherUpstream)),
+        case(
+            ExtraAttempt::Retry,
+            |s| s.deadline.at -= Duration::from_secs(1),
+            Some(NoAttempt::DeadlinePassed),
+        ),
+    ];
+    for Case { kind, change, expected } in cases {
+        let mut budget = RetryBudget::new(0.1);
+        (0..10).for_each(|_| budget.on_request());
+        let mut state = usual;
+        change(&mut state);
+        assert_eq!(take_attempt(&mut budget, kind, state, now).err(), expected, "{state:?}");
+        assert_eq!(budget.available(), u64::from(expected.is_some()));
+        let exhausted = take_attempt(&mut budget, kind, state, now).err();
+        assert_eq!(exhausted, expected.or(Some(NoAttempt::BudgetExhausted)));
+    }
+}
+
+/// Guards against hedges without evidence and against a delay that does not follow the service.
+#[test]
+fn hedge_delay_follows_the_95th_percentile() {
+    let start = Instant::now();
+    let mut delay = HedgeDelay::new(start);
+    for n in 1..=100 {
+        assert_eq!(delay.delay(), None);
+        delay.on_latency(start, Duration::from_millis(n));
+    }
+    let p95 = delay.delay().unwrap().as_secs_f64();
+    assert!((0.090..0.110).contains(&p95), "{p95} s");
+    let later = start + Duration::from_secs(11);
+    (0..100).for_each(|_| delay.on_latency(later, Duration::from_secs(1)));
+    assert!(delay.delay().unwrap() > Duration::from_millis(900));
+}
