Publish configuration versions through the store

A new version must come into force in one step and never revert, although an answer may be lost, two operators may publish at the same moment, and a publisher may die or be paused half-way.

Parts are written under a nonce, then one transaction guarded by the revision of `head`, the absence of the history entry and the mark of the parts switches the version. The guards make the transaction repeatable, so a lost answer is resolved by repeating it and reading back the nonce. `determine` decides an unknown outcome for good: it removes the mark if the history has no entry, so that a delayed switch can no longer take effect.

The command line gets `accept`, `determine` and `history` as functions with results that print themselves.

--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -1,13 +1,22 @@
 //! The platform's key-value store: interface, adapter, configuration versions and idempotency
 //! records.
 
+mod envelope;
 mod etcd;
 mod idempotency;
 mod kv;
+pub mod operator;
+mod publication;
 
+pub use envelope::{VALUE_FORMAT, ValueError, decode_value, encode_value};
 pub use etcd::{DEFAULT_CALL_TIMEOUT, DEFAULT_MAX_REPLY_BYTES, EtcdStore};
 pub use idempotency::{Claim, ClaimOutcome, IdempotencyRecords, RecordError, RecordState};
 pub use kv::{
     Compare, KeyValue, LeaseId, LocalFuture, Operation, OperationReply, Revision, Store,
     StoreError, Txn, TxnReply, WatchEvent,
 };
+pub use publication::{
+    ConfigurationRepository, Determination, Head, HistoryEntry, MAX_HISTORY_ENTRIES,
+    MAX_PART_BYTES, MAX_PARTS, ParsePublicationError, Publication, PublishOutcome, RepositoryError,
+    StoredConfiguration, StoredVersion, UNUSED_PARTS_AGE, UnknownPublication,
+};
--- /dev/null
+++ b/crates/store/src/publication.rs
@@ -0,0 +1,503 @@
+//! Publication of configuration versions.
+//!
+//! Parts are written first and are immutable. One guarded transaction then switches `head`, writes
+//! the history entry and removes the mark of unused parts. The guards make this transaction
+//! repeatable: a repeat either applies it for the first time, or finds the history entry with the
+//! nonce of this publication, or finds another one.
+
+mod keys;
+mod types;
+
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use cactustrack_types::Version;
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    Compare, KeyValue, Operation, OperationReply, Revision, Store, StoreError, Txn, TxnReply,
+    ValueError, decode_value, encode_value,
+};
+use keys::Keys;
+pub use types::{
+    Determination, Head, HistoryEntry, ParsePublicationError, Publication, PublishOutcome,
+    RepositoryError, StoredConfiguration, StoredVersion, UnknownPublication,
+};
+
+/// Largest part, in bytes. The store holds values of up to one megabyte, envelope included.
+pub const MAX_PART_BYTES: usize = 999_000;
+/// Largest number of parts of a configuration.
+pub const MAX_PARTS: usize = 64;
+/// Largest number of history entries that are read at a time, so that the reply stays small.
+pub const MAX_HISTORY_ENTRIES: u64 = 1000;
+/// Age from which parts that never came into force count as leftovers.
+pub const UNUSED_PARTS_AGE: Duration = Duration::from_secs(3600);
+
+/// Default number of tries of a call that got no answer.
+const DEFAULT_TRIES: u32 = 5;
+/// Default wait before the second try. It doubles for each further one.
+const DEFAULT_RETRY_DELAY: Duration = Duration::from_millis(100);
+
+/// Configuration versions under a key prefix of the store.
+#[derive(Clone)]
+pub struct ConfigurationRepository {
+    store: Rc<dyn Store>,
+    keys: Keys,
+    tries: u32,
+    retry_delay: Duration,
+    clock: Rc<dyn Fn() -> SystemTime>,
+}
+
+/// Value of a mark of unused parts.
+#[derive(Serialize, Deserialize)]
+struct UnusedMark {
+    /// When the parts may be removed, in milliseconds since the Unix epoch.
+    removable_from_ms: u64,
+}
+
+/// A publication whose parts are being written.
+struct Draft<'a> {
+    publication: &'a Publication,
+    version: Version,
+    nonce: String,
+    replaced: Option<Head>,
+    mark_revision: Revision,
+}
+
+/// What the transaction that switches the version came to.
+enum Switch {
+    /// This publication is in force, or was until a later one replaced it.
+    Done,
+    /// Another publication came into force first.
+    Lost,
+    /// The mark of the parts is gone, and the parts with it.
+    Expired,
+    /// The history has an entry for a version that never was in `head`.
+    HeadBehindHistory,
+}
+
+impl ConfigurationRepository {
+    /// Creates a repository for the keys under `prefix`.
+    pub fn new(store: Rc<dyn Store>, prefix: &str) -> Self {
+        Self {
+            store,
+            keys: Keys::new(prefix),
+            tries: DEFAULT_TRIES,
+            retry_delay: DEFAULT_RETRY_DELAY,
+            clock: Rc::new(SystemTime::now),
+        }
+    }
+
+    /// Sets how often a call without an answer is tried, and the wait before the second try.
+    pub fn with_tries(mut self, tries: u32, delay: Duration) -> Self {
+        self.tries = tries.max(1);
+        self.retry_delay = delay;
+        self
+    }
+
+    /// Sets the clock that dates history entries and leftovers.
+    pub fn with_clock(mut self, clock: Rc<dyn Fn() -> SystemTime>) -> Self {
+        self.clock = clock;
+        self
+    }
+
+    /// Key whose changes announce a new version, for [`Store::watch`].
+    pub fn head_key(&self) -> String {
+        self.keys.head()
+    }
+
+    /// Reads the version in force.
+    ///
+    /// The read may lag behind. An instance therefore never goes back to a lower version.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store cannot be read or the value cannot be used.
+    pub async fn read_head(&self) -> Result<Option<Head>, RepositoryError> {
+        let found = self.store.range(&self.keys.head(), None).await?;
+        found.first().map(decode_head).transpose()
+    }
+
+    /// Reads the configuration of the version in force or of the one before.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store cannot be read, a value cannot be used, or the version is not kept.
+    pub async fn read(&self, version: Version) -> Result<StoredConfiguration, RepositoryError> {
+        let head = self.read_head().await?;
+        let kept = head.into_iter().flat_map(|head| [Some(head.stored_version()), head.previous]);
+        let stored = kept
+            .flatten()
+            .find(|stored| stored.version == version)
+            .ok_or(RepositoryError::NotKept { version })?;
+        let mut parts = Vec::new();
+        for index in 0..stored.part_count {
+            let key = self.keys.part(version, &stored.nonce, index);
+            let found = self.store.range(&key, None).await?;
+            // A missing part was removed because newer versions came into force meanwhile.
+            let part = found.first().ok_or(RepositoryError::NotKept { version })?;
+            parts.push(payload(part)?.to_vec());
+        }
+        Ok(StoredConfiguration { version, checksum: stored.checksum, parts })
+    }
+
+    /// Reads the latest accepted changes, newest first, at most [`MAX_HISTORY_ENTRIES`].
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store cannot be read or an entry cannot be used.
+    pub async fn history(&self, limit: u64) -> Result<Vec<HistoryEntry>, RepositoryError> {
+        let Some(head) = self.read_head().await? else {
+            return Ok(Vec::new());
+        };
+        let after = head.version.saturating_add(1);
+        let limit = limit.min(MAX_HISTORY_ENTRIES);
+        let first = self.keys.history(after.saturating_sub(limit));
+        let found = self.store.range(&first, Some(&self.keys.history(after))).await?;
+        found.iter().rev().map(decode_json).collect()
+    }
+
+    /// Publishes a configuration if the version in force is the one that its author saw.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the configuration certainly did not come into force for another reason than a
+    /// conflict.
+    pub async fn publish(
+        &self,
+        publication: &Publication,
+    ) -> Result<PublishOutcome, RepositoryError> {
+        check_size(publication)?;
+        let current = self.current_head().await?;
+        if current.as_ref().map_or(0, |head| head.version) != publication.seen_version {
+            return self.conflict(current).await;
+        }
+        let draft = self.write_mark(publication, current).await?;
+        if let Err(err) = self.write_parts(&draft).await {
+            self.remove_parts(&draft).await;
+            return Err(err);
+        }
+        match self.switch(&draft).await {
+            Ok(Switch::Done) => {
+                // Leftovers that remain now are removed after the next publication.
+                let _ = self.remove_unused().await;
+                Ok(PublishOutcome::Published { version: draft.version })
+            }
+            Ok(Switch::Lost) => {
+                self.remove_parts(&draft).await;
+                self.conflict(self.current_head().await?).await
+            }
+            Ok(Switch::Expired) => Err(RepositoryError::Expired),
+            Ok(Switch::HeadBehindHistory) => {
+                self.remove_parts(&draft).await;
+                let reason = "the history has a newer version, so versions would be reused";
+                Err(damaged(&self.keys.head(), reason))
+            }
+            Err(StoreError::NoAnswer { .. }) => Ok(unknown(&draft)),
+            Err(err) => {
+                self.remove_parts(&draft).await;
+                Err(err.into())
+            }
+        }
+    }
+
+    /// Finds out how a publication of unknown outcome ended.
+    ///
+    /// If it is not in the history, its parts are removed, so that a delayed transaction cannot
+    /// bring it into force afterwards.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store cannot be used or the history entry cannot be read. The outcome stays
+    /// unknown then.
+    pub async fn determine(
+        &self,
+        unknown: &UnknownPublication,
+    ) -> Result<Determination, RepositoryError> {
+        let history = self.keys.history(unknown.version);
+        let mut txn = Txn::new().with_compare(absent(&history)).with_otherwise(read(&history));
+        let mark = self.keys.unused(unknown.version, &unknown.nonce);
+        txn.then = self.removal(&mark);
+        let reply = self.repeat(&txn).await?;
+        if reply.succeeded {
+            return Ok(Determination::NotAccepted);
+        }
+        let entry: HistoryEntry =
+            first_range(&reply).map(decode_json).transpose()?.ok_or_else(|| {
+                damaged(&history, "the store reports the entry as present and as absent")
+            })?;
+        if entry.nonce == unknown.nonce {
+            return Ok(Determination::Accepted);
+        }
+        Ok(Determination::NotAccepted)
+    }
+
+    /// Reads the version in force within a transaction, which never lags behind.
+    async fn current_head(&self) -> Result<Option<Head>, RepositoryError> {
+        let reply = self.repeat(&Txn::new().with_then(read(&self.keys.head()))).await?;
+        first_range(&reply).map(decode_head).transpose()
+    }
+
+    async fn conflict(&self, current: Option<Head>) -> Result<PublishOutcome, RepositoryError> {
+        let mut change = None;
+        if let Some(head) = &current {
+            let txn = Txn::new().with_then(read(&self.keys.history(head.version)));
+            let reply = self.repeat(&txn).await?;
+            change = first_range(&reply).map(decode_json).transpose()?.map(Box::new);
+        }
+        Ok(PublishOutcome::Conflict { current: current.map(Box::new), change })
+    }
+
+    async fn write_mark<'a>(
+        &self,
+        publication: &'a Publication,
+        replaced: Option<Head>,
+    ) -> Result<Draft<'a>, RepositoryError> {
+        let version = publication.seen_version.saturating_add(1);
+        let nonce = format!("{:016x}", rand::random::<u64>());
+        let key = self.keys.unused(version, &nonce);
+        let removable_from_ms = self.now_ms() + millis(UNUSED_PARTS_AGE);
+        let txn = Txn::new()
+            .with_compare(absent(&key))
+            .with_then(put_json(&key, &UnusedMark { removable_from_ms }))
+            .with_otherwise(read(&key));
+        let reply = self.repeat(&txn).await?;
+        // The mark is present already if an earlier try wrote it and its answer was lost.
+        let mark_revision = first_range(&reply).map_or(reply.revision, |mark| mark.mod_revision);
+        Ok(Draft { publication, version, nonce, replaced, mark_revision })
+    }
+
+    async fn write_parts(&self, draft: &Draft<'_>) -> Result<(), RepositoryError> {
+        for (index, part) in (0u32..).zip(&draft.publication.parts) {
+            let key = self.keys.part(draft.version, &draft.nonce, index);
+            let value = encode_value(part);
+            let txn = Txn::new().with_compare(self.mark_present(draft)).with_then(Operation::Put {
+                key,
+                value,
+                lease: 0,
+            });
+            if !self.repeat(&txn).await?.succeeded {
+                return Err(RepositoryError::Expired);
+            }
+        }
+        Ok(())
+    }
+
+    async fn switch(&self, draft: &Draft<'_>) -> Result<Switch, StoreError> {
+        let reply = self.repeat(&self.switch_txn(draft)).await?;
+        if reply.succeeded {
+            return Ok(Switch::Done);
+        }
+        let [head, entry] = &reply.replies[..] else {
+            let reason = "the transaction reply is incomplete".to_owned();
+            return Err(StoreError::NoAnswer { reason });
+        };
+        // The history entry outlasts `head`, which may be replaced again by now. An entry that
+        // cannot be read is not of this publication, which writes readable ones.
+        let entry = first_key(entry).map(decode_json::<HistoryEntry>);
+        let head_revision = first_key(head).map_or(0, |kv| kv.mod_revision);
+        Ok(match entry {
+            Some(Ok(entry)) if entry.nonce == draft.nonce => Switch::Done,
+            _ if head_revision != draft.replaced_revision() => Switch::Lost,
+            Some(_) => Switch::HeadBehindHistory,
+            None => Switch::Expired,
+        })
+    }
+
+    fn switch_txn(&self, draft: &Draft<'_>) -> Txn {
+        let (head, history) = (self.keys.head(), self.keys.history(draft.version));
+        let unchanged =
+            Compare::ModRevision { key: head.clone(), revision: draft.replaced_revision() };
+        let mark = self.keys.unused(draft.version, &draft.nonce);
+        let mut txn = Txn::new()
+            .with_compare(unchanged)
+            .with_compare(absent(&history))
+            .with_compare(self.mark_present(draft))
+            .with_then(put_json(&head, &draft.head()))
+            .with_then(put_json(&history, &draft.history_entry(self.now_ms())))
+            .with_then(Operation::Delete { key: mark, end: None })
+            .with_otherwise(read(&head))
+            .with_otherwise(read(&history));
+        if let Some(old) = draft.replaced.as_ref().and_then(|head| head.previous.as_ref()) {
+            let mark = self.keys.unused(old.version, &old.nonce);
+            txn = txn.with_then(put_json(&mark, &UnusedMark { removable_from_ms: 0 }));
+        }
+        txn
+    }
+
+    fn mark_present(&self, draft: &Draft<'_>) -> Compare {
+        let key = self.keys.unused(draft.version, &draft.nonce);
+        Compare::ModRevision { key, revision: draft.mark_revision }
+    }
+
+    /// Removes the parts of a publication that did not come into force.
+    ///
+    /// If that fails, they are removed as leftovers by a later publication.
+    async fn remove_parts(&self, draft: &Draft<'_>) {
+        let mark = self.keys.unused(draft.version, &draft.nonce);
+        let mut txn = Txn::new().with_compare(self.mark_present(draft));
+        txn.then = self.removal(&mark);
+        let _ = self.repeat(&txn).await;
+    }
+
+    /// Removes parts that are no longer kept or never came into force.
+    async fn remove_unused(&self) -> Result<(), RepositoryError> {
+        let (first, end) = self.keys.all_unused();
+        for mark in self.store.range(&first, Some(&end)).await? {
+            let is_removable = decode_json::<UnusedMark>(&mark)
+                .is_ok_and(|value| value.removable_from_ms <= self.now_ms());
+            if is_removable {
+                let revision = mark.mod_revision;
+                let mut txn = Txn::new()
+                    .with_compare(Compare::ModRevision { key: mark.key.clone(), revision });
+                txn.then = self.removal(&mark.key);
+                self.repeat(&txn).await?;
+            }
+        }
+        Ok(())
+    }
+
+    /// Operations that remove a mark of unused parts together with the parts.
+    fn removal(&self, mark: &str) -> Vec<Operation> {
+        let Some(publication) = self.keys.publication_of(mark) else {
+            return Vec::new();
+        };
+        let (first, end) = self.keys.parts(publication);
+        vec![
+            Operation::Delete { key: first, end: Some(end) },
+            Operation::Delete { key: mark.to_owned(), end: None },
+        ]
+    }
+
+    /// Runs a transaction that may be repeated, a bounded number of times until it is answered.
+    ///
+    /// Fails with `NoAnswer` if any of the tries may have taken effect.
+    async fn repeat(&self, txn: &Txn) -> Result<TxnReply, StoreError> {
+        let mut delay = self.retry_delay;
+        let mut failure: Option<StoreError> = None;
+        for attempt in 0..self.tries {
+            if attempt > 0 {
+                compio::time::sleep(delay).await;
+                delay *= 2;
+            }
+            let err = match self.store.txn(txn.clone()).await {
+                Ok(reply) => return Ok(reply),
+                Err(err) => err,
+            };
+            let is_certain = !matches!(err, StoreError::NoAnswer { .. });
+            if failure.is_none() || !is_certain {
+                failure = Some(err);
+            }
+            let is_refused = matches!(failure, Some(StoreError::Refused { .. }));
+            if is_refused {
+                break;
+            }
+        }
+        Err(failure.unwrap_or(StoreError::Unreachable { reason: "no try was made".into() }))
+    }
+
+    fn now_ms(&self) -> u64 {
+        millis((self.clock)().duration_since(UNIX_EPOCH).unwrap_or_default())
+    }
+}
+
+impl Draft<'_> {
+    fn replaced_revision(&self) -> Revision {
+        self.replaced.as_ref().map_or(0, |head| head.revision)
+    }
+
+    fn head(&self) -> Head {
+        Head {
+            version: self.version,
+            checksum: self.publication.checksum.clone(),
+            part_count: u32::try_from(self.publication.parts.len()).unwrap_or(u32::MAX),
+            nonce: self.nonce.clone(),
+            previous: self.replaced.as_ref().map(Head::stored_version),
+            revision: 0,
+        }
+    }
+
+    fn history_entry(&self, accepted_at_ms: u64) -> HistoryEntry {
+        HistoryEntry {
+            version: self.version,
+            previous_version: self.publication.seen_version,
+            checksum: self.publication.checksum.clone(),
+            author: self.publication.author.clone(),
+            reason: self.publication.reason.clone(),
+            accepted_at_ms,
+            nonce: self.nonce.clone(),
+        }
+    }
+}
+
+fn unknown(draft: &Draft<'_>) -> PublishOutcome {
+    PublishOutcome::Unknown(UnknownPublication {
+        version: draft.version,
+        nonce: draft.nonce.clone(),
+    })
+}
+
+fn check_size(publication: &Publication) -> Result<(), RepositoryError> {
+    let count = publication.parts.len();
+    if count == 0 || count > MAX_PARTS {
+        let reason = format!("it has {count} parts, but must have 1 to {MAX_PARTS}");
+        return Err(RepositoryError::TooLarge { reason });
+    }
+    if let Some(part) = publication.parts.iter().find(|part| part.len() > MAX_PART_BYTES) {
+        let reason = format!("a part has {} bytes, the limit is {MAX_PART_BYTES}", part.len());
+        return Err(RepositoryError::TooLarge { reason });
+    }
+    Ok(())
+}
+
+fn absent(key: &str) -> Compare {
+    Compare::ModRevision { key: key.to_owned(), revision: 0 }
+}
+
+fn read(key: &str) -> Operation {
+    Operation::Range { key: key.to_owned(), end: None }
+}
+
+fn put_json<T: Serialize>(key: &str, value: &T) -> Operation {
+    // The types of this module have string keys only and always serialize.
+    let payload = serde_json::to_vec(value).unwrap_or_default();
+    Operation::Put { key: key.to_owned(), value: encode_value(&payload), lease: 0 }
+}
+
+fn first_range(reply: &TxnReply) -> Option<&KeyValue> {
+    reply.replies.iter().find_map(first_key)
+}
+
+fn first_key(reply: &OperationReply) -> Option<&KeyValue> {
+    match reply {
+        OperationReply::Range(found) => found.first(),
+        _ => None,
+    }
+}
+
+fn decode_head(kv: &KeyValue) -> Result<Head, RepositoryError> {
+    let head: Head = decode_json(kv)?;
+    Ok(Head { revision: kv.mod_revision, ..head })
+}
+
+fn decode_json<T: DeserializeOwned>(kv: &KeyValue) -> Result<T, RepositoryError> {
+    serde_json::from_slice(payload(kv)?)
+        .map_err(|err| value_error(&kv.key, ValueError::Damaged { reason: err.to_string() }))
+}
+
+fn payload(kv: &KeyValue) -> Result<&[u8], RepositoryError> {
+    decode_value(&kv.value).map_err(|err| value_error(&kv.key, err))
+}
+
+fn damaged(key: &str, reason: &str) -> RepositoryError {
+    value_error(key, ValueError::Damaged { reason: reason.to_owned() })
+}
+
+fn value_error(key: &str, error: ValueError) -> RepositoryError {
+    RepositoryError::Value { key: key.to_owned(), error }
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/store/src/publication/keys.rs
@@ -0,0 +1,58 @@
+//! Keys of the configuration in the store.
+
+use cactustrack_types::Version;
+
+/// Keys under the prefix of a fleet.
+///
+/// * `head`: the version in force.
+/// * `part/<version>-<nonce>/<n>`: parts of an encoded configuration.
+/// * `history/<version>`: one entry for each accepted change. Versions have 20 digits, so that
+///   keys are in the order of versions.
+/// * `unused/<version>-<nonce>`: marks parts that are not in force or kept. It is written before
+///   the parts and removed by the transaction that brings them into force, so parts can be removed
+///   together with the mark without reading them.
+#[derive(Clone, Debug)]
+pub(crate) struct Keys {
+    prefix: String,
+}
+
+impl Keys {
+    pub(crate) fn new(prefix: &str) -> Self {
+        Self { prefix: format!("{}/", prefix.trim_end_matches('/')) }
+    }
+
+    pub(crate) fn head(&self) -> String {
+        format!("{}head", self.prefix)
+    }
+
+    pub(crate) fn history(&self, version: Version) -> String {
+        format!("{}history/{version:020}", self.prefix)
+    }
+
+    pub(crate) fn part(&self, version: Version, nonce: &str, index: u32) -> String {
+        format!("{}{index:04}", self.parts(&format!("{version}-{nonce}")).0)
+    }
+
+    /// First key of the parts of a publication, and the end of their range.
+    pub(crate) fn parts(&self, publication: &str) -> (String, String) {
+        // `0` follows `/` in the order of keys.
+        (
+            format!("{}part/{publication}/", self.prefix),
+            format!("{}part/{publication}0", self.prefix),
+        )
+    }
+
+    pub(crate) fn unused(&self, version: Version, nonce: &str) -> String {
+        format!("{}unused/{version}-{nonce}", self.prefix)
+    }
+
+    /// First key of all marks of unused parts, and the end of their range.
+    pub(crate) fn all_unused(&self) -> (String, String) {
+        (format!("{}unused/", self.prefix), format!("{}unused0", self.prefix))
+    }
+
+    /// The publication that a mark of unused parts refers to.
+    pub(crate) fn publication_of<'a>(&self, unused: &'a str) -> Option<&'a str> {
+        unused.strip_prefix(&self.all_unused().0)
+    }
+}
--- a/crates/test-support/src/store/faults.rs
+++ b/crates/test-support/src/store/faults.rs
@@ -39,6 +39,12 @@
 /// What happens to one call.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) enum CallFault {
+    /// The call is served as usual.
+    Pass,
+    /// The call takes effect when held calls are released.
+    Hold,
+    /// The connection is closed after the call had its effect.
+    LoseAnswer,
     /// The connection is closed and the call has no effect.
     Drop,
     /// The call has no effect and an error is returned.
@@ -67,6 +73,8 @@
     pub(super) delay_before: Duration,
     pub(super) delay_after: Duration,
     pub(super) holds_calls: bool,
+    pub(super) held_calls: usize,
+    pub(super) releases: u64,
     pub(super) outage: Outage,
     pub(super) watches: Vec<Watch>,
     stale: Option<KvState>,
@@ -169,9 +177,21 @@
         self.lock().holds_calls = true;
     }
 
+    /// Holds the next call before it takes effect until [`StoreHandle::release_calls`].
+    pub fn hold_next_call(&self) {
+        self.add_call_faults(1, &CallFault::Hold);
+    }
+
     /// Lets held calls take effect.
     pub fn release_calls(&self) {
-        self.lock().holds_calls = false;
+        let mut shared = self.lock();
+        shared.holds_calls = false;
+        shared.releases += 1;
+    }
+
+    /// Number of calls that are held now.
+    pub fn held_calls(&self) -> usize {
+        self.lock().held_calls
     }
 
     /// Delays every answer after the call took effect.
@@ -189,6 +209,16 @@
         self.lock().lost.clear();
     }
 
+    /// Serves the next `count` calls as usual, so that a later fault hits the call after them.
+    pub fn pass_calls(&self, count: usize) {
+        self.add_call_faults(count, &CallFault::Pass);
+    }
+
+    /// Closes the connection after the next `count` calls had their effect, if any.
+    pub fn lose_next_answers(&self, count: usize) {
+        self.add_call_faults(count, &CallFault::LoseAnswer);
+    }
+
     /// Closes the connection of the next `count` calls before they take effect.
     pub fn drop_calls(&self, count: usize) {
         self.add_call_faults(count, &CallFault::Drop);
--- a/crates/test-support/src/store/server.rs
+++ b/crates/test-support/src/store/server.rs
@@ -194,29 +194,44 @@
         Some(CallFault::Fail { code, message }) => {
             return Ok(refusal_reply(&Refusal { code, message }));
         }
-        Some(CallFault::Garble(_)) | None => {}
+        _ => {}
     }
     sleep(delay_before).await;
-    while handle.lock().holds_calls {
-        compio::time::sleep(HOLD_CHECK_INTERVAL).await;
-    }
+    let was_held = hold(&handle, fault == Some(CallFault::Hold)).await;
     let (reply, is_lost, delay_after) = {
         let mut shared = handle.lock();
         shared.expire_leases();
         let first_event = shared.state.events().len();
         let reply = apply(&handle, &mut shared, call);
+        shared.held_calls -= usize::from(was_held);
         let is_lost = shared.is_answer_lost(first_event);
         shared.notify();
         (reply, is_lost, shared.delay_after)
     };
     sleep(delay_after).await;
     match (is_lost, fault) {
-        (true, _) => Err(Closed),
+        (true, _) | (_, Some(CallFault::LoseAnswer)) => Err(Closed),
         (false, Some(CallFault::Garble(body))) => Ok(response(StatusCode::OK, full(body))),
         (false, _) => Ok(reply),
     }
 }
 
+/// Waits until held calls are released, if this call is held. Returns whether it was.
+async fn hold(handle: &StoreHandle, is_held_by_itself: bool) -> bool {
+    let releases = {
+        let mut shared = handle.lock();
+        if !shared.holds_calls && !is_held_by_itself {
+            return false;
+        }
+        shared.held_calls += 1;
+        shared.releases
+    };
+    while handle.lock().releases == releases {
+        compio::time::sleep(HOLD_CHECK_INTERVAL).await;
+    }
+    true
+}
+
 async fn sleep(delay: Duration) {
     if !delay.is_zero() {
         compio::time::sleep(delay).await;
--- /dev/null
+++ b/tests/all/store/publication.rs
@@ -0,0 +1,319 @@
+//! Publication of configuration versions under faults of the store.
+
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use cactustrack_store::operator::{accept, determine, history};
+use cactustrack_store::{
+    ConfigurationRepository, Determination, MAX_PART_BYTES, Publication, PublishOutcome,
+    RepositoryError, Store, Txn, UNUSED_PARTS_AGE, UnknownPublication, ValueError, encode_value,
+};
+use cactustrack_test_support::store::{Outage, StoreHandle};
+
+use super::support::{BRIEF, Fixture, adapter, delete, eventually};
+
+const NO_DELAY: Duration = Duration::from_millis(1);
+
+fn repository(fixture: &Fixture) -> ConfigurationRepository {
+    repository_at(fixture, UNIX_EPOCH + Duration::from_secs(1_700_000_000))
+}
+
+fn repository_at(fixture: &Fixture, now: SystemTime) -> ConfigurationRepository {
+    let store: Rc<dyn Store> = fixture.store.clone();
+    ConfigurationRepository::new(store, "team")
+        .with_tries(3, NO_DELAY)
+        .with_clock(Rc::new(move || now))
+}
+
+fn publication(seen_version: u64, author: &str) -> Publication {
+    Publication {
+        parts: vec![author.as_bytes().to_vec(), vec![0, 159, 146, 150]],
+        checksum: format!("sum-{author}"),
+        seen_version,
+        author: author.into(),
+        reason: "more slots\x1b[2J".into(),
+    }
+}
+
+fn published(version: u64) -> PublishOutcome {
+    PublishOutcome::Published { version }
+}
+
+/// Publications whose parts are in the store, oldest first.
+fn stored_publications(handle: &StoreHandle) -> Vec<String> {
+    let mut found: Vec<String> = handle
+        .keys("team/part/")
+        .iter()
+        .map(|(key, _)| key.split(['/', '-']).nth(2).unwrap_or_default().to_owned())
+        .collect();
+    found.dedup();
+    found
+}
+
+/// Guards against parts that pile up, and against removing those that an instance still reads.
+#[compio::test]
+async fn versions_follow_each_other_and_the_previous_one_is_kept() {
+    let fixture = Fixture::start().await;
+    let repository = repository(&fixture);
+    assert_eq!(repository.read_head().await.unwrap(), None);
+    for seen in 0..4 {
+        let outcome = repository.publish(&publication(seen, &format!("a{seen}"))).await.unwrap();
+        assert_eq!(outcome, published(seen + 1));
+    }
+    assert_eq!(stored_publications(&fixture.handle()), ["3", "4"]);
+    assert!(fixture.handle().keys("team/unused/").is_empty());
+    for version in [3, 4] {
+        let stored = repository.read(version).await.unwrap();
+        assert_eq!(stored.parts, publication(0, &format!("a{}", version - 1)).parts);
+        assert_eq!(stored.checksum, format!("sum-a{}", version - 1));
+    }
+    assert_eq!(repository.read(2).await, Err(RepositoryError::NotKept { version: 2 }));
+    let entries = repository.history(3).await.unwrap();
+    assert_eq!(entries.iter().map(|entry| entry.version).collect::<Vec<_>>(), [4, 3, 2]);
+    let report = history(&repository, 1).await.unwrap().to_string();
+    assert_eq!(
+        report,
+        "2023-11-14T22:13:20Z version 4 after 3 by a3: more slots\\u{1b}[2J (checksum sum-a3)"
+    );
+}
+
+/// Guards against a lost update: two operators publish at the same moment from the same version.
+#[compio::test]
+async fn of_two_simultaneous_changes_one_is_accepted() {
+    let fixture = Fixture::start().await;
+    let repository = repository(&fixture);
+    repository.publish(&publication(0, "first")).await.unwrap();
+    let (athens, kuala_lumpur) = (publication(1, "athens"), publication(1, "kl"));
+    let results = futures::join!(accept(&repository, &athens), accept(&repository, &kuala_lumpur));
+    let reports = [results.0.unwrap(), results.1.unwrap()];
+    let accepted = reports.iter().filter(|report| report.is_accepted()).count();
+    assert_eq!(accepted, 1, "{reports:?}");
+    let winner = repository.history(1).await.unwrap().remove(0).author;
+    let loser = reports.iter().find(|report| !report.is_accepted()).unwrap().to_string();
+    for text in ["not accepted: version 2 is in force", "by athens:", "by kl:"] {
+        assert!(loser.contains(text), "{loser}");
+    }
+    assert_eq!(repository.read(2).await.unwrap().checksum, format!("sum-{winner}"));
+    assert_eq!(stored_publications(&fixture.handle()), ["1", "2"]);
+    let parts = fixture.handle().keys("team/part/2-");
+    assert_eq!(parts.len(), 2, "the losing change leaves nothing behind");
+}
+
+/// Guards against publishing from an outdated version, also if reads lag behind.
+#[compio::test]
+async fn an_outdated_change_is_refused_although_reads_lag() {
+    let fixture = Fixture::start().await;
+    let repository = repository(&fixture);
+    repository.publish(&publication(0, "a")).await.unwrap();
+    fixture.handle().lag_reads();
+    repository.publish(&publication(1, "b")).await.unwrap();
+    assert_eq!(repository.read_head().await.unwrap().unwrap().version, 1, "the read lags");
+    let outcome = repository.publish(&publication(1, "c")).await.unwrap();
+    let PublishOutcome::Conflict { current, change } = outcome else { panic!("{outcome:?}") };
+    assert_eq!((current.unwrap().version, change.unwrap().author), (2, "b".into()));
+}
+
+/// Guards against a lost answer that is taken for a failure or a conflict with itself.
+#[compio::test]
+async fn lost_answers_are_resolved() {
+    struct Case {
+        name: &'static str,
+        fault: fn(&StoreHandle),
+    }
+    let cases = [
+        Case { name: "mark", fault: |handle| handle.lose_answers("team/unused/", 1) },
+        Case { name: "part", fault: |handle| handle.lose_answers("team/part/", 1) },
+        Case { name: "switch", fault: |handle| handle.lose_answers("team/head", 1) },
+        Case { name: "before the write", fault: |handle| handle.drop_calls(2) },
+        Case {
+            name: "slow consensus",
+            fault: |handle| handle.fail_calls(1, 14, "etcdserver: request timed out"),
+        },
+    ];
+    for case in cases {
+        let fixture = Fixture::start().await;
+        let repository = repository(&fixture);
+        repository.publish(&publication(0, "a")).await.unwrap();
+        (case.fault)(&fixture.handle());
+        let outcome = repository.publish(&publication(1, "b")).await;
+        assert_eq!(outcome, Ok(published(2)), "{}", case.name);
+        assert_eq!(repository.read(2).await.unwrap().checksum, "sum-b", "{}", case.name);
+        assert_eq!(stored_publications(&fixture.handle()), ["1", "2"], "{}", case.name);
+        assert_eq!(repository.history(10).await.unwrap().len(), 2, "{}", case.name);
+    }
+}
+
+/// Guards against a definite answer where there is none, and against a change that comes into
+/// force after it was reported as not accepted.
+#[compio::test]
+async fn an_unknown_outcome_can_be_determined() {
+    struct Case {
+        name: &'static str,
+        fault: fn(&StoreHandle),
+        expected: Determination,
+    }
+    // The first four calls read `head`, write the mark and write two parts.
+    let cases = [
+        Case {
+            name: "applied",
+            fault: |handle| handle.lose_next_answers(3),
+            expected: Determination::Accepted,
+        },
+        Case {
+            name: "not applied",
+            fault: |handle| handle.drop_calls(3),
+            expected: Determination::NotAccepted,
+        },
+    ];
+    for case in cases {
+        let fixture = Fixture::start().await;
+        let repository = repository(&fixture);
+        fixture.handle().pass_calls(4);
+        (case.fault)(&fixture.handle());
+        let report = accept(&repository, &publication(0, "a")).await.unwrap();
+        let PublishOutcome::Unknown(unknown) = &report.outcome else {
+            panic!("{}: {report:?}", case.name)
+        };
+        let printed = report.to_string();
+        let id: UnknownPublication = printed.rsplit(' ').next().unwrap().parse().unwrap();
+        assert_eq!(&id, unknown);
+        let determined = determine(&repository, &id).await.unwrap();
+        assert_eq!(determined.determination, case.expected, "{}", case.name);
+        let again = determine(&repository, &id).await.unwrap();
+        assert_eq!(again, determined, "{}: a second time", case.name);
+        let is_in_force = repository.read_head().await.unwrap().is_some();
+        assert_eq!(is_in_force, case.expected == Determination::Accepted, "{}", case.name);
+    }
+}
+
+/// Guards against a transaction that was held up on its way and switches the version after the
+/// change was reported as not accepted.
+#[compio::test]
+async fn a_delayed_switch_has_no_effect_after_the_determination() {
+    let fixture = Fixture::start().await;
+    let impatient: Rc<dyn Store> = Rc::new(adapter(&fixture.server, BRIEF));
+    let slow = ConfigurationRepository::new(impatient, "team").with_tries(1, NO_DELAY);
+    fixture.handle().pass_calls(4);
+    fixture.handle().hold_next_call();
+    let outcome = slow.publish(&publication(0, "a")).await.unwrap();
+    let PublishOutcome::Unknown(unknown) = outcome else { panic!("{outcome:?}") };
+    let repository = repository(&fixture);
+    let determined = repository.determine(&unknown).await.unwrap();
+    assert_eq!(determined, Determination::NotAccepted);
+    fixture.handle().release_calls();
+    eventually("the delayed call", || fixture.handle().held_calls() == 0).await;
+    assert_eq!(repository.read_head().await.unwrap(), None);
+    assert!(fixture.handle().keys("team/").is_empty());
+}
+
+/// Guards against a failed publication that is reported as accepted, or that changes something.
+#[compio::test]
+async fn a_publication_in_an_outage_fails() {
+    let fixture = Fixture::start().await;
+    let repository = repository(&fixture);
+    repository.publish(&publication(0, "a")).await.unwrap();
+    for outage in [Outage::Refuse, Outage::Close] {
+        fixture.handle().set_outage(outage).await;
+        let result = repository.publish(&publication(1, "b")).await;
+        assert!(matches!(result, Err(RepositoryError::Store(_))), "{result:?}");
+        assert!(matches!(repository.read_head().await, Err(RepositoryError::Store(_))));
+        fixture.handle().set_outage(Outage::None).await;
+    }
+    assert_eq!(stored_publications(&fixture.handle()), ["1"]);
+    assert_eq!(repository.publish(&publication(1, "b")).await, Ok(published(2)));
+}
+
+/// Guards against leftovers of publications that died, against removing those of publications
+/// that still run, and against a publication that comes into force without its parts.
+#[compio::test]
+async fn leftovers_are_removed_after_an_hour() {
+    let fixture = Fixture::start().await;
+    let start = UNIX_EPOCH + Duration::from_secs(1_700_000_000);
+    let dying = repository_at(&fixture, start).with_tries(1, NO_DELAY);
+    fixture.handle().pass_calls(3);
+    fixture.handle().drop_calls(2);
+    dying.publish(&publication(0, "died")).await.unwrap_err();
+    assert_eq!(fixture.handle().keys("team/unused/").len(), 1);
+
+    let before = repository_at(&fixture, start + UNUSED_PARTS_AGE - Duration::from_millis(1));
+    before.publish(&publication(0, "a")).await.unwrap();
+    assert_eq!(fixture.handle().keys("team/part/").len(), 3, "one part of the dead publication");
+    let after = repository_at(&fixture, start + UNUSED_PARTS_AGE);
+    after.publish(&publication(1, "b")).await.unwrap();
+    assert!(fixture.handle().keys("team/unused/").is_empty());
+    assert_eq!(fixture.handle().keys("team/part/").len(), 4);
+
+    // The store outage holds up the switch while the parts are removed as leftovers.
+    fixture.handle().pass_calls(4);
+    fixture.handle().hold_next_call();
+    let change = publication(2, "paused");
+    let paused = after.publish(&change);
+    let removal = async {
+        eventually("the held switch", || fixture.handle().held_calls() == 1).await;
+        for (mark, _) in fixture.handle().keys("team/unused/") {
+            fixture.store.txn(Txn::new().with_then(delete(&mark))).await.unwrap();
+        }
+        fixture.handle().release_calls();
+    };
+    let (result, ()) = futures::join!(paused, removal);
+    assert_eq!(result, Err(RepositoryError::Expired));
+    assert_eq!(after.read_head().await.unwrap().unwrap().version, 2);
+}
+
+/// Guards against installing damaged values or values of a newer format, and against versions
+/// that are used twice.
+#[compio::test]
+async fn unusable_values_are_refused() {
+    let fixture = Fixture::start().await;
+    let repository = repository(&fixture);
+    repository.publish(&publication(0, "a")).await.unwrap();
+    let newer = b"cactustrack/2 whatever
+{}"
+    .to_vec();
+    let good = fixture.handle().keys("team/head")[0].1.clone();
+    // Valid JSON, but another checksum of the configuration.
+    let changed = String::from_utf8(good.clone()).unwrap().replace("sum-a", "sum-z").into_bytes();
+    assert_ne!(changed, good);
+    let cases = [newer.clone(), changed, good[..good.len() - 1].to_vec(), encode_value(b"[]")];
+    for value in cases {
+        fixture.handle().put("team/head", &value);
+        let expected_newer = value == newer;
+        for result in [
+            repository.read_head().await.map(drop),
+            repository.read(1).await.map(drop),
+            repository.history(1).await.map(drop),
+            repository.publish(&publication(1, "b")).await.map(drop),
+        ] {
+            let Err(RepositoryError::Value { error, .. }) = result else { panic!("{result:?}") };
+            assert_eq!(error == ValueError::NewerFormat { found: 2 }, expected_newer, "{error}");
+        }
+        assert_eq!(fixture.handle().keys("team/head")[0].1, value, "the value stays");
+    }
+    fixture.handle().put("team/head", &good);
+    let (part, value) = fixture.handle().keys("team/part/1-").remove(1);
+    fixture.handle().put(&part, &value[..value.len() - 1]);
+    let result = repository.read(1).await;
+    assert!(matches!(result, Err(RepositoryError::Value { .. })), "{result:?}");
+    let delete_head = Txn::new().with_then(delete("team/head"));
+    fixture.store.txn(delete_head).await.unwrap();
+    let result = repository.publish(&publication(0, "b")).await;
+    assert!(matches!(result, Err(RepositoryError::Value { .. })), "{result:?}");
+    assert_eq!(stored_publications(&fixture.handle()), ["1"]);
+}
+
+/// Guards against values above the store's limit, which would fail half-way.
+#[compio::test]
+async fn sizes_are_checked_before_anything_is_written() {
+    let fixture = Fixture::start().await;
+    let repository = repository(&fixture);
+    let cases = [vec![], vec![vec![0; MAX_PART_BYTES + 1]], vec![vec![]; 65]];
+    for parts in cases {
+        let result = repository.publish(&Publication { parts, ..publication(0, "a") }).await;
+        assert!(matches!(result, Err(RepositoryError::TooLarge { .. })), "{result:?}");
+    }
+    assert_eq!(fixture.handle().counters().writes, 0);
+    let parts = vec![vec![7; MAX_PART_BYTES]; 2];
+    let large = Publication { parts: parts.clone(), ..publication(0, "a") };
+    assert_eq!(repository.publish(&large).await, Ok(published(1)));
+    assert_eq!(repository.read(1).await.unwrap().parts, parts);
+}
--- a/tests/all/store/support.rs
+++ b/tests/all/store/support.rs
@@ -41,6 +41,10 @@
     Txn::new().with_then(put(key, value, 0))
 }
 
+pub(super) fn delete(key: &str) -> Operation {
+    Operation::Delete { key: key.into(), end: None }
+}
+
 pub(super) fn absent(key: &str) -> Compare {
     Compare::ModRevision { key: key.into(), revision: 0 }
 }
