--- a/tests/all/store.rs
+++ b/tests/all/store.rs
@@ -2,4 +2,5 @@
 
 mod adapter;
 mod publication;
+mod records;
 mod support;
