--- a/tests/all/store/publication.rs
+++ b/tests/all/store/publication.rs
@@ -271,9 +271,10 @@
 {}"
     .to_vec();
     let good = fixture.handle().keys("team/head")[0].1.clone();
-    let mut flipped = good.clone();
-    *flipped.last_mut().unwrap() ^= 1;
-    let cases = [newer.clone(), flipped, good[..good.len() - 1].to_vec(), encode_value(b"[]")];
+    // Valid JSON, but another checksum of the configuration.
+    let changed = String::from_utf8(good.clone()).unwrap().replace("sum-a", "sum-z").into_bytes();
+    assert_ne!(changed, good);
+    let cases = [newer.clone(), changed, good[..good.len() - 1].to_vec(), encode_value(b"[]")];
     for value in cases {
         fixture.handle().put("team/head", &value);
         let expected_newer = value == newer;
@@ -288,6 +289,11 @@
         }
         assert_eq!(fixture.handle().keys("team/head")[0].1, value, "the value stays");
     }
+    fixture.handle().put("team/head", &good);
+    let (part, value) = fixture.handle().keys("team/part/1-").remove(1);
+    fixture.handle().put(&part, &value[..value.len() - 1]);
+    let result = repository.read(1).await;
+    assert!(matches!(result, Err(RepositoryError::Value { .. })), "{result:?}");
     let delete_head = Txn::new().with_then(delete("team/head"));
     fixture.store.txn(delete_head).await.unwrap();
     let result = repository.publish(&publication(0, "b")).await;
