--- a/crates/members/src/entry.rs
+++ b/crates/members/src/entry.rs
@@ -64,8 +64,9 @@
             return false;
         }
         if entry.identity.incarnation > self.entry.identity.incarnation {
-            // Nothing that was observed about the former life applies to the new one.
-            let listed = self.listed.take();
+            // Nothing that was observed about the former life applies to the new one. The list
+            // lags, so the new one has not left it; but only the former one was told to stop.
+            let listed = self.listed.map(|_| ListingState::Live);
             *self = Self::new(entry.clone());
             self.listed = listed;
             return true;
