--- a/crates/config/src/diff.rs
+++ b/crates/config/src/diff.rs
@@ -104,14 +104,23 @@
         let id = &new.id;
         let subject = |field: &str| format!("services.{id}.{field}");
         self.value(subject("slots"), &old.slots, &new.slots, |a, b| {
-            format!("An instance sends at most {b} requests at a time to an upstream of {id} instead of {a}.")
+            format!(
+                "An instance sends at most {b} requests at a time to an upstream \
+                 of {id} instead of {a}."
+            )
         });
         self.value(subject("connections"), &old.connections, &new.connections, |a, b| {
-            format!("The fleet divides 90% of {b} connections to each upstream of {id} instead of 90% of {a}.")
+            format!(
+                "The fleet divides 90% of {b} connections to each upstream \
+                 of {id} instead of 90% of {a}."
+            )
         });
         let ejections = if new.floor_slots > old.floor_slots { "Fewer" } else { "More" };
         self.value(subject("floor_slots"), &old.floor_slots, &new.floor_slots, |a, b| {
-            format!("{ejections} upstreams of {id} can be ejected at a time: at least {b} slots stay in service instead of {a}.")
+            format!(
+                "{ejections} upstreams of {id} can be ejected at a time: \
+                 at least {b} slots stay in service instead of {a}."
+            )
         });
         self.value(subject("ramp"), &old.ramp, &new.ramp, |a, b| {
             format!("A cold upstream of {id} gets its full share after {b} instead of {a}.")
@@ -132,7 +141,10 @@
             "Faults are detected earlier and false ejections are more frequent"
         };
         self.value(field, &samples(old), &samples(new), |a, b| {
-            format!("{effect} on {id}: one false alarm in {b:e} samples of a healthy upstream instead of {a:e}.")
+            format!(
+                "{effect} on {id}: one false alarm in {b:e} samples \
+                 of a healthy upstream instead of {a:e}."
+            )
         });
         let rate = |policy: &DetectionPolicy| policy.smallest_fault_rate;
         self.value(subject("smallest_fault_rate"), &rate(old), &rate(new), |a, b| {
--- a/tests/all/config.rs
+++ b/tests/all/config.rs
@@ -183,7 +183,8 @@
     Contradiction { replace: "repeatable = true", with: "repeatable = true\nresume = true" },
     Contradiction {
         replace: "timeout_ms = 1500",
-        with: "timeout_ms = 1500\n[[services.routes]]\npath = \"/\"\nrepeatable = false\ntimeout_ms = 900",
+        with: "timeout_ms = 1500\n[[services.routes]]\npath = \"/\"\nrepeatable = false\n\
+               timeout_ms = 900",
     },
     Contradiction { replace: "weight = 4", with: "weight = 4\n[[accounts]]\nid = \"members\"" },
     Contradiction { replace: "host = \"listings.example\"", with: "host = \"Listings.example\"" },
