--- a/src/daemon/instance.rs
+++ b/src/daemon/instance.rs
@@ -13,7 +13,7 @@
     PeerCounters, PeerHandler, PeerKey, PeerPool, PeerServer, PoolConfig, ServerConfig,
 };
 use cactustrack_proxy::{Pool, PoolLimits, Proxy, ProxyParts, Server, ServerLimits, Shutdown};
-use cactustrack_store::{EtcdStore, Store};
+use cactustrack_store::{EtcdStore, RecordsConfig, Store, StoreIdempotencyRecords};
 use cactustrack_types::Incarnation;
 use eyre::{Result, WrapErr, eyre};
 use futures::channel::oneshot;
@@ -29,7 +29,6 @@
 use super::health::{self, DecisionLog};
 use super::listing::{HttpInstanceList, InstanceList};
 use super::policy::BoardPolicy;
-use super::records::StoreIdempotencyRecords;
 use super::status::BoardStatus;
 use super::telemetry::PeerTelemetry;
 
@@ -110,8 +109,11 @@
         let own = own_identity(settings, incarnation);
         let board = Rc::new(RefCell::new(Blackboard::new(Membership::new(own))));
         let store = open_store(settings)?;
-        let records =
-            Rc::new(StoreIdempotencyRecords::new(Rc::clone(&store), &settings.store.prefix));
+        let records = Rc::new(StoreIdempotencyRecords::new(
+            Rc::clone(&store),
+            &settings.store.prefix,
+            RecordsConfig::default(),
+        ));
         let configuration = ConfigurationController::new(
             Rc::clone(&board),
             store,
@@ -284,14 +286,9 @@
         while self.proxy.running_tasks() > 0 {
             compio::time::sleep(FLUSH_POLL_INTERVAL).await;
         }
-        let started = Instant::now();
-        while self.records.pending() > 0 && started.elapsed() < RECORD_FLUSH_TIMEOUT {
-            compio::time::sleep(FLUSH_POLL_INTERVAL).await;
-        }
-        let unrecorded = self.records.pending();
-        if unrecorded > 0 {
+        if !self.records.flush(RECORD_FLUSH_TIMEOUT).await {
             slog::error!(self.log, "store: outcomes of non-idempotent requests are not recorded";
-                "count" => unrecorded);
+                "count" => self.records.stats().pending);
         }
         slog::info!(self.log, "proxy: stopped");
     }
@@ -345,7 +342,13 @@
 }
 
 fn record_status(records: Rc<StoreIdempotencyRecords>) -> Rc<dyn Fn() -> serde_json::Value> {
-    Rc::new(
-        move || json!({"pending_writes": records.pending(), "dropped_writes": records.dropped()}),
-    )
+    Rc::new(move || {
+        let stats = records.stats();
+        json!({
+            "pending_writes": stats.pending,
+            "dropped_writes": stats.dropped,
+            "completed": stats.completed,
+            "released": stats.released,
+        })
+    })
 }
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -8,7 +8,6 @@
 mod instance;
 mod listing;
 mod policy;
-mod records;
 mod run;
 mod status;
 mod telemetry;
