Test at-most-once execution with killed, frozen and stopped instances

Change: separate cactustrackd processes are killed, frozen and stopped while orders run, and the store is taken away or loses an answer.

--- a/tests/all/fleet/harness.rs
+++ b/tests/all/fleet/harness.rs
@@ -185,6 +185,11 @@
         &mut self.instances[number]
     }
 
+    /// Where an instance listens for callers.
+    pub(super) fn callers(&self, number: usize) -> SocketAddr {
+        self.instances[number].callers
+    }
+
     /// Faults and counters of one upstream.
     pub(super) fn upstream(&self, service: &str, number: usize) -> &Arc<Control> {
         &self.upstreams[service].all[number].control
--- a/tests/all/fleet/mod.rs
+++ b/tests/all/fleet/mod.rs
@@ -1,4 +1,5 @@
 //! Tests with separate processes of the fleet.
 
+mod at_most_once;
 mod harness;
 mod path;
