--- /dev/null
+++ b/tests/all/fleet/configuration.rs
@@ -0,0 +1,110 @@
+//! An accepted configuration comes into force everywhere and never reverts.
+
+use std::sync::Barrier;
+use std::thread;
+
+use cactustrack::cli::Exit;
+use cactustrack_test_support::caller::Call;
+use cactustrack_test_support::store::Outage;
+
+use super::harness::{Fleet, SEARCH, wait_until};
+
+fn version(fleet: &Fleet, instance: usize) -> u64 {
+    fleet.status(instance)["configuration"]["version"].as_u64().expect("a version")
+}
+
+fn wait_version(fleet: &Fleet, instances: usize, expected: u64) {
+    wait_until("the version is in force everywhere", || {
+        (0..instances).all(|instance| version(fleet, instance) == expected)
+    });
+}
+
+/// A changed questionnaire that is told apart by its timeout.
+fn changed(fleet: &Fleet, timeout_ms: u32) -> String {
+    fleet.questionnaire().replace("timeout_ms = 3000", &format!("timeout_ms = {timeout_ms}"))
+}
+
+/// Guards against two operators who both believe that their change is in force.
+#[test]
+fn of_two_operators_at_the_same_moment_one_gets_a_conflict() {
+    let fleet = Fleet::start(&[SEARCH], 2);
+    let changes = [changed(&fleet, 2500), changed(&fleet, 3500)];
+    let barrier = Barrier::new(2);
+    let results: Vec<(Exit, String)> = thread::scope(|scope| {
+        let operators = changes.iter().enumerate().map(|(number, change)| {
+            let (fleet, barrier) = (&fleet, &barrier);
+            scope.spawn(move || {
+                barrier.wait();
+                fleet.accept_as(&format!("operator-{number}"), 1, "race", change)
+            })
+        });
+        let operators: Vec<_> = operators.collect();
+        operators.into_iter().map(|operator| operator.join().expect("an operator")).collect()
+    });
+    let mut exits: Vec<Exit> = results.iter().map(|(exit, _)| *exit).collect();
+    exits.sort_by_key(|exit| *exit as u8);
+    assert_eq!(exits, [Exit::Ok, Exit::Conflict], "{results:?}");
+    let conflict = results.iter().find(|(exit, _)| *exit == Exit::Conflict).expect("a conflict");
+    for operator in ["operator-0", "operator-1"] {
+        assert!(conflict.1.contains(operator), "both changes must be shown: {}", conflict.1);
+    }
+    wait_version(&fleet, 2, 2);
+    assert_eq!(fleet.store.handle().keys("cactustrack/history/").len(), 2);
+}
+
+/// Guards against a wrong report when the answer to the switching write is lost.
+#[test]
+fn a_lost_answer_to_the_acceptance_ends_with_the_truth() {
+    let fleet = Fleet::start(&[SEARCH], 2);
+    fleet.store.handle().lose_answers("cactustrack/head", 1);
+    let (exit, text) = fleet.accept(1, "lost answer", &changed(&fleet, 2500));
+    assert_eq!(exit, Exit::Ok, "{text}");
+    wait_version(&fleet, 2, 2);
+}
+
+/// Guards against a report of success or failure that nobody can know.
+#[test]
+fn with_the_store_down_nothing_is_accepted() {
+    let fleet = Fleet::start(&[SEARCH], 1);
+    fleet.store.handle().set_outage_blocking(Outage::Refuse);
+    let (exit, text) = fleet.accept(1, "outage", &changed(&fleet, 2500));
+    assert_eq!(exit, Exit::Unreachable, "{text}");
+    fleet.store.handle().set_outage_blocking(Outage::None);
+    assert_eq!(version(&fleet, 0), 1);
+}
+
+/// Guards against a return to an older version after a restart while the store's reads lag, and
+/// against a new instance that serves without a configuration.
+#[test]
+fn a_restarted_instance_does_not_revert_to_a_stale_read() {
+    let mut fleet = Fleet::start(&[SEARCH], 3);
+    fleet.store.handle().lag_reads();
+    let (exit, text) = fleet.accept(1, "second version", &changed(&fleet, 2500));
+    assert!(matches!(exit, Exit::Ok | Exit::UnknownOutcome), "{text}");
+    // Watches are not delayed by lagging reads in the stand-in, but the head that the watchers
+    // read may be the old one, so some time may pass.
+    fleet.store.handle().stop_lagging_reads();
+    wait_version(&fleet, 3, 2);
+    fleet.instance(0).kill();
+    fleet.store.handle().lag_reads();
+    let late = fleet.start_instance();
+    wait_until("the new instance has the second version from its peers", || {
+        version(&fleet, late) == 2
+    });
+    for instance in [1, 2] {
+        assert_eq!(version(&fleet, instance), 2);
+    }
+}
+
+/// Guards against an instance that takes traffic without a configuration.
+#[test]
+fn without_store_and_peers_an_instance_is_not_ready_and_refuses() {
+    let mut fleet = Fleet::stand_ins(&[SEARCH]);
+    fleet.store.handle().set_outage_blocking(Outage::Refuse);
+    let alone = fleet.start_instance();
+    let reply = fleet.call(alone, &Call::get("search.test", "/houses"));
+    assert_eq!((reply.status.as_u16(), reply.execution()), (503, Some("not_run")));
+    let ready = fleet.admin(alone, "/ready");
+    assert_eq!(ready.status, 503);
+    assert!(ready.text().contains("no configuration"), "{}", ready.text());
+}
--- a/tests/all/fleet/harness.rs
+++ b/tests/all/fleet/harness.rs
@@ -129,10 +129,21 @@
 
     /// Accepts a questionnaire that is based on version `seen`.
     pub(super) fn accept(&self, seen: u64, reason: &str, questionnaire: &str) -> (Exit, String) {
-        let file = self.write(&format!("questionnaire-{seen}.toml"), questionnaire);
+        self.accept_as("test", seen, reason, questionnaire)
+    }
+
+    /// Accepts a questionnaire in the name of `author`.
+    pub(super) fn accept_as(
+        &self,
+        author: &str,
+        seen: u64,
+        reason: &str,
+        questionnaire: &str,
+    ) -> (Exit, String) {
+        let file = self.write(&format!("{author}-{seen}.toml"), questionnaire);
         let (file, seen) = (file.display().to_string(), seen.to_string());
         let url = self.store.url();
-        let arguments = ["accept", &file, "--store", &url, "--seen", &seen, "--author", "test"];
+        let arguments = ["accept", &file, "--store", &url, "--seen", &seen, "--author", author];
         self.cli(&[&arguments[..], &["--reason", reason]].concat())
     }
 
@@ -224,10 +235,18 @@
 
     /// Status of an instance as shown to operators.
     pub(super) fn status(&self, instance: usize) -> Value {
-        let bearer = format!("Bearer {KEY}");
-        let status = Call::get("admin", "/status").with_header("authorization", &bearer);
-        let reply = status.send(self.instances[instance].admin).expect("a status");
-        serde_json::from_slice(&reply.body).expect("a JSON status")
+        serde_json::from_slice(&self.admin(instance, "/status").body).expect("a JSON status")
+    }
+
+    /// Asks the admin listener of an instance.
+    pub(super) fn admin(&self, instance: usize, path: &str) -> Reply {
+        let call = Call::get("admin", path).with_header("authorization", &format!("Bearer {KEY}"));
+        call.send(self.instances[instance].admin).expect("an answer")
+    }
+
+    /// URL of the admin listener of an instance.
+    pub(super) fn admin_url(&self, instance: usize) -> String {
+        format!("http://{}", self.instances[instance].admin)
     }
 
     /// Path of a file with the admin key.
