Add a span for each attempt at an upstream and limit repeated log lines

Cause: the trace showed one span for an instance, whatever it tried, and a cut answer wrote one log line each. Change: each attempt is a client span below the caller's request, and its id goes to the upstream; lines that many requests can cause are limited to one a second with the number left out. 111 tests in tests/all pass.

--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -3,25 +3,43 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use cactustrack_observe::{SpanKind, SpanQueue, SpanTimer, TraceContext};
 use cactustrack_types::Outcome;
 
 use crate::{Target, TrafficPolicy};
 
+/// What an attempt reports to.
+#[derive(Clone)]
+pub(crate) struct Reporting {
+    pub(crate) policy: Rc<dyn TrafficPolicy>,
+    pub(crate) spans: SpanQueue,
+    /// Span of the caller's request.
+    pub(crate) parent: TraceContext,
+}
+
 /// An attempt under way. Dropping it reports it as cancelled.
 pub(crate) struct Attempt {
-    policy: Rc<dyn TrafficPolicy>,
+    reporting: Reporting,
     target: Target,
     started: Instant,
     latency: Option<Duration>,
-    reported: bool,
+    /// Taken when the attempt is reported.
+    span: Option<SpanTimer>,
 }
 
 impl Attempt {
     /// Starts an attempt.
-    pub(crate) fn new(policy: Rc<dyn TrafficPolicy>, target: Target) -> Self {
+    pub(crate) fn new(reporting: Reporting, target: Target) -> Self {
         let started = Instant::now();
-        policy.on_start(started, &target);
-        Self { policy, target, started, latency: None, reported: false }
+        reporting.policy.on_start(started, &target);
+        let mut span = SpanTimer::new("attempt", SpanKind::Client, Some(reporting.parent));
+        span.add("cactustrack.upstream", &*target.upstream);
+        Self { reporting, target, started, latency: None, span: Some(span) }
+    }
+
+    /// Trace context for the upstream.
+    pub(crate) fn trace(&self) -> TraceContext {
+        self.span.as_ref().map_or(self.reporting.parent, SpanTimer::context)
     }
 
     /// The upstream that the attempt goes to.
@@ -33,21 +51,32 @@
     pub(crate) fn on_head(&mut self, headers: &http::HeaderMap) {
         let now = Instant::now();
         self.latency = Some(now.duration_since(self.started));
-        self.policy.on_response_head(now, &self.target, headers);
+        self.reporting.policy.on_response_head(now, &self.target, headers);
     }
 
     /// Reports how the attempt ended.
     pub(crate) fn finish(mut self, outcome: Outcome) {
-        self.reported = true;
-        self.policy.on_finish(Instant::now(), &self.target, outcome, self.latency);
+        let is_error = outcome != Outcome::Ok;
+        self.end_span(&outcome.to_string(), is_error);
+        let policy = &self.reporting.policy;
+        policy.on_finish(Instant::now(), &self.target, outcome, self.latency);
+    }
+
+    fn end_span(&mut self, outcome: &str, is_error: bool) {
+        if let Some(mut span) = self.span.take() {
+            span.add("cactustrack.outcome", outcome);
+            span.finish(is_error, &self.reporting.spans);
+        }
     }
 }
 
 impl Drop for Attempt {
     fn drop(&mut self) {
-        if !self.reported {
+        if self.span.is_some() {
+            self.end_span("cancelled", false);
             let now = Instant::now();
-            self.policy.on_cancel(now, &self.target, now.duration_since(self.started));
+            let elapsed = now.duration_since(self.started);
+            self.reporting.policy.on_cancel(now, &self.target, elapsed);
         }
     }
 }
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -1,15 +1,17 @@
 //! One exchange with one upstream, up to the head of the answer.
 
-use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use cactustrack_types::Outcome;
-use http::{Request, StatusCode, header, response};
+use http::{HeaderName, HeaderValue, Request, StatusCode, header, response};
 use hyper::body::{Body, Incoming};
 
-use crate::attempt::Attempt;
+use crate::attempt::{Attempt, Reporting};
 use crate::pool::{ConnectError, Connection};
-use crate::{Pool, Target, TrafficPolicy, UpstreamBody};
+use crate::{Pool, Target, UpstreamBody};
+
+/// Header of the W3C trace context.
+pub(crate) const TRACEPARENT: HeaderName = HeaderName::from_static("traceparent");
 
 /// Which connections an exchange may use.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -101,13 +103,16 @@
 /// says whether a byte of the request may have reached the upstream.
 pub(crate) async fn exchange(
     pool: &Pool,
-    policy: &Rc<dyn TrafficPolicy>,
+    reporting: Reporting,
     target: Target,
     mut req: Request<UpstreamBody>,
     reuse: Reuse,
     deadline: Instant,
 ) -> Result<Answer, Failure> {
-    let mut attempt = Attempt::new(Rc::clone(policy), target);
+    let mut attempt = Attempt::new(reporting, target);
+    if let Ok(value) = HeaderValue::from_str(&attempt.trace().header_value()) {
+        req.headers_mut().insert(TRACEPARENT, value);
+    }
     loop {
         let idle = match reuse {
             Reuse::Idle => pool.take_idle(attempt.target()),
--- a/crates/proxy/src/handler.rs
+++ b/crates/proxy/src/handler.rs
@@ -1,20 +1,22 @@
 //! Takes a caller's request from its head to the head of the answer.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
-use cactustrack_observe::{Metrics, SpanKind, SpanQueue, SpanTimer, TraceContext};
+use cactustrack_observe::{Metrics, RateLimit, SpanKind, SpanQueue, SpanTimer, TraceContext};
 use cactustrack_routing::headers;
 use cactustrack_routing::route::request_host;
 use cactustrack_store::{Claim, IdempotencyRecords};
 use cactustrack_types::{InstanceId, RequestClass};
 use http::request::Parts;
-use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode, Uri, header};
+use http::{HeaderMap, Request, Response, StatusCode, Uri, header};
 use hyper::body::Incoming;
 use slog::Logger;
 
-use crate::exchange::{Answer, until};
+use crate::attempt::Reporting;
+use crate::exchange::{Answer, TRACEPARENT, until};
 use crate::reject::{Reason, Rejection};
 use crate::relay::relay;
 use crate::repeatable::Repeatable;
@@ -22,9 +24,11 @@
 use crate::resume::LargeResume;
 use crate::{OutBody, Pool, Routed, TrafficPolicy, non_idempotent};
 
-const TRACEPARENT: HeaderName = HeaderName::from_static("traceparent");
 const MAX_KEY_BYTES: usize = 255;
 
+/// Shortest time between two log lines of one kind that many requests can cause.
+const LOG_INTERVAL: Duration = Duration::from_secs(1);
+
 /// What a [`Proxy`] is made of.
 pub struct ProxyParts {
     /// Name of the instance.
@@ -51,12 +55,14 @@
     life: u64,
     /// Non-idempotent requests that run, also those whose caller has left.
     running: Rc<Cell<usize>>,
+    log_limits: RefCell<HashMap<&'static str, RateLimit>>,
 }
 
 impl Proxy {
     /// Creates a proxy. `life` tells this life of the instance from others of the same name.
     pub fn new(parts: ProxyParts, life: u64) -> Rc<Self> {
-        Rc::new(Self { parts, next_claim: Cell::new(0), life, running: Rc::default() })
+        let (next_claim, running) = (Cell::new(0), Rc::default());
+        Rc::new(Self { parts, next_claim, life, running, log_limits: RefCell::default() })
     }
 
     pub(crate) fn policy(&self) -> &Rc<dyn TrafficPolicy> {
@@ -79,6 +85,19 @@
         &self.parts.log
     }
 
+    /// What attempts for a request with this span report to.
+    pub(crate) fn reporting(&self, parent: TraceContext) -> Reporting {
+        let policy = Rc::clone(&self.parts.policy);
+        Reporting { policy, spans: self.parts.spans.clone(), parent }
+    }
+
+    /// Returns the number of log lines of a kind that were left out since the last one if a line
+    /// may be written now.
+    pub(crate) fn log_allowed(&self, kind: &'static str) -> Option<u64> {
+        let mut limits = self.log_limits.borrow_mut();
+        limits.entry(kind).or_insert_with(|| RateLimit::new(LOG_INTERVAL)).allow(Instant::now())
+    }
+
     /// Number of non-idempotent requests that run, also those whose caller has left.
     pub fn running_tasks(&self) -> usize {
         self.running.get()
@@ -153,8 +172,6 @@
         headers::strip_request(&mut headers);
         // The instance answers the expectation itself when it reads the body.
         headers.remove(header::EXPECT);
-        let traceparent = HeaderValue::from_str(&trace.header_value());
-        headers.insert(TRACEPARENT, traceparent.unwrap_or(HeaderValue::from_static("")));
         let uri = origin_form(&head.uri);
         let taking = Outgoing::new(head.method, uri, headers, body);
         let taken = compio::time::timeout(until(routed.deadline), taking).await;
@@ -173,10 +190,10 @@
         };
         let mut response = match routed.class {
             RequestClass::NonIdempotent => {
-                non_idempotent::run(Rc::clone(self), routed.clone(), out, claim).await
+                non_idempotent::run(Rc::clone(self), routed.clone(), out, claim, trace).await
             }
             RequestClass::Idempotent | RequestClass::Large => {
-                Repeatable::new(Rc::clone(self), routed.clone(), out).run().await
+                Repeatable::new(Rc::clone(self), routed.clone(), out, trace).run().await
             }
         }?;
         response.body_mut().hold(admission);
--- a/crates/proxy/src/non_idempotent.rs
+++ b/crates/proxy/src/non_idempotent.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Instant;
 
+use cactustrack_observe::TraceContext;
 use cactustrack_store::{Claim, ClaimOutcome, RecordState};
 use cactustrack_types::{Execution, Outcome, UpstreamId};
 use futures::channel::oneshot;
@@ -23,12 +24,13 @@
     routed: Routed,
     out: Outgoing,
     claim: Option<Claim>,
+    trace: TraceContext,
 ) -> Result<Response<OutBody>, Rejection> {
     let (tx, rx) = oneshot::channel();
     let running = proxy.start_task();
     let task = async move {
         let _running = running;
-        let _ = tx.send(claim_and_dispatch(&proxy, &routed, out, claim).await);
+        let _ = tx.send(claim_and_dispatch(&proxy, &routed, out, claim, trace).await);
     };
     compio::runtime::spawn(task).detach();
     rx.await.unwrap_or_else(|_| Err(rejection_for(Cause::Broken, Execution::Unknown)))
@@ -39,13 +41,14 @@
     routed: &Routed,
     out: Outgoing,
     claim: Option<Claim>,
+    trace: TraceContext,
 ) -> Result<Response<OutBody>, Rejection> {
     let result = match &claim {
         Some(claim) => match record(proxy, routed, claim).await {
-            Ok(()) => dispatch(proxy, routed, out).await,
+            Ok(()) => dispatch(proxy, routed, out, trace).await,
             Err(rejection) => Err((rejection, None)),
         },
-        None => dispatch(proxy, routed, out).await,
+        None => dispatch(proxy, routed, out, trace).await,
     };
     settle(proxy, routed, claim.as_ref(), result)
 }
@@ -95,7 +98,12 @@
 
 /// Sends the request once. Another upstream is tried only while no connection could be opened,
 /// since nothing was sent then.
-async fn dispatch(proxy: &Rc<Proxy>, routed: &Routed, mut out: Outgoing) -> Dispatched {
+async fn dispatch(
+    proxy: &Rc<Proxy>,
+    routed: &Routed,
+    mut out: Outgoing,
+    trace: TraceContext,
+) -> Dispatched {
     let mut tried: Vec<UpstreamId> = Vec::new();
     loop {
         let target = match proxy.policy().pick(Instant::now(), routed, &tried) {
@@ -107,8 +115,8 @@
         let Some(req) = out.build(until(routed.deadline)) else {
             return Err((rejection_for(Cause::Connect, Execution::NotRun), Some(Unclaimed)));
         };
-        let (pool, policy) = (proxy.pool(), proxy.policy());
-        match exchange(pool, policy, target, req, Reuse::Never, routed.deadline).await {
+        let (pool, reporting) = (proxy.pool(), proxy.reporting(trace));
+        match exchange(pool, reporting, target, req, Reuse::Never, routed.deadline).await {
             Ok(answer) if answer.is_shed() => {
                 let retry_after = retry_after(&answer);
                 discard(answer, Outcome::Shed).await;
@@ -163,8 +171,10 @@
             }
             count(&rejection.execution.to_string());
             if rejection.execution == Execution::Unknown {
+                // Each of these concerns one caller's order, so none is left out.
                 slog::warn!(proxy.log(), "proxy: outcome of a non-idempotent request is unknown";
-                    "service" => &*routed.service, "reason" => %rejection.reason);
+                    "service" => &*routed.service, "reason" => %rejection.reason,
+                    "claim" => claim.map_or("none", |claim| &claim.claim_id));
             }
             Err(rejection)
         }
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -74,7 +74,10 @@
         };
         let Some(next) = resumed else {
             proxy.metrics().aborted_responses.with_label_values(&[&*service]).inc();
-            slog::warn!(proxy.log(), "proxy: answer cut short"; "service" => &*service, "offset" => offset);
+            if let Some(left_out) = proxy.log_allowed("answer cut short") {
+                slog::warn!(proxy.log(), "proxy: answer cut short";
+                    "service" => &*service, "offset" => offset, "left_out" => left_out);
+            }
             let _ = tx.send(Err(BodyAborted)).await;
             return;
         };
--- a/crates/proxy/src/repeatable.rs
+++ b/crates/proxy/src/repeatable.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use cactustrack_observe::TraceContext;
 use cactustrack_types::{Execution, Outcome, UpstreamId};
 use futures::FutureExt;
 use futures::future::{Either, LocalBoxFuture, select};
@@ -24,6 +25,7 @@
     pub(crate) routed: Routed,
     pub(crate) out: Outgoing,
     pub(crate) tried: Vec<UpstreamId>,
+    pub(crate) trace: TraceContext,
     /// True if an upstream may have acted on the request.
     sent: bool,
 }
@@ -38,8 +40,13 @@
 }
 
 impl Repeatable {
-    pub(crate) fn new(proxy: Rc<Proxy>, routed: Routed, out: Outgoing) -> Self {
-        Self { proxy, routed, out, tried: Vec::new(), sent: false }
+    pub(crate) fn new(
+        proxy: Rc<Proxy>,
+        routed: Routed,
+        out: Outgoing,
+        trace: TraceContext,
+    ) -> Self {
+        Self { proxy, routed, out, tried: Vec::new(), trace, sent: false }
     }
 
     /// Sends the request to upstreams until one gives a usable answer, the budget or the time is
@@ -122,8 +129,9 @@
         let req = self.out.build(until(self.routed.deadline))?;
         let proxy = Rc::clone(&self.proxy);
         let deadline = self.routed.deadline;
+        let reporting = proxy.reporting(self.trace);
         let sending = async move {
-            exchange(proxy.pool(), proxy.policy(), target, req, Reuse::Idle, deadline).await
+            exchange(proxy.pool(), reporting, target, req, Reuse::Idle, deadline).await
         };
         Some(sending.boxed_local())
     }
--- a/crates/proxy/src/resume.rs
+++ b/crates/proxy/src/resume.rs
@@ -42,7 +42,7 @@
 
     async fn fetch(&self, offset: u64) -> Option<Answer> {
         let range = self.resumable.request_headers(offset).ok()?;
-        let (proxy, target, req) = {
+        let (proxy, target, req, reporting) = {
             let mut request = self.request.borrow_mut();
             let now = Instant::now();
             // The deadline of a large answer covers its head, which has already arrived.
@@ -54,10 +54,11 @@
             }
             let service = &*request.routed.service;
             proxy.metrics().attempts.with_label_values(&[service, "resume"]).inc();
-            (proxy, target, request.out.build_range(HEAD_TIMEOUT, &range))
+            let reporting = proxy.reporting(request.trace);
+            (proxy, target, request.out.build_range(HEAD_TIMEOUT, &range), reporting)
         };
         let deadline = Instant::now() + HEAD_TIMEOUT;
-        let answer = exchange(proxy.pool(), proxy.policy(), target, req, Reuse::Idle, deadline);
+        let answer = exchange(proxy.pool(), reporting, target, req, Reuse::Idle, deadline);
         let answer = answer.await.ok()?;
         let fits = self.resumable.check(offset, answer.head.status, &answer.head.headers);
         match fits {
--- a/tests/all/fleet/ejection.rs
+++ b/tests/all/fleet/ejection.rs
@@ -114,12 +114,11 @@
     }
     let mut lowest = f64::INFINITY;
     wait_until("the floor binds on every instance", || {
-        let bound = (0..3).all(|instance| {
+        (0..3).all(|instance| {
             let capacity = capacity(&fleet, instance);
             lowest = lowest.min(capacity);
             capacity < 4.5
-        });
-        bound
+        })
     });
     let started = Instant::now();
     while started.elapsed() < Duration::from_secs(3) {
