Leave queue places to light callers and drop conditions from resumes

Cause: an only caller was refused as over its share once two thirds of the queue were taken, although nobody else wanted the places; a limit without a queue never applied shares; and a resumed request kept the caller's conditions, so that the other upstream could answer 304 instead of the rest.

Change: nobody up to 1.1 times the mean usage is refused, the sorted usages are refreshed early while usage grows fast, a full queue means full pressure also if it has no places, and Resumable::prepare removes the conditions.

--- a/crates/routing/src/balancer.rs
+++ b/crates/routing/src/balancer.rs
@@ -370,7 +370,7 @@
 
 impl Choice<'_> {
     fn weight(&self) -> f64 {
-        self.candidate.share.weight
+        self.candidate.share.weight.min(1.0)
     }
 
     fn is_reduced(&self) -> bool {
--- a/crates/routing/src/fair_share.rs
+++ b/crates/routing/src/fair_share.rs
@@ -15,7 +15,11 @@
 /// Interval at which usage is faded and sorted.
 const REFRESH_INTERVAL: Duration = Duration::from_millis(100);
 /// A caller may exceed the fair level by this factor. Callers with the same demand differ by chance.
-const TOLERANCE: f64 = 1.5;
+const LEVEL_TOLERANCE: f64 = 1.5;
+/// A caller up to this multiple of the mean usage is never refused, for example an only one.
+const MEAN_TOLERANCE: f64 = 1.1;
+/// Share of new usage from which usage is sorted again before the interval ends.
+const MAX_NEW_SHARE: f64 = 0.05;
 /// Share of the recent usage above the fair level when the queue is full.
 const MAX_EXCESS: f64 = 0.5;
 
@@ -41,6 +45,8 @@
     /// Usages of the first row in ascending order, without zeros.
     sorted: Vec<f64>,
     sorted_at: Option<Instant>,
+    /// Usage that was added since it was sorted.
+    unsorted: f64,
 }
 
 impl FairShares {
@@ -53,6 +59,7 @@
             faded_at: now,
             sorted: Vec::new(),
             sorted_at: None,
+            unsorted: 0.0,
         }
     }
 
@@ -60,6 +67,7 @@
     pub fn on_admit(&mut self, now: Instant, account: &str, weight: u32) {
         self.fade(now);
         let usage = 1.0 / f64::from(weight.max(1));
+        self.unsorted += usage;
         for (row, bucket) in self.rows.iter_mut().zip(buckets(&self.secrets, account)) {
             row[bucket] += usage;
         }
@@ -76,7 +84,7 @@
     ///
     /// `pressure` tells how full the queue of the service is, from 0 to 1. Nobody is refused at 0.
     /// The callers with the highest usage are refused first; as the queue fills, the level above
-    /// which callers are refused falls (max-min fairness).
+    /// which callers are refused falls (max-min fairness), but not below the mean usage.
     pub fn is_refused(&mut self, now: Instant, account: &str, pressure: f64) -> bool {
         if pressure <= 0.0 {
             return false;
@@ -84,7 +92,8 @@
         self.fade(now);
         self.sort(now);
         let level = self.fair_level(1.0 - MAX_EXCESS * pressure.min(1.0));
-        self.usage(account) > level * TOLERANCE
+        let mean = self.sorted.iter().sum::<f64>() / self.sorted.len().max(1) as f64;
+        self.usage(account) > (level * LEVEL_TOLERANCE).max(mean * MEAN_TOLERANCE)
     }
 
     /// Level at which usage must be cut off so that `share` of the total remains.
@@ -112,9 +121,11 @@
 
     fn sort(&mut self, now: Instant) {
         let is_recent = |at| now.saturating_duration_since(at) < REFRESH_INTERVAL;
-        if self.sorted_at.is_some_and(is_recent) {
+        let has_few_new = self.unsorted <= MAX_NEW_SHARE * self.sorted.iter().sum::<f64>();
+        if has_few_new && self.sorted_at.is_some_and(is_recent) {
             return;
         }
+        self.unsorted = 0.0;
         self.sorted.clear();
         self.sorted.extend(self.rows[0].iter().filter(|&&usage| usage > 0.0));
         self.sorted.sort_unstable_by(f64::total_cmp);
--- a/crates/routing/src/limits.rs
+++ b/crates/routing/src/limits.rs
@@ -143,7 +143,10 @@
         if self.has_room() && self.waiting == 0 {
             return 0.0;
         }
-        self.waiting as f64 / self.bounds.max_waiting.max(1) as f64
+        if self.waiting >= self.bounds.max_waiting {
+            return 1.0;
+        }
+        self.waiting as f64 / self.bounds.max_waiting as f64
     }
 
     /// Decides on a new request. A request never overtakes those that wait.
--- a/crates/routing/src/range_resume.rs
+++ b/crates/routing/src/range_resume.rs
@@ -2,7 +2,10 @@
 
 use cactustrack_types::RequestClass;
 use derive_more::{Display, Error};
-use http::header::{CONTENT_LENGTH, CONTENT_RANGE, ETAG, IF_RANGE, RANGE};
+use http::header::{
+    CONTENT_LENGTH, CONTENT_RANGE, ETAG, IF_MATCH, IF_MODIFIED_SINCE, IF_NONE_MATCH, IF_RANGE,
+    IF_UNMODIFIED_SINCE, RANGE,
+};
 use http::{HeaderMap, HeaderValue, Method, StatusCode};
 
 /// Why a cut answer cannot be resumed. The connection to the caller must be aborted.
@@ -81,8 +84,7 @@
 
     /// Headers `Range` and `If-Range` that ask for the rest after `offset` bytes.
     ///
-    /// `offset` is the number of body bytes that were received in order. Headers of the caller's
-    /// request with the same names must be replaced.
+    /// `offset` is the number of body bytes that were received in order.
     ///
     /// # Errors
     ///
@@ -96,6 +98,25 @@
         Ok(HeaderMap::from_iter([(RANGE, range), (IF_RANGE, self.tag.clone())]))
     }
 
+    /// Changes the headers of the caller's request so that they ask for the rest after `offset` bytes.
+    ///
+    /// The caller's own conditions are removed: the first upstream already decided on them, and
+    /// another answer than the rest is of no use.
+    ///
+    /// # Errors
+    ///
+    /// Fails if nothing is left to fetch.
+    pub fn prepare(&self, request: &mut HeaderMap, offset: u64) -> Result<(), ResumeError> {
+        let asked = self.request_headers(offset)?;
+        for name in [IF_MATCH, IF_NONE_MATCH, IF_MODIFIED_SINCE, IF_UNMODIFIED_SINCE] {
+            request.remove(name);
+        }
+        for (name, value) in &asked {
+            request.insert(name, value.clone());
+        }
+        Ok(())
+    }
+
     /// Checks that an answer continues the first one after `offset` bytes.
     ///
     /// # Errors
