Use all upstreams of small fleets and judge silent connections without blame

Cause: subsets had a fixed size of three, so with three instances one of five upstreams had no user at all and its fault was never seen; the concurrency limit of a service stayed at the value for one upstream; an attempt that a hedge overtook on a silent reused connection counted as slow. Ruled out: a lost report (the collectors' evidence was complete for the upstreams in use). Change: the subset grows while each user may hold four connections; a limit that was never lowered follows its upper bound; an attempt abandoned on a reused connection is reported as silent, and the next new connection decides.

--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -23,6 +23,8 @@
     target: Target,
     started: Instant,
     latency: Option<Duration>,
+    /// True while the attempt waits for the first byte on a connection that was used before.
+    waits_on_reused: bool,
     /// Taken when the attempt is reported.
     span: Option<SpanTimer>,
 }
@@ -34,7 +36,8 @@
         reporting.policy.on_start(started, &target);
         let mut span = SpanTimer::new("attempt", SpanKind::Client, Some(reporting.parent));
         span.add("cactustrack.upstream", &*target.upstream);
-        Self { reporting, target, started, latency: None, span: Some(span) }
+        let (latency, span) = (None, Some(span));
+        Self { reporting, target, started, latency, waits_on_reused: false, span }
     }
 
     /// Trace context for the upstream.
@@ -47,8 +50,14 @@
         &self.target
     }
 
+    /// Notes that the request goes out on a connection, which may have been used before.
+    pub(crate) fn on_connection(&mut self, reused: bool) {
+        self.waits_on_reused = reused;
+    }
+
     /// Notes the head of the answer.
     pub(crate) fn on_head(&mut self, headers: &http::HeaderMap) {
+        self.waits_on_reused = false;
         let now = Instant::now();
         self.latency = Some(now.duration_since(self.started));
         self.reporting.policy.on_response_head(now, &self.target, headers);
@@ -75,8 +84,14 @@
         if self.span.is_some() {
             self.end_span("cancelled", false);
             let now = Instant::now();
-            let elapsed = now.duration_since(self.started);
-            self.reporting.policy.on_cancel(now, &self.target, elapsed);
+            let policy = &self.reporting.policy;
+            if self.waits_on_reused {
+                // The connection may have gone silent. It is closed with this attempt, and the
+                // next one on a new connection decides whether the upstream is slow.
+                policy.on_finish(now, &self.target, Outcome::Silent, None);
+            } else {
+                policy.on_cancel(now, &self.target, now.duration_since(self.started));
+            }
         }
     }
 }
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -125,6 +125,7 @@
                 Err(error) => return Err(connect_failure(error, attempt)),
             },
         };
+        attempt.on_connection(connection.reused);
         let Some(tx) = connection.tx() else { return Err(Failure::unsent(Cause::Connect)) };
         let sending = tx.try_send_request(req);
         let reply = compio::time::timeout(until(deadline), sending).await;
--- a/crates/routing/src/limits.rs
+++ b/crates/routing/src/limits.rs
@@ -119,8 +119,12 @@
     /// Changes the bounds, for example after a change of the configuration or the members.
     pub fn set_bounds(&mut self, bounds: LimitBounds) {
         let min = bounds.min.max(1);
+        // A limit that was never lowered follows its upper bound, so that it starts there also if
+        // the number of upstreams is learnt later.
+        let limit =
+            if self.limit() >= self.bounds.max { f64::from(bounds.max) } else { self.limit };
         self.bounds = LimitBounds { min, max: bounds.max.max(min), ..bounds };
-        self.set_limit(self.limit);
+        self.set_limit(limit);
     }
 
     /// Requests that may be in flight.
--- a/crates/routing/src/subset.rs
+++ b/crates/routing/src/subset.rs
@@ -10,6 +10,10 @@
 /// neither tell a faulty upstream from a fault of its own nor try another one twice.
 pub const MIN_SUBSET: usize = 3;
 
+/// Connections to one upstream that an instance needs to send it a few requests at a time. Upstreams
+/// have 3 or 4 slots.
+pub const CONNECTIONS_PER_USER: usize = 4;
+
 /// Seed of the hashes. It must be the same on all instances.
 const HASH_SECRETS: RapidSecrets = RapidSecrets::seed(0x6361_6374_7573);
 
@@ -34,12 +38,15 @@
 
 /// Number of upstreams in the subset of each instance.
 ///
-/// Fleet connections to an upstream grow with the size, so the smallest size that the design allows
-/// is [`MIN_SUBSET`]. It is smaller only if there are fewer upstreams, or if so many subsets would
-/// need more connections than the upstreams accept; it is at least 1.
+/// It is the largest size at which each user of an upstream may still hold
+/// [`CONNECTIONS_PER_USER`] connections, at least [`MIN_SUBSET`] if there are as many upstreams and
+/// connections, and at least 1. With three instances and five upstreams a fixed size of three left
+/// an upstream without any user.
 pub fn subset_size(instances: usize, upstreams: usize, connections: u32) -> usize {
     let places = fleet_connections(connections).saturating_mul(upstreams);
-    (places / instances.max(1)).clamp(1, MIN_SUBSET).min(upstreams)
+    let possible = places / instances.max(1);
+    let size = (possible / CONNECTIONS_PER_USER).max(MIN_SUBSET);
+    size.min(possible).min(upstreams).max(1)
 }
 
 /// The subsets of all instances for one service.
--- a/src/daemon/blackboard.rs
+++ b/src/daemon/blackboard.rs
@@ -12,8 +12,8 @@
 use cactustrack_health::{Collector, EjectionPlanner, Evidence, LatencyRule, Observer};
 use cactustrack_members::{ConfigStatus, Membership};
 use cactustrack_routing::balancer::{Balancer, Candidate};
-use cactustrack_routing::fair_share::FairShares;
-use cactustrack_routing::limits::{ConcurrencyLimit, LimitBounds};
+use cactustrack_routing::limits::LimitBounds;
+use cactustrack_routing::overload::ServiceOverload;
 use cactustrack_routing::retry::{HedgeDelay, RetryBudget};
 use cactustrack_routing::route::RouteTable;
 use cactustrack_types::{
@@ -65,8 +65,7 @@
     // Written by the request path.
     pub(crate) balancer: Balancer,
     pub(crate) latency: LatencyRule,
-    pub(crate) limit: ConcurrencyLimit,
-    pub(crate) fair: FairShares,
+    pub(crate) overload: ServiceOverload,
     pub(crate) budget: RetryBudget,
     pub(crate) hedge: HedgeDelay,
     pub(crate) waiters: VecDeque<Waiter>,
@@ -85,8 +84,7 @@
             candidates: Vec::new(),
             balancer: Balancer::new(),
             latency: LatencyRule::new(service.detection.slow_factor),
-            limit: ConcurrencyLimit::new(now, bounds(&service, 1)),
-            fair: FairShares::new(now, rand::random()),
+            overload: ServiceOverload::new(now, bounds(&service, 1), rand::random()),
             budget: RetryBudget::new(service.retry_budget),
             hedge: HedgeDelay::new(now),
             waiters: VecDeque::new(),
@@ -110,7 +108,7 @@
 
     /// Adapts the bounds of the concurrency limit to the number of upstreams.
     pub(crate) fn set_upstreams(&mut self, upstreams: usize) {
-        self.limit.set_bounds(bounds(&self.service, upstreams));
+        self.overload.set_bounds(bounds(&self.service, upstreams));
     }
 }
 
--- a/src/daemon/policy.rs
+++ b/src/daemon/policy.rs
@@ -194,20 +194,13 @@
             let weight = in_force.weights.get(account).copied().unwrap_or(1);
             let service = board.services.get_mut(&routed.service).ok_or_else(not_configured)?;
             service.budget.on_request();
-            let pressure = service.limit.pressure();
-            if service.fair.is_refused(now, account, pressure) {
-                return Err(overloaded(RefuseReason::OverShare, DEFAULT_RETRY_AFTER));
-            }
-            match service.limit.admit(now, Deadline { at: routed.deadline }) {
-                limits::Admission::Admit => {
-                    service.fair.on_admit(now, account, weight);
-                    return Ok(Box::new(self.guard(routed)));
-                }
+            let deadline = Deadline { at: routed.deadline };
+            match service.overload.admit(now, account, weight, deadline) {
+                limits::Admission::Admit => return Ok(Box::new(self.guard(routed))),
                 limits::Admission::Refuse { reason, retry_after } => {
                     return Err(overloaded(reason, retry_after));
                 }
                 limits::Admission::Wait(until) => {
-                    service.fair.on_admit(now, account, weight);
                     let ticket = board.next_ticket;
                     board.next_ticket += 1;
                     let (tx, rx) = oneshot::channel();
@@ -272,7 +265,7 @@
         let position = service.waiters.iter().position(|waiter| waiter.ticket == self.ticket);
         if let Some(position) = position {
             service.waiters.remove(position);
-            service.limit.on_wait_abandoned();
+            service.overload.on_wait_abandoned();
         }
     }
 }
@@ -295,9 +288,9 @@
             RequestClass::Large => Completion::Failed,
             _ => Completion::Answered(now.duration_since(self.started)),
         };
-        service.limit.on_finish(now, completion);
+        service.overload.on_finish(now, completion);
         let mut unclaimed = Vec::new();
-        while service.limit.admit_waiting() {
+        while service.overload.admit_waiting() {
             let Some(waiter) = service.waiters.pop_front() else { break };
             let guard = AdmissionGuard {
                 board: Rc::clone(&self.board),
--- a/src/daemon/status.rs
+++ b/src/daemon/status.rs
@@ -94,9 +94,9 @@
     json!({
         "id": &*service.service.id,
         "floor_slots": service.service.floor_slots,
-        "in_flight": service.limit.in_flight(),
-        "waiting": service.limit.waiting(),
-        "limit": service.limit.limit(),
+        "in_flight": service.overload.limit().in_flight(),
+        "waiting": service.overload.limit().waiting(),
+        "limit": service.overload.limit().limit(),
         "is_collector": service.is_collector,
         "upstreams": upstreams,
     })
--- a/tests/all/fleet/ejection.rs
+++ b/tests/all/fleet/ejection.rs
@@ -174,7 +174,10 @@
 #[test]
 fn silent_connections_do_not_eject_the_upstream() {
     let fleet = Fleet::start(&[SEARCH], 2);
-    let load = Load::start(&fleet, 2, 2);
+    for number in 0..fleet.upstreams("search") {
+        fleet.upstream("search", number).set(|b| b.latency = Duration::from_millis(20));
+    }
+    let load = Load::start(&fleet, 2, 16);
     wait_warm(&fleet, 2);
     thread::sleep(Duration::from_secs(1));
     fleet.upstream("search", 0).silence_open_connections();
--- a/tests/all/routing/subset.rs
+++ b/tests/all/routing/subset.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use cactustrack_routing::subset::{Assignment, MIN_SUBSET};
+use cactustrack_routing::subset::{Assignment, CONNECTIONS_PER_USER, MIN_SUBSET};
 use cactustrack_types::{InstanceId, UpstreamId};
 use proptest::prelude::*;
 
@@ -50,7 +50,9 @@
         let mut upstreams = names("up", upstreams);
         let assignment = Assignment::new(&instances, &upstreams, connections);
         let places = upstreams.len() * (connections as usize * 9 / 10);
-        let size = MIN_SUBSET.min(upstreams.len()).min(places / instances.len()).max(1);
+        let possible = places / instances.len();
+        let wanted = MIN_SUBSET.max(possible / CONNECTIONS_PER_USER);
+        let size = wanted.min(upstreams.len()).min(possible).max(1);
         for instance in &instances {
             let distinct: BTreeSet<_> = assignment.subset(instance).collect();
             prop_assert_eq!(distinct.len(), size);
