Record whole sessions of both users as golden files

The reason why a record cannot be written goes to the log; callers were shown the text of a library error.

--- a/crates/proxy/src/non_idempotent.rs
+++ b/crates/proxy/src/non_idempotent.rs
@@ -60,17 +60,13 @@
 struct Unclaimed;
 
 async fn record(proxy: &Proxy, routed: &Routed, claim: &Claim) -> Result<(), Rejection> {
-    let unavailable = |detail: String| {
-        let status = StatusCode::SERVICE_UNAVAILABLE;
-        Rejection::not_run(Reason::RecordUnavailable, status, detail)
-    };
     let claiming = compio::time::timeout(until(routed.deadline), proxy.records().claim(claim));
     let outcome = match claiming.await {
         Ok(Ok(outcome)) => outcome,
-        Ok(Err(error)) => return Err(unavailable(error.to_string())),
+        Ok(Err(error)) => return Err(unavailable(proxy, routed, &error.reason)),
         Err(_) => {
             proxy.records().release(claim);
-            return Err(unavailable("the store gave no answer before the deadline".to_owned()));
+            return Err(unavailable(proxy, routed, "no answer before the deadline"));
         }
     };
     match outcome {
@@ -96,6 +92,17 @@
     }
 }
 
+/// The reason is logged and not shown to the caller, whom the inside of the fleet does not concern.
+fn unavailable(proxy: &Proxy, routed: &Routed, reason: &str) -> Rejection {
+    if let Some(left_out) = proxy.log_allowed("record unavailable") {
+        slog::warn!(proxy.log(), "proxy: idempotency record cannot be written";
+            "service" => &*routed.service, "reason" => reason, "left_out" => left_out);
+    }
+    let status = StatusCode::SERVICE_UNAVAILABLE;
+    let detail = "repeats cannot be recognised at the moment, so the request was not run";
+    Rejection::not_run(Reason::RecordUnavailable, status, detail)
+}
+
 /// Sends the request once. Another upstream is tried only while no connection could be opened,
 /// since nothing was sent then.
 async fn dispatch(
--- a/tests/all/fleet/harness.rs
+++ b/tests/all/fleet/harness.rs
@@ -147,7 +147,20 @@
         self.cli(&[&arguments[..], &["--reason", reason]].concat())
     }
 
-    fn write(&self, name: &str, text: &str) -> PathBuf {
+    /// Replaces addresses, paths and times of this run by names.
+    pub(super) fn normalize(&self, text: &str) -> String {
+        let text = text.replace(&self.store.url(), "URL");
+        let text = text.replace(&self.store.address().to_string(), "ADDRESS");
+        let text = text.replace(&format!("{}/", self.dir.display()), "");
+        let lines = text.lines().map(|line| match line.split_once("Z version ") {
+            Some((time, rest)) if time.len() >= 19 => format!("TIME version {rest}\n"),
+            _ => format!("{line}\n"),
+        });
+        lines.collect()
+    }
+
+    /// Writes a file into the directory of the test.
+    pub(super) fn write(&self, name: &str, text: &str) -> PathBuf {
         let file = self.dir.join(name);
         fs::write(&file, text).expect("a file of the test");
         file
--- a/tests/all/fleet/mod.rs
+++ b/tests/all/fleet/mod.rs
@@ -5,3 +5,4 @@
 mod ejection;
 mod harness;
 mod path;
+mod session;
