Compute subsets and collectors only when members or upstreams change

Cause: both were computed every 500 ms; at 800 instances and 230 services the subsets alone would take about a quarter of a second each time (1.05 ms for 800 instances and 29 upstreams, measured once on its own). Change: kept with the generation of the members they were computed from.

--- a/src/daemon/blackboard.rs
+++ b/src/daemon/blackboard.rs
@@ -16,6 +16,7 @@
 use cactustrack_routing::overload::ServiceOverload;
 use cactustrack_routing::retry::{HedgeDelay, RetryBudget};
 use cactustrack_routing::route::RouteTable;
+use cactustrack_routing::subset::Assignment;
 use cactustrack_types::{
     Configuration, Incarnation, Listing, ListingState, Role, Service, ServiceId, Share, UpstreamId,
     UpstreamView, Version,
@@ -62,6 +63,10 @@
     pub(crate) fleet_heard: Option<Instant>,
     pub(crate) shares: BTreeMap<UpstreamId, Share>,
     pub(crate) candidates: Vec<Candidate>,
+    /// Subsets of all instances, for the members and upstreams in `assigned_*`.
+    pub(crate) assignment: Assignment,
+    pub(crate) assigned_generation: Option<u64>,
+    pub(crate) assigned: Vec<UpstreamId>,
     // Written by the request path.
     pub(crate) balancer: Balancer,
     pub(crate) latency: LatencyRule,
@@ -82,6 +87,9 @@
             fleet_heard: None,
             shares: BTreeMap::new(),
             candidates: Vec::new(),
+            assignment: Assignment::default(),
+            assigned_generation: None,
+            assigned: Vec::new(),
             balancer: Balancer::new(),
             latency: LatencyRule::new(service.detection.slow_factor),
             overload: ServiceOverload::new(now, bounds(&service, 1), rand::random()),
@@ -102,6 +110,7 @@
             fleet.set_policy(service.detection.clone());
         }
         self.latency = LatencyRule::new(service.detection.slow_factor);
+        self.assigned_generation = None;
         self.budget = RetryBudget::new(service.retry_budget);
         self.service = service;
     }
--- a/src/daemon/exchange.rs
+++ b/src/daemon/exchange.rs
@@ -1,6 +1,6 @@
 //! Exchanges with other instances: membership, configuration, evidence and verdicts.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -12,7 +12,7 @@
     KnownSeq, PeerHandler, PeerPool, Report, ReportEntry, ReportReply, ServiceVerdicts, SyncReply,
     SyncRequest,
 };
-use cactustrack_types::{Counts, Incarnation, InstanceId, ServiceId, UpstreamId};
+use cactustrack_types::{Counts, Incarnation, InstanceId, ServiceId, UpstreamId, Version};
 use slog::Logger;
 
 use super::blackboard::{Blackboard, SharedBoard};
@@ -62,7 +62,7 @@
     outboxes: RefCell<BTreeMap<InstanceId, Outbox>>,
     /// Latest report number taken from each observer, so that a repeated report counts once.
     taken: RefCell<BTreeMap<InstanceId, (Incarnation, u64)>>,
-    syncing: Cell<usize>,
+    collectors: RefCell<CollectorChoice>,
     log: Logger,
 }
 
@@ -77,8 +77,8 @@
     ) -> Rc<Self> {
         let outboxes = RefCell::default();
         let taken = RefCell::default();
-        let syncing = Cell::new(0);
-        Rc::new(Self { board, pool, configuration, bootstrap, outboxes, taken, syncing, log })
+        let collectors = RefCell::default();
+        Rc::new(Self { board, pool, configuration, bootstrap, outboxes, taken, collectors, log })
     }
 
     /// Introduces this instance to the addresses of the settings.
@@ -100,7 +100,10 @@
 
     /// Exchanges membership and configuration with a few members.
     pub(crate) fn sync_round(self: &Rc<Self>) {
-        self.board.borrow_mut().membership.tick(Instant::now());
+        let mut board = self.board.borrow_mut();
+        board.membership.tick(Instant::now());
+        self.taken.borrow_mut().retain(|observer, _| board.membership.member(observer).is_some());
+        drop(board);
         self.sync_with_some(SYNC_PARTNERS);
     }
 
@@ -115,7 +118,6 @@
     }
 
     async fn sync_with(self: &Rc<Self>, peer: InstanceId, want: Option<ConfigWant>) {
-        self.syncing.set(self.syncing.get() + 1);
         let mut delta = Some(self.board.borrow_mut().membership.sync_request(&peer));
         let mut want = want;
         while let Some(members) = delta.take() {
@@ -137,7 +139,6 @@
                 }
             }
         }
-        self.syncing.set(self.syncing.get() - 1);
     }
 
     fn on_sync_reply(
@@ -172,9 +173,16 @@
         now: Instant,
         reports: &[cactustrack_health::Report],
     ) {
-        let collectors = update_collectors(&mut self.board.borrow_mut(), now);
-        self.queue(reports, &collectors);
-        let due = self.due(now, &collectors);
+        let collectors = {
+            let mut board = self.board.borrow_mut();
+            let collectors = self.collectors.borrow_mut().update(&board);
+            update_own_role(&mut board, now, &collectors);
+            collectors
+        };
+        let own = self.board.borrow().observer.instance.clone();
+        let others = || collectors.iter().filter(|(id, _)| **id != own);
+        self.queue(reports, others());
+        let due = self.due(now, others());
         for (collector, services) in due {
             let exchange = Rc::clone(self);
             let task = async move { exchange.send_report(collector, services).await };
@@ -182,13 +190,14 @@
         }
     }
 
-    fn queue(
+    fn queue<'a>(
         &self,
         reports: &[cactustrack_health::Report],
-        collectors: &BTreeMap<InstanceId, BTreeSet<ServiceId>>,
+        collectors: impl Iterator<Item = (&'a InstanceId, &'a BTreeSet<ServiceId>)> + Clone,
     ) {
         let mut outboxes = self.outboxes.borrow_mut();
-        outboxes.retain(|id, _| collectors.contains_key(id));
+        let ids: BTreeSet<&InstanceId> = collectors.clone().map(|(id, _)| id).collect();
+        outboxes.retain(|id, _| ids.contains(id));
         for (id, services) in collectors {
             let outbox = outboxes.entry(id.clone()).or_default();
             for report in reports.iter().filter(|report| services.contains(&report.service)) {
@@ -200,12 +209,12 @@
         }
     }
 
-    fn due(
+    fn due<'a>(
         &self,
         now: Instant,
-        collectors: &BTreeMap<InstanceId, BTreeSet<ServiceId>>,
+        collectors: impl Iterator<Item = (&'a InstanceId, &'a BTreeSet<ServiceId>)>,
     ) -> Vec<(InstanceId, BTreeSet<ServiceId>)> {
-        let count = u32::try_from(collectors.len()).unwrap_or(u32::MAX);
+        let count = u32::try_from(self.outboxes.borrow().len()).unwrap_or(u32::MAX);
         let spread = Duration::from_secs(1) * count / MAX_REPORTS_PER_SECOND;
         let interval = spread.clamp(REPORT_INTERVAL, MAX_REPORT_INTERVAL);
         let mut outboxes = self.outboxes.borrow_mut();
@@ -227,7 +236,11 @@
     }
 
     async fn send_report(self: Rc<Self>, collector: InstanceId, services: BTreeSet<ServiceId>) {
-        let Some((address, incarnation)) = self.address_of(&collector) else { return };
+        let Some((address, incarnation)) = self.address_of(&collector) else {
+            // The member is forgotten, and its outbox goes with the next choice of collectors.
+            self.outboxes.borrow_mut().remove(&collector);
+            return;
+        };
         let report = self.next_report(&collector, incarnation, &services);
         let reply = self.pool.report(address, &report).await;
         let mut outboxes = self.outboxes.borrow_mut();
@@ -345,18 +358,42 @@
     }
 }
 
-/// Sets for which services this instance collects, and returns the collectors of all services.
-fn update_collectors(
-    board: &mut Blackboard,
-    now: Instant,
-) -> BTreeMap<InstanceId, BTreeSet<ServiceId>> {
-    let own = board.observer.instance.clone();
-    let mut collectors: BTreeMap<InstanceId, BTreeSet<ServiceId>> = BTreeMap::new();
+/// Collectors of all services, each with the services that it collects for.
+type Collectors = BTreeMap<InstanceId, BTreeSet<ServiceId>>;
+
+/// The collectors for one state of members and configuration.
+#[derive(Default)]
+struct CollectorChoice {
+    /// Generation of the members and version of the configuration, once computed.
+    basis: Option<(u64, Version)>,
+    collectors: Rc<Collectors>,
+}
+
+impl CollectorChoice {
+    /// Returns the collectors. Ranking 800 members for 230 services takes milliseconds, so it is
+    /// done only when members or configuration changed.
+    fn update(&mut self, board: &Blackboard) -> Rc<Collectors> {
+        let basis = Some((board.membership.generation(), board.version()));
+        if self.basis != basis {
+            let mut collectors = Collectors::new();
+            for service in board.services.keys() {
+                for collector in board.membership.collectors(service) {
+                    collectors.entry(collector).or_default().insert(service.clone());
+                }
+            }
+            *self = Self { basis, collectors: Rc::new(collectors) };
+        }
+        Rc::clone(&self.collectors)
+    }
+}
+
+/// Sets for which services this instance collects.
+fn update_own_role(board: &mut Blackboard, now: Instant, collectors: &Collectors) {
+    let own = collectors.get(&board.observer.instance);
     let ids: Vec<ServiceId> = board.services.keys().cloned().collect();
     for id in ids {
-        let chosen = board.membership.collectors(&id);
         let Some(service) = board.services.get_mut(&id) else { continue };
-        service.is_collector = chosen.contains(&own);
+        service.is_collector = own.is_some_and(|services| services.contains(&id));
         let silent = service
             .fleet_heard
             .is_none_or(|at| now.saturating_duration_since(at) > COLLECTOR_LINGER);
@@ -365,11 +402,7 @@
         } else if silent {
             service.fleet = None;
         }
-        for collector in chosen.into_iter().filter(|collector| *collector != own) {
-            collectors.entry(collector).or_default().insert(id.clone());
-        }
     }
-    collectors
 }
 
 /// Returns the collector of a service on this instance, creating it if others report to it.
--- a/src/daemon/health.rs
+++ b/src/daemon/health.rs
@@ -3,11 +3,12 @@
 use std::collections::BTreeMap;
 use std::time::Instant;
 
-use cactustrack_health::{Report, ReportEntry};
+use cactustrack_health::{Observer, Report, ReportEntry};
+use cactustrack_members::Membership;
 use cactustrack_observe::Metrics;
 use cactustrack_routing::balancer::Candidate;
 use cactustrack_routing::subset::Assignment;
-use cactustrack_types::{InstanceId, ServiceId, Standing, UpstreamId};
+use cactustrack_types::{InstanceId, ServiceId, Standing, UpstreamId, UpstreamView};
 use slog::Logger;
 
 use super::blackboard::{Blackboard, ServiceBoard};
@@ -47,46 +48,60 @@
 /// Judges one service and computes its plan.
 pub(crate) fn replan_service(board: &mut Blackboard, now: Instant, id: &ServiceId) {
     let views = board.upstreams_of(id);
-    let instances = live_instances(board);
     let observer = board.observer.clone();
     let Some(service) = board.services.get_mut(id) else { return };
-    service.local.retain(|known| views.iter().any(|view| view.id == *known));
-    service.local.tick(now);
-    if let Some(fleet) = &mut service.fleet {
-        fleet.retain(|known| views.iter().any(|view| view.id == *known));
-        fleet.tick(now);
-        if service.is_collector {
-            let seq = service.planner.seq(&observer.instance, observer.incarnation);
-            let verdicts = fleet.verdicts_since(seq);
-            service.planner.exchange(now, &observer.instance, observer.incarnation, &verdicts);
-        }
-    }
+    let known = |id: &UpstreamId| views.iter().any(|view| view.id == *id);
+    judge(service, now, &observer, known);
     let local = service.local.verdicts_since(0);
     let domain = &observer.failure_domain;
     service.shares = service.planner.plan(now, &service.service, domain, &views, &local);
     service.set_upstreams(views.len());
-    let known = |id: &UpstreamId| views.iter().any(|view| view.id == *id);
     service.balancer.retain(known);
     service.latency.retain(known);
-    set_candidates(service, &observer.instance, &instances, &views);
-}
-
-fn live_instances(board: &Blackboard) -> Vec<InstanceId> {
-    let members = board.membership.members();
-    members.filter(|view| view.state.may_respond()).map(|view| view.identity.id.clone()).collect()
+    update_assignment(service, &board.membership);
+    set_candidates(service, &observer.instance, &views);
 }
 
-/// Draws this instance's subset from the upstreams in service.
-fn set_candidates(
+/// Lets the collectors on this instance judge, and hands their verdicts to the plan.
+fn judge(
     service: &mut ServiceBoard,
-    instance: &InstanceId,
-    instances: &[InstanceId],
-    views: &[cactustrack_types::UpstreamView],
+    now: Instant,
+    observer: &Observer,
+    known: impl Fn(&UpstreamId) -> bool,
 ) {
-    let in_service = |id: &&UpstreamId| service.shares.get(*id).is_some_and(|s| s.weight > 0.0);
-    let ids: Vec<UpstreamId> =
-        views.iter().map(|view| &view.id).filter(in_service).cloned().collect();
-    let assignment = Assignment::new(instances, &ids, service.service.connections);
+    service.local.retain(&known);
+    service.local.tick(now);
+    let Some(fleet) = &mut service.fleet else { return };
+    fleet.retain(&known);
+    fleet.tick(now);
+    if service.is_collector {
+        let seq = service.planner.seq(&observer.instance, observer.incarnation);
+        let verdicts = fleet.verdicts_since(seq);
+        service.planner.exchange(now, &observer.instance, observer.incarnation, &verdicts);
+    }
+}
+
+/// Draws the subsets of all instances from the upstreams in service. They depend on members and
+/// upstreams only, and are computed when one of them changed: for 800 instances and 29 upstreams
+/// it takes about a millisecond for each service.
+fn update_assignment(service: &mut ServiceBoard, membership: &Membership) {
+    let in_service = service.shares.iter().filter(|(_, share)| share.weight > 0.0);
+    let upstreams: Vec<UpstreamId> = in_service.map(|(id, _)| id.clone()).collect();
+    let generation = Some(membership.generation());
+    if service.assigned_generation == generation && service.assigned == upstreams {
+        return;
+    }
+    let members = membership.members().filter(|view| view.state.may_respond());
+    let instances: Vec<InstanceId> = members.map(|view| view.identity.id.clone()).collect();
+    let connections = service.service.connections;
+    service.assignment = Assignment::new(&instances, &upstreams, connections);
+    service.assigned_generation = generation;
+    service.assigned = upstreams;
+}
+
+/// Sets the upstreams that requests of this instance may go to.
+fn set_candidates(service: &mut ServiceBoard, instance: &InstanceId, views: &[UpstreamView]) {
+    let assignment = &service.assignment;
     let candidates = assignment.subset(instance).filter_map(|id| {
         let view = views.iter().find(|view| view.id == *id)?;
         Some(Candidate {
