Choose upstreams with traffic for the faults of the quickstart

An instance of a fleet of six uses three of fifteen upstreams, so a fixed choice hit an upstream without requests and the straggler was never seen (0 requests in 15 s).

--- a/examples/quickstart/fleet.rs
+++ b/examples/quickstart/fleet.rs
@@ -95,7 +95,6 @@
         let services = service_cases(team, questionnaire)?;
         let dir = std::env::temp_dir().join(format!("quickstart-{}-{team}", std::process::id()));
         fs::create_dir_all(&dir).wrap_err("cannot create a directory for settings")?;
-        fs::write(dir.join("admin.key"), KEY)?;
         let upstreams: Vec<Upstreams> = services.iter().map(spawn_upstreams).collect();
         let mut fleet = Self {
             store: StoreServer::spawn_thread()?,
@@ -172,11 +171,6 @@
         Ok(file.display().to_string())
     }
 
-    /// Path of the file with the admin key.
-    pub(crate) fn key_file(&self) -> String {
-        self.dir.join("admin.key").display().to_string()
-    }
-
     /// Starts an instance on an event loop and thread of its own, without waiting for readiness.
     pub(crate) fn start_instance(&mut self, number: usize) -> Result<()> {
         let id = format!("instance-{number}");
--- a/examples/quickstart/guarantees.rs
+++ b/examples/quickstart/guarantees.rs
@@ -47,6 +47,16 @@
     services.flat_map(|service| tags(run, service)).collect()
 }
 
+/// Upstreams of each service that got requests. With few instances the subsets leave some out.
+pub(crate) fn coverage(run: &Run) -> String {
+    let services = run.fleet.services.iter().enumerate();
+    let counts = services.map(|(service, case)| {
+        let used = run.fleet.controls(service).filter(|control| control.requests() > 0).count();
+        format!("{} {used} of {}", case.id, case.upstreams)
+    });
+    counts.collect::<Vec<_>>().join(", ")
+}
+
 fn tags(run: &Run, service: usize) -> Vec<String> {
     let entries = run.fleet.controls(service).flat_map(|control| control.executed());
     entries.filter_map(|entry| entry.rsplit(' ').next().map(str::to_owned)).collect()
@@ -116,14 +126,17 @@
     let more = runs.values().filter(|count| **count > 1).count();
     let once = runs.values().filter(|count| **count == 1).count();
     let never = keys.iter().filter(|key| !runs.contains_key(**key)).count();
-    let repeated = |entry: &&&Entry| entry.ending == Ending::AlreadyCompleted;
+    let count = |ending| sent.iter().filter(|entry| entry.ending == ending).count();
     let evidence = format!(
-        "{} requests sent by the loops under {} keys: {once} run once, {more} more than once, \
-         {never} never; {} repeats answered as completed, {} as unknown",
+        "{} requests sent under {} keys: {once} run once, {more} more than once, {never} never; \
+         rejected: {} as completed, {} in progress, {} not_run, {} unknown; {} failed by an upstream",
         sent.len(),
         keys.len(),
-        sent.iter().filter(repeated).count(),
-        sent.iter().filter(|entry| entry.ending == Ending::Unknown).count(),
+        count(Ending::AlreadyCompleted),
+        count(Ending::InProgress),
+        count(Ending::NotRun),
+        count(Ending::Unknown),
+        count(Ending::UpstreamError),
     );
     checked("4 at most once", more > 0 || once == 0, evidence)
 }
--- a/examples/quickstart/main.rs
+++ b/examples/quickstart/main.rs
@@ -57,12 +57,9 @@
     println!("{team}");
     let fleet = Fleet::stand_ins(team, questionnaire, verbose)?;
     for case in &fleet.services {
-        let (id, class) = (&case.id, case.class);
+        let (id, class, time) = (&case.id, case.class, case.service_time.as_millis());
         let (upstreams, slots, floor) = (case.upstreams, case.slots, case.floor_slots);
-        let time = case.service_time.as_millis();
-        println!(
-            "  {id}: {class}, {upstreams} upstreams with {slots} slots, {time} ms, floor {floor}"
-        );
+        println!("  {id}: {class}, {upstreams} upstreams, {slots} slots, {time} ms, floor {floor}");
     }
     let mut run = Run::start(fleet, INSTANCES)?;
     scenarios::run_all(&mut run)?;
@@ -74,7 +71,8 @@
         let verdict = if result.broken { "FAIL" } else { "pass" };
         run.say(&format!("{verdict} {}: {}", result.name, result.evidence));
     }
-    run.say(&format!("ejections without an injected fault: {}", false_ejections.len()));
+    let (count, coverage) = (false_ejections.len(), guarantees::coverage(&run));
+    run.say(&format!("{count} ejections without an injected fault; upstreams used: {coverage}"));
     for ejection in false_ejections.iter().take(3) {
         run.say(ejection);
     }
--- a/examples/quickstart/scenario.rs
+++ b/examples/quickstart/scenario.rs
@@ -6,21 +6,25 @@
 use std::time::{Duration, Instant};
 
 use cactustrack::cli::Exit;
+use cactustrack_test_support::caller::Reply;
 use cactustrack_types::{RequestClass, Version};
 use eyre::{Result, ensure};
 use futures::future::join_all;
 use serde_json::Value;
 
-use crate::fleet::{Endpoint, Fleet, ask, block_on, lock};
+use crate::fleet::{Endpoint, Fleet, ServiceCase, ask, block_on, lock};
 use crate::sampler::{Sampler, Samples, standing, statuses};
-use crate::traffic::{Entry, Ledger, Traffic, count_endings};
+use crate::traffic::{Entry, Ledger, Traffic, classify, count_endings};
 
 /// Width of the account.
-const LINE_CHARS: usize = 110;
+const LINE_CHARS: usize = 118;
 
 /// Interval at which the state of the fleet is asked for during a measurement.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Time over which requests are counted to choose an upstream.
+const CHOICE_TIME: Duration = Duration::from_millis(700);
+
 /// Longest wait for a detection. A fault that is not detected by then is reported as missed.
 const DETECTION_LIMIT: Duration = Duration::from_secs(15);
 
@@ -47,6 +51,8 @@
     pub(crate) ledger: Ledger,
     pub(crate) samples: Arc<Mutex<Samples>>,
     pub(crate) counted: Counted,
+    /// Upstreams that an earlier scenario used, as positions of service and upstream.
+    used: BTreeSet<(usize, usize)>,
     pub(crate) traffic: Traffic,
     _sampler: Sampler,
     started: Instant,
@@ -77,7 +83,8 @@
         let ledger = Ledger::default();
         let traffic = Traffic::start(&fleet.services, &fleet.directory, &ledger);
         let counted = Counted { accepted, ..Counted::default() };
-        Ok(Self { fleet, ledger, samples, counted, traffic, _sampler: sampler, started })
+        let used = BTreeSet::new();
+        Ok(Self { fleet, ledger, samples, counted, used, traffic, _sampler: sampler, started })
     }
 
     /// Starts a section of the account.
@@ -95,6 +102,29 @@
         self.fleet.endpoints().into_iter().filter(|endpoint| endpoint.ready).collect()
     }
 
+    /// Chooses the upstream of a service that gets most requests and was not chosen before. With
+    /// few instances the subsets leave some upstreams without any.
+    pub(crate) fn choose_upstream(&mut self, service: usize) -> usize {
+        let count = |fleet: &Fleet| -> Vec<u64> {
+            fleet.controls(service).map(|control| control.requests()).collect()
+        };
+        let before = count(&self.fleet);
+        thread::sleep(CHOICE_TIME);
+        let after = count(&self.fleet);
+        let unused = (0..after.len()).filter(|upstream| !self.used.contains(&(service, *upstream)));
+        let chosen = unused.max_by_key(|upstream| after[*upstream] - before[*upstream]);
+        let chosen = chosen.unwrap_or_default();
+        self.used.insert((service, chosen));
+        chosen
+    }
+
+    /// Adds a request that was sent outside the caller loops to the ledger.
+    pub(crate) fn note(&self, case: &ServiceCase, tag: &str, reply: &Reply) {
+        let (class, tag, instance) = (case.class, tag.to_owned(), ("scenario".to_owned(), 0));
+        let ending = classify(case, &tag, 0, reply);
+        lock(&self.ledger).push(Entry { class, tag, instance, ended: Instant::now(), ending });
+    }
+
     /// Makes an upstream faulty with `inject` and waits until all instances keep requests away.
     pub(crate) fn detect(
         &mut self,
--- a/examples/quickstart/scenarios.rs
+++ b/examples/quickstart/scenarios.rs
@@ -15,8 +15,9 @@
 use crate::scenario::{Run, accept, seconds, text};
 use crate::traffic::{self, Ending};
 
-/// Time that lets latency estimates and baselines settle before the first fault.
-const WARM_UP: Duration = Duration::from_secs(2);
+/// Time before the first fault. Collectors hear of good answers up to 5 s late. Until then an
+/// upstream that fails is the only one with evidence, which they take for a shared cause.
+const WARM_UP: Duration = Duration::from_secs(6);
 
 /// Factor of a straggler.
 const STRAGGLER_FACTOR: u32 = 10;
@@ -56,33 +57,36 @@
 
 fn gray_failure(run: &mut Run) -> Result<()> {
     let service = run.fleet.service_of(RequestClass::Idempotent)?;
+    let upstream = run.choose_upstream(service);
     let since = Instant::now();
     run.heading("gray failure: half of the real requests to an upstream fail; health is not asked");
-    let detection = run.detect(service, 0, |run| {
-        run.fleet.control(service, 0).set(|behaviour| behaviour.failure_share = 0.5);
+    let detection = run.detect(service, upstream, |run| {
+        run.fleet.control(service, upstream).set(|behaviour| behaviour.failure_share = 0.5);
     })?;
-    run.print_detection(service, 0, &detection)?;
+    run.print_detection(service, upstream, &detection)?;
     run.say_endings(RequestClass::Idempotent, since);
-    run.fleet.control(service, 0).set(|behaviour| behaviour.failure_share = 0.0);
+    run.fleet.control(service, upstream).set(|behaviour| behaviour.failure_share = 0.0);
     Ok(())
 }
 
 fn straggler(run: &mut Run) -> Result<()> {
     let service = run.fleet.service_of(RequestClass::Idempotent)?;
+    let upstream = run.choose_upstream(service);
     let usual = run.fleet.services[service].service_time;
     run.heading(&format!("straggler: an upstream takes {STRAGGLER_FACTOR} times as long"));
-    let detection = run.detect(service, 1, |run| {
-        run.fleet.control(service, 1).set(|b| b.latency = usual * STRAGGLER_FACTOR);
+    let detection = run.detect(service, upstream, |run| {
+        run.fleet.control(service, upstream).set(|b| b.latency = usual * STRAGGLER_FACTOR);
     })?;
-    run.print_detection(service, 1, &detection)?;
-    run.fleet.control(service, 1).set(|behaviour| behaviour.latency = usual);
+    run.print_detection(service, upstream, &detection)?;
+    run.fleet.control(service, upstream).set(|behaviour| behaviour.latency = usual);
     Ok(())
 }
 
 fn flapping(run: &mut Run) -> Result<()> {
     let service = run.fleet.service_of(RequestClass::NonIdempotent)?;
+    let upstream = run.choose_upstream(service);
     run.heading("flapping: an upstream fails all non-idempotent requests, recovers, and so on");
-    let control = Arc::clone(run.fleet.control(service, 0));
+    let control = Arc::clone(run.fleet.control(service, upstream));
     let since = Instant::now();
     let flaps = thread::spawn(move || {
         for _ in 0..FLAPS {
@@ -92,8 +96,8 @@
             thread::sleep(FLAP_TIME);
         }
     });
-    let detection = run.detect(service, 0, |_| {})?;
-    run.print_detection(service, 0, &detection)?;
+    let detection = run.detect(service, upstream, |_| {})?;
+    run.print_detection(service, upstream, &detection)?;
     let _ = flaps.join();
     run.say_endings(RequestClass::NonIdempotent, since);
     Ok(())
@@ -101,11 +105,12 @@
 
 fn silent_connections(run: &mut Run) -> Result<()> {
     let service = run.fleet.service_of(RequestClass::Idempotent)?;
-    let id = run.fleet.upstream_id(service, 2).to_owned();
+    let upstream = run.choose_upstream(service);
+    let id = run.fleet.upstream_id(service, upstream).to_owned();
     run.heading(&format!("silent connections: the open ones of {id} stop for good, new ones work"));
     let since = Instant::now();
     let before = silent_evidence(run, service)?;
-    run.fleet.control(service, 2).silence_open_connections();
+    run.fleet.control(service, upstream).silence_open_connections();
     thread::sleep(Duration::from_secs(2));
     let found = silent_evidence(run, service)? - before;
     let statuses = block_on(statuses(&run.ready()))?;
@@ -158,6 +163,9 @@
     let during = call("once/2").send(address(1))?;
     let first = first.join().map_err(|_| eyre::eyre!("a caller failed"))??;
     let after = call("once/3").send(address(2))?;
+    for (tag, reply) in [("once/1", &first), ("once/2", &during), ("once/3", &after)] {
+        run.note(&case, tag, reply);
+    }
     let executed = run.fleet.controls(service).flat_map(|control| control.executed());
     let executed = executed.filter(|entry| entry.contains(" once/")).count();
     run.say(&format!(
@@ -175,9 +183,10 @@
 
 fn leaving_upstream(run: &mut Run) -> Result<()> {
     let service = run.fleet.service_of(RequestClass::Idempotent)?;
-    let id = run.fleet.upstream_id(service, 3).to_owned();
+    let upstream = run.choose_upstream(service);
+    let id = run.fleet.upstream_id(service, upstream).to_owned();
     run.heading(&format!("{id} announces that it leaves; the instance list shows it 1.5 s later"));
-    let control = Arc::clone(run.fleet.control(service, 3));
+    let control = Arc::clone(run.fleet.control(service, upstream));
     control.set(|behaviour| behaviour.draining = true);
     let (sign, before) = (Instant::now(), control.requests());
     let (mut listed, mut last, mut seen, mut at_limit) = (false, Duration::ZERO, before, None);
@@ -255,7 +264,7 @@
     }
     for (_, text) in &results {
         for line in text.lines().take_while(|line| !line.starts_with("from the version")) {
-            run.say(line);
+            run.say(line.split(" (checksum").next().unwrap_or(line));
         }
     }
     ensure!(accepted >= 1, "neither change was accepted ({conflicts} conflicts)");
@@ -295,6 +304,8 @@
     let call = |tag: &str| Call::post(&case.host, "/apply").with_header("x-tag", tag);
     let keyed = call("keyed/1").with_header("idempotency-key", "keyed").send(to)?;
     let plain = call("plain/1").send(to)?;
+    run.note(&case, "keyed/1", &keyed);
+    run.note(&case, "plain/1", &plain);
     run.say(&format!(
         "non-idempotent request with a key: {}, execution {}; without a key: {}",
         keyed.status,
--- a/examples/quickstart/traffic.rs
+++ b/examples/quickstart/traffic.rs
@@ -46,6 +46,9 @@
     /// Rejected, stated as not executed.
     #[display("rejected as not_run")]
     NotRun,
+    /// A repeat of a request that may still be running.
+    #[display("in progress")]
+    InProgress,
     /// Rejected, stated as possibly executed.
     #[display("unknown")]
     Unknown,
@@ -205,10 +208,11 @@
 }
 
 /// Compares a response with the request that it must answer.
-fn classify(case: &ServiceCase, tag: &str, large_bytes: usize, reply: &Reply) -> Ending {
+pub(crate) fn classify(case: &ServiceCase, tag: &str, large_bytes: usize, reply: &Reply) -> Ending {
     match reply.execution() {
         Some("not_run") => return Ending::NotRun,
         Some("completed") => return Ending::AlreadyCompleted,
+        Some(_) if reply.status == 409 => return Ending::InProgress,
         Some(_) => return Ending::Unknown,
         None => {}
     }
