Check alarms against other upstreams and add tests of cactustrack-health

An alarm is now also tested against the rate of the other upstreams in the same slots, and evidence that a shared cause explains is dropped. A single observer among three could eject in its own failure domain; it is now compared with all observers of the upstream. Silence after an ejection no longer counts as health.

--- a/crates/health/src/baseline.rs
+++ b/crates/health/src/baseline.rs
@@ -15,6 +15,10 @@
 /// Weight of the prior rate, in answers.
 const PRIOR_ANSWERS: f64 = 50.0;
 
+/// Weight of the usual rate against contemporary answers, in answers. Small, because a shared change
+/// must show in the few answers that the first alarm rests on.
+const CONTEMPORARY_PRIOR: f64 = 5.0;
+
 /// Decaying counts of bad and judged answers of one upstream by kind.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Rates {
@@ -52,3 +56,16 @@
     let short = over(|rate, kind| rate.short[kind], long);
     long.max(short).min(CEILING)
 }
+
+/// Rate of bad answers of the other upstreams in the time of an alarm, from their bad and judged
+/// answers. The worst ones are left out, as many as can be faulty together with the upstream of the
+/// alarm without being more than half of all.
+pub(crate) fn contemporary_rate(mut others: Vec<(f64, f64)>, prior: f64) -> f64 {
+    let rate = |(bad, judged): &(f64, f64)| bad / judged;
+    others.sort_by(|a, b| rate(a).total_cmp(&rate(b)));
+    let faulty = others.len().div_ceil(2).saturating_sub(1);
+    others.truncate(others.len() - faulty);
+    let bad: f64 = others.iter().map(|(bad, _)| bad).sum();
+    let judged: f64 = others.iter().map(|(_, judged)| judged).sum();
+    ((bad + prior * CONTEMPORARY_PRIOR) / (judged + CONTEMPORARY_PRIOR)).min(CEILING)
+}
--- a/crates/health/src/collector.rs
+++ b/crates/health/src/collector.rs
@@ -4,10 +4,11 @@
 use std::time::Instant;
 
 use cactustrack_types::{
-    Counts, DetectionPolicy, Incarnation, Scope, ServiceId, UpstreamId, Verdict, VerdictHealth,
+    Counts, DetectionPolicy, FailureDomain, Incarnation, Scope, ServiceId, UpstreamId, Verdict,
+    VerdictHealth,
 };
 
-use crate::baseline::baseline;
+use crate::baseline::{baseline, contemporary_rate};
 use crate::cusum::{FAULT_RATES, Group, KINDS, log_likelihood_ratio};
 use crate::evidence::EXCHANGE_INTERVAL;
 use crate::explain::{Decision, Decisions};
@@ -173,11 +174,7 @@
     }
 
     fn update_tests(&mut self) {
-        let smallest = self.policy.smallest_fault_rate;
-        let mut rates: Vec<f64> = FAULT_RATES.into_iter().filter(|r| *r >= smallest).collect();
-        if rates.is_empty() {
-            rates.push(1.0);
-        }
+        let rates = self.fault_rates();
         for kind in 0..KINDS {
             let known = self.upstreams.values().map(|upstream| &upstream.rates);
             self.baselines[kind] = baseline(&known, kind);
@@ -198,36 +195,77 @@
 
     /// Moves the status of each upstream on and publishes verdicts that changed.
     fn judge(&mut self, now: Instant, slot: u64) {
-        let domains = self.observers.domains().len();
-        let shared: Vec<Option<(usize, usize)>> =
-            (0..=domains).map(|index| self.shared_cause(slot, Group::from_index(index))).collect();
+        let alarms = self.alarms(slot);
+        if !alarms.is_empty() {
+            let observers = &self.observers;
+            for upstream in self.upstreams.values_mut() {
+                upstream.set_silence(slot, |observer| observers.is_excluded(observer));
+            }
+        }
+        for (id, alarm) in alarms {
+            if let Some(shared) = self.shared_cause(slot, &id, &alarm) {
+                self.refuse(now, &id, &alarm, shared);
+                // Later alarms rest on the dropped evidence as well.
+                break;
+            }
+            self.declare_faulty(&id, &alarm);
+        }
+        for (id, upstream) in &mut self.upstreams {
+            Self::follow_up(slot, id, upstream, &mut self.seq, &self.tests);
+        }
+    }
+
+    /// Alarms that change the status of their upstream, the strongest first.
+    fn alarms(&self, slot: u64) -> Vec<(UpstreamId, Alarm)> {
         let observers = &self.observers;
+        let domains = observers.domains().len();
         let excluded = |observer| observers.is_excluded(observer);
-        for (id, upstream) in &mut self.upstreams {
-            let alarm = upstream.alarm(slot, domains, excluded, &self.tests);
-            let alarm = alarm.filter(|alarm| is_news(upstream.status, alarm.group));
-            if let Some(alarm) = alarm {
-                if let Some(counts) = shared[alarm.group.index()].or(shared[0]) {
-                    let decision = Decision::of_shared_cause(
-                        (&self.service, id),
-                        (alarm.value, self.tests.threshold),
-                        (to_counts(alarm.counts), alarm.observers),
-                        counts,
-                    );
-                    self.decisions.push_once(now, decision);
-                    continue;
-                }
-                upstream.status = Status::Faulty(alarm.group);
-                self.seq += 1;
-                let scope = match alarm.group {
-                    Group::All => Scope::Everywhere,
-                    Group::Domain(domain) => Scope::Domain(observers.domains()[domain].clone()),
-                };
-                upstream.verdict =
-                    Some(faulty_verdict(id, upstream, &alarm, scope, self.seq, &self.tests));
-                continue;
+        let alarms = self.upstreams.iter().filter_map(|(id, upstream)| {
+            let alarm = upstream.alarm(slot, domains, excluded, &self.tests)?;
+            is_news(upstream.status, alarm.group).then(|| (UpstreamId::clone(id), alarm))
+        });
+        let mut alarms: Vec<_> = alarms.collect();
+        alarms.sort_by(|(_, a), (_, b)| b.value.total_cmp(&a.value));
+        alarms
+    }
+
+    fn declare_faulty(&mut self, id: &UpstreamId, alarm: &Alarm) {
+        let Some(upstream) = self.upstreams.get_mut(id) else { return };
+        self.seq += 1;
+        let scope = match alarm.group {
+            Group::All => Scope::Everywhere,
+            Group::Domain(domain) => {
+                Scope::Domain(FailureDomain::clone(&self.observers.domains()[domain]))
+            }
+        };
+        upstream.status = Status::Faulty(alarm.group);
+        upstream.verdict = Some(Verdict {
+            upstream: UpstreamId::clone(id),
+            incarnation: upstream.incarnation,
+            health: VerdictHealth::Faulty { scope },
+            score: alarm.value,
+            threshold: self.tests.threshold,
+            evidence: to_counts(alarm.counts),
+            observers: alarm.observers,
+            seq: self.seq,
+        });
+    }
+
+    /// Refuses an ejection because of a shared cause. The evidence of all upstreams is explained by
+    /// that cause and is dropped. If it was kept, an upstream that recovers a little later than
+    /// the others would be ejected.
+    fn refuse(&mut self, now: Instant, id: &UpstreamId, alarm: &Alarm, shared: (usize, usize)) {
+        let decision = Decision::of_shared_cause(
+            (&self.service, id),
+            (alarm.value, self.tests.threshold),
+            (to_counts(alarm.counts), alarm.observers),
+            shared,
+        );
+        self.decisions.push_once(now, decision);
+        for upstream in self.upstreams.values_mut() {
+            if !matches!(upstream.status, Status::Faulty(_)) {
+                upstream.restart(alarm.tested, 0.0);
             }
-            Self::follow_up(slot, id, upstream, &mut self.seq, &self.tests);
         }
     }
 
@@ -263,14 +301,33 @@
         }
     }
 
-    /// Returns how many upstreams appear faulty to a group, out of how many, if these are more
-    /// than half.
-    fn shared_cause(&self, slot: u64, group: Group) -> Option<(usize, usize)> {
+    /// Returns how many upstreams appear faulty, out of how many, if the cause is shared: more than
+    /// half appear faulty, or the alarm does not stand against the rate at which the others fail
+    /// in the same time.
+    fn shared_cause(&self, slot: u64, id: &UpstreamId, alarm: &Alarm) -> Option<(usize, usize)> {
+        let group = alarm.tested;
         let reported = self.upstreams.values().filter(|upstream| upstream.is_reported(slot, group));
         let total = reported.clone().count();
-        let faulty =
+        let appear =
             reported.filter(|upstream| upstream.appears_faulty(group, &self.tests)).count();
-        (faulty * 2 > total).then_some((faulty, total))
+        if appear * 2 > total {
+            return Some((appear, total));
+        }
+        let others = self.upstreams.iter().filter(|(other, _)| *other != id);
+        let answers = others.map(|(_, other)| other.answers(alarm.kind, group, alarm.since));
+        let answers: Vec<(f64, f64)> = answers.filter(|(_, judged)| *judged > 0.0).collect();
+        let affected = answers.iter().filter(|(bad, _)| *bad > 0.0).count() + 1;
+        let usual = self.baselines[alarm.kind];
+        let current = contemporary_rate(answers, usual).max(usual);
+        let stands = alarm.stands_against(current, &self.fault_rates(), self.tests.threshold);
+        (!stands).then_some((affected, total))
+    }
+
+    /// Fault rates under test.
+    fn fault_rates(&self) -> Vec<f64> {
+        let smallest = self.policy.smallest_fault_rate;
+        let rates: Vec<f64> = FAULT_RATES.into_iter().filter(|rate| *rate >= smallest).collect();
+        if rates.is_empty() { vec![1.0] } else { rates }
     }
 }
 
@@ -306,23 +363,3 @@
         seq,
     }
 }
-
-fn faulty_verdict(
-    id: &UpstreamId,
-    upstream: &Upstream,
-    alarm: &Alarm,
-    scope: Scope,
-    seq: u64,
-    tests: &Tests,
-) -> Verdict {
-    Verdict {
-        upstream: UpstreamId::clone(id),
-        incarnation: upstream.incarnation,
-        health: VerdictHealth::Faulty { scope },
-        score: alarm.value,
-        threshold: tests.threshold,
-        evidence: to_counts(alarm.counts),
-        observers: alarm.observers,
-        seq,
-    }
-}
--- a/crates/health/src/cusum.rs
+++ b/crates/health/src/cusum.rs
@@ -9,9 +9,12 @@
 /// Largest rate of bad answers that a hypothesis assumes. A rate of 1 would make one good answer
 /// outweigh any number of bad ones.
 const MAX_RATE: f64 = 0.98;
-/// A statistic stops growing at this multiple of its threshold, so that an upstream that recovers
-/// is not held back by the length of its fault.
-const CAP_IN_THRESHOLDS: f64 = 2.0;
+/// A statistic of a faulty upstream stops growing at this multiple of its threshold, so that an
+/// upstream that recovers while it is kept in service is not held back by the length of its fault.
+pub(crate) const FAULTY_CAP: f64 = 2.0;
+/// Bound of all other statistics as a multiple of the threshold. It is far above it, because the
+/// part of a single observer is subtracted from a statistic, and both must not be cut off before.
+pub(crate) const CAP: f64 = 50.0;
 
 /// Log-likelihood ratios of one hypothesis, in nats.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -54,6 +57,39 @@
     }
 }
 
+/// One time slot with its answers by kind and domain.
+pub(crate) struct Slot<'a> {
+    index: u64,
+    cells: &'a [Cell],
+    /// Bad and good answers.
+    answers: [[(f64, f64); MAX_DOMAINS]; KINDS],
+}
+
+impl<'a> Slot<'a> {
+    pub(crate) fn new(index: u64, cells: &'a [Cell]) -> Self {
+        let mut answers = [[(0.0, 0.0); MAX_DOMAINS]; KINDS];
+        for (kind, domains) in answers.iter_mut().enumerate() {
+            for (answer, cell) in domains.iter_mut().zip(cells) {
+                *answer = cell.bad_and_good(kind);
+            }
+        }
+        Self { index, cells, answers }
+    }
+
+    fn has_bad(&self, kind: usize, group: Group) -> bool {
+        let answers = &self.answers[kind];
+        match group {
+            Group::All => answers.iter().any(|(bad, _)| *bad > 0.0),
+            Group::Domain(domain) => answers[domain].0 > 0.0,
+        }
+    }
+
+    /// True if no statistic that is zero can rise.
+    pub(crate) fn is_good(&self) -> bool {
+        (0..KINDS).all(|kind| !self.has_bad(kind, Group::All))
+    }
+}
+
 /// A CUSUM statistic and what it rests on since it last was zero.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Cusum {
@@ -63,15 +99,25 @@
     pub(crate) by_domain: [f64; MAX_DOMAINS],
     /// Answers by kind, see [`Cell`].
     pub(crate) counts: [f64; 5],
+    /// Slot in which it last was zero.
+    pub(crate) since: u64,
     /// Part of the value that is no evidence, in nats.
     pub(crate) head_start: f64,
 }
 
 impl Cusum {
-    /// Adds one time slot. Domains for which `in_group` holds move the statistic.
-    pub(crate) fn add(&mut self, slot: &[Cell], kind: usize, ratio: Ratio, group: Group) {
-        for (domain, cell) in slot.iter().enumerate() {
-            let (bad, good) = cell.bad_and_good(kind);
+    /// Adds one time slot, given as bad, good and silent answers by domain. Domains of the group
+    /// move the statistic.
+    pub(crate) fn add(&mut self, slot: &Slot<'_>, kind: usize, ratio: Ratio, group: Group) {
+        if self.value <= 0.0 && !slot.has_bad(kind, group) {
+            // Only good answers, which cannot raise the statistic above zero.
+            return;
+        }
+        if self.value <= 0.0 {
+            self.since = slot.index;
+        }
+        for (domain, cell) in slot.cells.iter().enumerate() {
+            let (bad, good) = slot.answers[kind][domain];
             let step = bad * ratio.bad + good * ratio.good + cell.silent * ratio.silent;
             self.by_domain[domain] += step;
             if group.contains(domain) {
@@ -86,8 +132,8 @@
         }
     }
 
-    pub(crate) fn cap(&mut self, threshold: f64) {
-        self.value = self.value.min(CAP_IN_THRESHOLDS * threshold);
+    pub(crate) fn cap(&mut self, largest: f64) {
+        self.value = self.value.min(largest);
     }
 }
 
--- a/crates/health/src/latency.rs
+++ b/crates/health/src/latency.rs
@@ -10,7 +10,7 @@
 const SAMPLES: usize = 8;
 /// Age at which an answer no longer counts, so that a quiet upstream does not keep the times of
 /// an earlier load.
-const SAMPLE_LIFETIME: Duration = Duration::from_secs(60);
+const SAMPLE_LIFETIME: Duration = Duration::from_secs(180);
 /// Other upstreams with answers that a comparison needs.
 const MIN_OTHERS: usize = 2;
 
--- a/crates/health/src/upstream.rs
+++ b/crates/health/src/upstream.rs
@@ -3,7 +3,9 @@
 use cactustrack_types::{Counts, Incarnation, Verdict};
 
 use crate::baseline::Rates;
-use crate::cusum::{Cusum, Group, KINDS, MAX_DOMAINS, Ratio};
+use crate::cusum::{
+    CAP, Cusum, FAULTY_CAP, Group, KINDS, MAX_DOMAINS, Ratio, Slot, log_likelihood_ratio,
+};
 use crate::window::{MAX_SPAN, Spread, Window};
 
 /// Slots (60 s) after which an observer or a failure domain no longer counts as reporting.
@@ -19,9 +21,18 @@
 pub(crate) const APPEARS_FAULTY: f64 = 0.5;
 /// Share of the threshold that a statistic starts with after a fault, because a relapse is likely.
 const HEAD_START: f64 = 0.5;
+/// Observers of an upstream from which on a single one cannot cause an ejection.
+const MIN_OBSERVERS: u32 = 3;
+/// Share of the strongest observer's evidence that must come from others. Its evidence is weighed at
+/// the time of its reports and that of all later, with baselines that differ a little.
+const OTHERS_OF_STRONGEST: f64 = 0.1;
 /// Share of the needed evidence that must come from observers other than the strongest one.
 const OTHERS_SHARE: f64 = 0.25;
 
+/// Share of the strongest domain's evidence that another domain needs to count as seeing the fault.
+/// A single random failure there stays below it.
+const SEEING_SHARE: f64 = 0.25;
+
 /// The hypotheses under test with their current likelihood ratios.
 #[derive(Debug)]
 pub(crate) struct Tests {
@@ -73,12 +84,40 @@
 /// A statistic that reached its threshold.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Alarm {
+    /// Who sees the fault.
     pub(crate) group: Group,
+    /// Whose evidence was tested.
+    pub(crate) tested: Group,
+    /// 0 for failures, 1 for slow answers.
+    pub(crate) kind: usize,
+    /// Slot in which the statistic last was zero.
+    pub(crate) since: u64,
+    /// Part of the value that is no evidence, in nats.
+    pub(crate) head_start: f64,
     pub(crate) value: f64,
     pub(crate) counts: [f64; 5],
     pub(crate) observers: u32,
 }
 
+impl Alarm {
+    /// True if the evidence also stands against the rate at which the other upstreams fail now.
+    pub(crate) fn stands_against(
+        &self,
+        baseline: f64,
+        fault_rates: &[f64],
+        threshold: f64,
+    ) -> bool {
+        let [ok, refused, failed, cut_short, slow] = self.counts;
+        let (bad, good) =
+            if self.kind == 0 { (refused + failed + cut_short, ok + slow) } else { (slow, ok) };
+        let scores = fault_rates.iter().map(|rate| {
+            let ratio = log_likelihood_ratio(baseline, *rate);
+            bad * ratio.bad + good * ratio.good + self.head_start
+        });
+        scores.fold(0.0, f64::max) >= APPEARS_FAULTY * threshold
+    }
+}
+
 #[derive(Debug)]
 pub(crate) struct Upstream {
     pub(crate) incarnation: Incarnation,
@@ -119,11 +158,12 @@
     pub(crate) fn advance(&mut self, now: u64, domains: usize, tests: &Tests) {
         self.per_group = KINDS * tests.per_kind();
         self.base.resize((domains + 1) * self.per_group, Cusum::default());
+        let cap = self.cap(tests);
         let base = &mut self.base;
         let rates = &mut self.rates;
-        self.window.advance(now, domains, |slot| {
+        self.window.advance(now, domains, |index, slot| {
             rates.decay();
-            step(base, slot, tests);
+            step(base, &Slot::new(index, slot), tests, cap);
         });
     }
 
@@ -141,7 +181,8 @@
         }
         let spread = self.cover(now, observer, domain, counts);
         let Some(seen) = self.seen[observer].as_mut() else { return };
-        seen.add_own(&spread, tests);
+        let cap = if excluded { 1.0 } else { CAP };
+        seen.add_own(&spread, tests, cap * tests.threshold);
         if excluded {
             return;
         }
@@ -186,22 +227,36 @@
 
     /// Computes the statistics at the end of the window.
     pub(crate) fn evaluate(&mut self, now: u64, excluded: impl Fn(usize) -> bool, tests: &Tests) {
-        self.set_silence(now, excluded);
         self.current.clone_from(&self.base);
-        for slot in self.window.slots_mut() {
-            step(&mut self.current, slot, tests);
+        if self.base.iter().all(|cusum| cusum.value <= 0.0) && self.window.is_good() {
+            return;
+        }
+        self.set_silence(now, excluded);
+        let cap = self.cap(tests);
+        let first = self.window.first();
+        for (index, slot) in (first..).zip(self.window.slots_mut()) {
+            step(&mut self.current, &Slot::new(index, slot), tests, cap);
         }
     }
 
+    /// Largest value of a statistic, in nats.
+    fn cap(&self, tests: &Tests) -> f64 {
+        let is_faulty = matches!(self.status, Status::Faulty(_));
+        tests.threshold * if is_faulty { FAULTY_CAP } else { CAP }
+    }
+
     /// Sets the expected answers of observers in slots that no report of theirs covers yet.
-    fn set_silence(&mut self, now: u64, excluded: impl Fn(usize) -> bool) {
+    pub(crate) fn set_silence(&mut self, now: u64, excluded: impl Fn(usize) -> bool) {
         let first = self.window.first();
         for cell in self.window.slots_mut().iter_mut().flatten() {
             cell.silent = 0.0;
         }
+        // Requests stop with an ejection, so silence about a faulty upstream is no good sign.
+        let faulty = self.status;
+        let is_ejected = |domain| matches!(faulty, Status::Faulty(group) if group.contains(domain));
         for (observer, seen) in self.seen.iter().enumerate() {
             let Some(seen) = seen else { continue };
-            if excluded(observer) {
+            if excluded(observer) || is_ejected(seen.domain) {
                 continue;
             }
             let from = (seen.covered + 1).max(first);
@@ -250,10 +305,15 @@
             self.statistics(group).filter(|(_, cusum)| cusum.value >= tests.threshold).filter_map(
                 move |(test, cusum)| {
                     let observers = self.observers(now, group, excluded);
-                    let enough = self.is_seen_by_others(observers, group, test, cusum, tests);
-                    let group = self.seeing(now, domains, cusum);
+                    let reporting = self.observers(now, Group::All, excluded);
+                    let enough = reporting < MIN_OBSERVERS
+                        || self.is_seen_by_others(group, test, cusum, tests);
                     enough.then_some(Alarm {
-                        group,
+                        group: self.seeing(now, domains, cusum),
+                        tested: group,
+                        kind: test / tests.per_kind(),
+                        since: cusum.since,
+                        head_start: cusum.head_start,
                         value: cusum.value,
                         counts: cusum.counts,
                         observers,
@@ -324,26 +384,38 @@
         recent && self.score(group) >= APPEARS_FAULTY * tests.threshold
     }
 
-    /// Ends the fault that the group saw: its evidence is dropped and its statistics restart with
-    /// a head start.
+    /// Ends the fault that the group saw: its statistics restart with a head start.
     pub(crate) fn recover(&mut self, fault: Group, tests: &Tests) {
-        self.window.clear(|domain| fault.contains(domain));
-        let per_group = KINDS * tests.per_kind();
+        self.restart(fault, HEAD_START * tests.threshold);
+        // Requests stopped with the ejection, so silence says nothing about the upstream.
+        for seen in self.seen.iter_mut().flatten().filter(|seen| fault.contains(seen.domain)) {
+            seen.rate = 0.0;
+        }
+        self.status = Status::Recovering(fault, Counts::default());
+    }
+
+    /// Drops the evidence of a group and restarts its statistics at a value in nats.
+    pub(crate) fn restart(&mut self, restarted: Group, head_start: f64) {
+        self.window.clear(|domain| restarted.contains(domain));
+        let since = self.window.first();
         for (index, cusum) in self.base.iter_mut().enumerate() {
-            let group = Group::from_index(index / per_group);
-            if fault == Group::All || group == fault {
-                let value = HEAD_START * tests.threshold;
-                *cusum = Cusum { value, head_start: value, ..Cusum::default() };
+            let group = Group::from_index(index / self.per_group);
+            if restarted == Group::All || group == restarted {
+                *cusum = Cusum { value: head_start, head_start, since, ..Cusum::default() };
             } else if group == Group::All {
                 *cusum = Cusum::default();
             }
         }
-        for seen in self.seen.iter_mut().flatten().filter(|seen| fault.contains(seen.domain)) {
+        for seen in self.seen.iter_mut().flatten().filter(|seen| restarted.contains(seen.domain)) {
             seen.own.fill(0.0);
             seen.own_max = 0.0;
             seen.recent.clear();
         }
-        self.status = Status::Recovering(fault, Counts::default());
+    }
+
+    /// Bad and judged answers of a kind and group since a slot, as far as the window goes back.
+    pub(crate) fn answers(&self, kind: usize, group: Group, since: u64) -> (f64, f64) {
+        self.window.answers(kind, group, since)
     }
 
     fn statistics(&self, group: Group) -> impl Iterator<Item = (usize, &Cusum)> + '_ {
@@ -357,29 +429,22 @@
         last.max().map(|at| now.saturating_sub(at))
     }
 
-    /// With at least three observers, requires that the others contribute to the statistic.
-    fn is_seen_by_others(
-        &self,
-        observers: u32,
-        group: Group,
-        test: usize,
-        cusum: &Cusum,
-        tests: &Tests,
-    ) -> bool {
-        if observers < 3 {
-            return true;
-        }
+    /// True if other observers than the strongest one contribute to the statistic.
+    fn is_seen_by_others(&self, group: Group, test: usize, cusum: &Cusum, tests: &Tests) -> bool {
         let in_group = self.seen.iter().flatten().filter(|seen| group.contains(seen.domain));
         let own = in_group.filter_map(|seen| seen.own.get(test));
         let strongest = own.fold(0.0, |max: f64, own| max.max(*own));
         let needed = tests.threshold - cusum.head_start;
-        cusum.value - cusum.head_start - strongest >= OTHERS_SHARE * needed
+        let others = cusum.value - cusum.head_start - strongest;
+        others >= (OTHERS_SHARE * needed).max(OTHERS_OF_STRONGEST * strongest)
     }
 
     /// The failure domain that alone sees the fault, or all.
     fn seeing(&self, now: u64, domains: usize, cusum: &Cusum) -> Group {
         let reporting = (0..domains).filter(|d| self.is_reported(now, Group::Domain(*d)));
-        let mut seeing = (0..domains).filter(|domain| cusum.by_domain[*domain] > 0.0);
+        let strongest = cusum.by_domain.iter().copied().fold(0.0, f64::max);
+        let sees = |domain: &usize| cusum.by_domain[*domain] > SEEING_SHARE * strongest;
+        let mut seeing = (0..domains).filter(sees);
         match (seeing.next(), seeing.next()) {
             (Some(only), None) if reporting.count() > 1 => Group::Domain(only),
             _ => Group::All,
@@ -388,8 +453,9 @@
 }
 
 impl Seen {
-    /// Updates the statistics of this observer alone. Ok answers waited, so they come first.
-    fn add_own(&mut self, spread: &Spread, tests: &Tests) {
+    /// Updates the statistics of this observer alone. Ok answers waited, so they come first. Values
+    /// stop at `cap`, which is low for an excluded observer so that it can return.
+    fn add_own(&mut self, spread: &Spread, tests: &Tests, cap: f64) {
         self.own.resize(KINDS * tests.per_kind(), 0.0);
         let counts = spread.counts;
         let failures = f64::from(counts.failures());
@@ -397,20 +463,23 @@
         for (own, (kind, _, ratio)) in self.own.iter_mut().zip(tests.iter()) {
             let (bad, good) = if kind == 0 { (failures, ok + slow) } else { (slow, ok) };
             let value = (*own + good * ratio.good).max(0.0) + bad * ratio.bad;
-            *own = value.min(tests.threshold);
+            *own = value.min(cap);
         }
         self.own_max = self.own.iter().copied().fold(0.0, f64::max);
     }
 }
 
 /// Adds one slot to all statistics.
-fn step(cusums: &mut [Cusum], slot: &[crate::cusum::Cell], tests: &Tests) {
+fn step(cusums: &mut [Cusum], slot: &Slot<'_>, tests: &Tests, cap: f64) {
     let per_group = KINDS * tests.per_kind();
+    if slot.is_good() && cusums.iter().all(|cusum| cusum.value <= 0.0) {
+        return;
+    }
     for (index, statistics) in cusums.chunks_mut(per_group).enumerate() {
         let group = Group::from_index(index);
         for (cusum, (kind, _, ratio)) in statistics.iter_mut().zip(tests.iter()) {
             cusum.add(slot, kind, ratio, group);
-            cusum.cap(tests.threshold);
+            cusum.cap(cap);
         }
     }
 }
--- a/crates/health/src/window.rs
+++ b/crates/health/src/window.rs
@@ -4,7 +4,7 @@
 
 use cactustrack_types::Counts;
 
-use crate::cusum::Cell;
+use crate::cusum::{Cell, Group};
 
 /// Slots that a report can cover: the wait of ok evidence (5 s) and one exchange interval.
 pub(crate) const MAX_SPAN: u64 = 11;
@@ -32,14 +32,14 @@
 
 impl Window {
     /// Makes `now` the newest slot and passes slots that fall out of the window to `fold`.
-    pub(crate) fn advance(&mut self, now: u64, domains: usize, mut fold: impl FnMut(&[Cell])) {
+    pub(crate) fn advance(&mut self, now: u64, domains: usize, mut fold: impl FnMut(u64, &[Cell])) {
         if self.slots.is_empty() {
             self.first = now;
         }
         while self.first + (self.slots.len() as u64) <= now {
             let mut slot = if self.slots.len() >= SLOTS { self.slots.pop_front() } else { None };
             if let Some(old) = &slot {
-                fold(old);
+                fold(self.first, old);
                 self.first += 1;
             }
             let fresh = slot.get_or_insert_default();
@@ -79,6 +79,24 @@
         }
     }
 
+    /// True if no slot has a bad answer.
+    pub(crate) fn is_good(&self) -> bool {
+        let mut cells = self.slots.iter().flatten();
+        cells.all(|cell| cell.counts[1..].iter().all(|count| *count <= 0.0))
+    }
+
+    /// Bad and judged answers of one kind in the slots from `since` on, with expected answers of
+    /// silent observers as good ones.
+    pub(crate) fn answers(&self, kind: usize, group: Group, since: u64) -> (f64, f64) {
+        let skipped = usize::try_from(since.saturating_sub(self.first)).unwrap_or(usize::MAX);
+        let cells = self.slots.iter().skip(skipped).flat_map(|slot| slot.iter().enumerate());
+        let cells = cells.filter(|(domain, _)| group.contains(*domain));
+        cells.fold((0.0, 0.0), |(all_bad, judged), (_, cell)| {
+            let (bad, good) = cell.bad_and_good(kind);
+            (all_bad + bad, judged + bad + good + cell.silent)
+        })
+    }
+
     /// First slot in the window.
     pub(crate) fn first(&self) -> u64 {
         self.first
--- /dev/null
+++ b/tests/all/health/collector.rs
@@ -0,0 +1,256 @@
+//! Scenarios for the collector, with observers in three failure domains.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use cactustrack_health::{Action, Collector};
+use cactustrack_types::{Counts, Incarnation, Scope, VerdictHealth};
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+
+use super::{SLOT, policy, report};
+
+const UPSTREAMS: usize = 5;
+
+/// Rate of failures and of slow answers by seconds, instance and upstream.
+type Truth = fn(u32, usize, usize) -> (f64, f64);
+
+const HEALTHY: (f64, f64) = (0.003, 0.003);
+
+struct Case {
+    name: &'static str,
+    observers: usize,
+    /// Requests per slot, observer and upstream.
+    requests: u32,
+    truth: Truth,
+    seconds: u32,
+    faulty: &'static [(&'static str, Option<&'static str>)],
+    /// Name of the action that must be recorded.
+    recorded: Option<&'static str>,
+}
+
+impl Default for Case {
+    fn default() -> Self {
+        Self {
+            name: "",
+            observers: 9,
+            requests: 2,
+            truth: |_, _, _| HEALTHY,
+            seconds: 40,
+            faulty: &[],
+            recorded: None,
+        }
+    }
+}
+
+/// Runs a case and returns the upstreams that are judged faulty at its end. Faults start at 20 s.
+/// Evidence without a bad outcome waits for ten slots, as on an instance.
+fn run(case: &Case) -> (Vec<(String, Option<String>)>, Collector) {
+    let start = Instant::now();
+    let mut rng = SmallRng::seed_from_u64(7);
+    let mut collector = Collector::new(start, Arc::from("archeio"), policy(1e7));
+    let mut pending = vec![[Counts::default(); UPSTREAMS]; case.observers];
+    for slot in 0..case.seconds * 2 {
+        let now = start + SLOT * slot;
+        for (observer, pending) in pending.iter_mut().enumerate() {
+            let mut entries = Vec::new();
+            for (upstream, counts) in pending.iter_mut().enumerate() {
+                let (fails, slows) =
+                    if slot < 40 { HEALTHY } else { (case.truth)(slot / 2, observer, upstream) };
+                for _ in 0..case.requests {
+                    counts.failed += u32::from(rng.random::<f64>() < fails);
+                    counts.slow += u32::from(rng.random::<f64>() < slows);
+                    counts.ok += 1;
+                }
+                let waited = (slot as usize + observer).is_multiple_of(10);
+                if counts.failed + counts.slow > 0 || waited {
+                    let id = format!("u{upstream}").into();
+                    entries.push((id, Incarnation(1), std::mem::take(counts)));
+                }
+            }
+            collector.report(now, &report(observer, 3, entries));
+        }
+        collector.tick(now);
+    }
+    (faulty(&collector), collector)
+}
+
+fn faulty(collector: &Collector) -> Vec<(String, Option<String>)> {
+    let verdicts = collector.verdicts_since(0).into_iter();
+    let faulty = verdicts.filter_map(|verdict| match verdict.health {
+        VerdictHealth::Good => None,
+        VerdictHealth::Faulty { scope: Scope::Everywhere } => Some((verdict.upstream, None)),
+        VerdictHealth::Faulty { scope: Scope::Domain(d) } => Some((verdict.upstream, Some(d))),
+    });
+    faulty.map(|(id, domain)| (id.to_string(), domain.map(|domain| domain.to_string()))).collect()
+}
+
+fn action_name(action: &Action) -> &'static str {
+    match action {
+        Action::SharedCause { .. } => "shared cause",
+        Action::ObserverExcluded { .. } => "observer excluded",
+        _ => "other",
+    }
+}
+
+/// Guards against missed faults, wrong scopes, and ejections because of a sick or single observer
+/// or a shared cause.
+#[test]
+fn judges_each_scenario() {
+    let cases = [
+        Case { name: "healthy", ..Case::default() },
+        Case {
+            name: "busy, ok counts arrive seconds after bad ones",
+            observers: 40,
+            requests: 3,
+            seconds: 300,
+            truth: |_, _, _| (0.01, 0.01),
+            ..Case::default()
+        },
+        Case {
+            name: "hard failure",
+            truth: |_, _, u| if u == 1 { (1.0, 0.0) } else { HEALTHY },
+            faulty: &[("u1", None)],
+            ..Case::default()
+        },
+        Case {
+            name: "one in ten fails",
+            truth: |_, _, u| if u == 1 { (0.1, 0.0) } else { HEALTHY },
+            faulty: &[("u1", None)],
+            ..Case::default()
+        },
+        Case {
+            name: "straggler",
+            truth: |_, _, u| if u == 3 { (0.0, 0.5) } else { HEALTHY },
+            faulty: &[("u3", None)],
+            ..Case::default()
+        },
+        Case {
+            name: "two of five fail",
+            truth: |_, _, u| if u < 2 { (0.5, 0.0) } else { HEALTHY },
+            faulty: &[("u0", None), ("u1", None)],
+            ..Case::default()
+        },
+        Case {
+            name: "cut from one failure domain",
+            truth: |_, i, u| if u == 2 && i % 3 == 1 { (1.0, 0.0) } else { HEALTHY },
+            faulty: &[("u2", Some("d1"))],
+            ..Case::default()
+        },
+        Case {
+            name: "sick observer",
+            truth: |_, i, _| if i == 4 { (0.7, 0.5) } else { HEALTHY },
+            seconds: 120,
+            recorded: Some("observer excluded"),
+            ..Case::default()
+        },
+        Case {
+            name: "sick observer among three",
+            observers: 3,
+            truth: |_, i, _| if i == 1 { (1.0, 0.0) } else { HEALTHY },
+            seconds: 120,
+            recorded: Some("observer excluded"),
+            ..Case::default()
+        },
+        Case {
+            name: "one of three observers sees two upstreams fail",
+            observers: 3,
+            truth: |_, i, u| if i == 1 && u < 2 { (1.0, 0.0) } else { HEALTHY },
+            seconds: 120,
+            ..Case::default()
+        },
+        Case {
+            name: "a single observer decides alone",
+            observers: 1,
+            truth: |_, _, u| if u == 1 { (1.0, 0.0) } else { HEALTHY },
+            faulty: &[("u1", None)],
+            ..Case::default()
+        },
+        Case {
+            name: "all upstreams fail",
+            truth: |_, _, _| (0.5, 0.0),
+            seconds: 60,
+            recorded: Some("shared cause"),
+            ..Case::default()
+        },
+        Case {
+            name: "a slowdown of all upstreams ends",
+            truth: |t, _, _| if t < 40 { (0.02, 0.6) } else { HEALTHY },
+            seconds: 120,
+            recorded: Some("shared cause"),
+            ..Case::default()
+        },
+    ];
+    for case in &cases {
+        let (faulty, collector) = run(case);
+        let faulty: Vec<(&str, Option<&str>)> =
+            faulty.iter().map(|(id, domain)| (&**id, domain.as_deref())).collect();
+        assert_eq!(faulty, case.faulty, "{}", case.name);
+        let recorded: Vec<_> =
+            collector.decisions().iter().map(|decision| action_name(&decision.action)).collect();
+        if let Some(expected) = case.recorded {
+            assert!(recorded.contains(&expected), "{}: {recorded:?}", case.name);
+        }
+        if case.faulty.is_empty() {
+            assert_eq!(collector.seq(), 0, "{}: a verdict was given in between", case.name);
+        }
+    }
+}
+
+fn feed(collector: &mut Collector, now: Instant, incarnation: u64, counts: Counts) {
+    for observer in 0..6 {
+        let entries = (0..UPSTREAMS).map(|upstream| {
+            let counts = if upstream == 0 { counts } else { Counts { ok: 5, ..Counts::default() } };
+            let incarnation = if upstream == 0 { incarnation } else { 1 };
+            (Arc::from(format!("u{upstream}")), Incarnation(incarnation), counts)
+        });
+        collector.report(now, &report(observer, 3, entries.collect()));
+    }
+    collector.tick(now);
+}
+
+/// Guards against a fault of an earlier life that is held against a restarted upstream, and against
+/// late reports about the earlier life.
+#[test]
+fn a_new_incarnation_starts_clean() {
+    let start = Instant::now();
+    let mut collector = Collector::new(start, Arc::from("archeio"), policy(1e7));
+    let (ok, failed) =
+        (Counts { ok: 5, ..Counts::default() }, Counts { failed: 5, ..Counts::default() });
+    (0..20).for_each(|slot| feed(&mut collector, start + SLOT * slot, 1, ok));
+    (20..24).for_each(|slot| feed(&mut collector, start + SLOT * slot, 1, failed));
+    assert_eq!(faulty(&collector), [("u0".to_owned(), None)]);
+    let seq = collector.seq();
+    feed(&mut collector, start + SLOT * 24, 2, ok);
+    (25..30).for_each(|slot| feed(&mut collector, start + SLOT * slot, 1, failed));
+    assert_eq!(faulty(&collector), []);
+    let changed = collector.verdicts_since(seq);
+    assert_eq!(changed.len(), 1);
+    assert_eq!(changed[0].incarnation, Incarnation(2));
+}
+
+/// Guards against a verdict that outlives its evidence, against good answers after a fault that are
+/// not published, and against a relapse that needs the full evidence of a first fault.
+#[test]
+fn a_fault_ends_without_evidence_and_good_answers_are_counted() {
+    let start = Instant::now();
+    let mut collector = Collector::new(start, Arc::from("archeio"), policy(1e7));
+    let none = Counts::default();
+    let (ok, failed) = (Counts { ok: 5, ..none }, Counts { failed: 5, ..none });
+    (0..20).for_each(|slot| feed(&mut collector, start + SLOT * slot, 1, ok));
+    (20..22).for_each(|slot| feed(&mut collector, start + SLOT * slot, 1, failed));
+    assert_eq!(faulty(&collector).len(), 1, "the fault is seen");
+    (22..30).for_each(|slot| feed(&mut collector, start + SLOT * slot, 1, none));
+    assert_eq!(faulty(&collector), [], "the fault ends");
+    let entry = (Arc::from("u0"), Incarnation(1), Counts { failed: 1, ..none });
+    for observer in [0, 1] {
+        collector.report(start + SLOT * 31, &report(observer, 3, vec![entry.clone()]));
+    }
+    collector.tick(start + SLOT * 31);
+    assert_eq!(faulty(&collector).len(), 1, "two failures after a fault are a fault");
+    (32..40).for_each(|slot| feed(&mut collector, start + SLOT * slot, 1, none));
+    assert_eq!(faulty(&collector), [], "the second fault ends");
+    feed(&mut collector, start + SLOT * 40, 1, Counts { ok: 1, ..none });
+    let verdicts = collector.verdicts_since(0);
+    assert_eq!(verdicts[0].evidence.ok, 6, "one good answer for each of six observers");
+}
