Drop silence of slots that can hold no unreported answer

An observer reports any answer within eleven slots, so an older slot without a report had no requests. The baseline keeps one window of 120 s; its short window made the median of small services noisy.

--- a/crates/health/src/baseline.rs
+++ b/crates/health/src/baseline.rs
@@ -7,11 +7,10 @@
 const FLOOR: f64 = 0.002;
 /// Largest baseline rate.
 const CEILING: f64 = 0.9;
-/// Factor by which the long window forgets per slot of 500 ms: a time constant of 120 s.
-const LONG_DECAY: f64 = 0.995_842;
-/// Factor by which the short window forgets per slot of 500 ms: a time constant of 5 s. It lets
-/// the baseline follow a shared change before the statistics reach their thresholds.
-const SHORT_DECAY: f64 = 0.904_837;
+/// Factor by which the rates forget per slot of 500 ms: a time constant of 120 s. Shorter ones make
+/// the median of a small service so noisy that a fault rate of 3% takes twice the samples. Shared
+/// changes that are faster are recognized by [`contemporary_rate`].
+const DECAY: f64 = 0.995_842;
 /// Weight of the prior rate, in answers.
 const PRIOR_ANSWERS: f64 = 50.0;
 
@@ -21,40 +20,34 @@
 
 /// Decaying counts of bad and judged answers of one upstream by kind.
 #[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct Rates {
-    long: [(f64, f64); KINDS],
-    short: [(f64, f64); KINDS],
-}
+pub(crate) struct Rates([(f64, f64); KINDS]);
 
 impl Rates {
     /// Adds bad and judged answers of one kind.
     pub(crate) fn add(&mut self, kind: usize, bad: f64, judged: f64) {
-        for window in [&mut self.long[kind], &mut self.short[kind]] {
-            window.0 += bad;
-            window.1 += judged;
-        }
+        self.0[kind].0 += bad;
+        self.0[kind].1 += judged;
     }
 
     /// Lets one slot of time pass.
     pub(crate) fn decay(&mut self) {
-        for kind in 0..KINDS {
-            self.long[kind] = (self.long[kind].0 * LONG_DECAY, self.long[kind].1 * LONG_DECAY);
-            self.short[kind] = (self.short[kind].0 * SHORT_DECAY, self.short[kind].1 * SHORT_DECAY);
+        for (bad, judged) in &mut self.0 {
+            *bad *= DECAY;
+            *judged *= DECAY;
         }
     }
+
+    fn shrunk(&self, kind: usize) -> f64 {
+        let (bad, judged) = self.0[kind];
+        (bad + FLOOR * PRIOR_ANSWERS) / (judged + PRIOR_ANSWERS)
+    }
 }
 
-/// Median rate over the upstreams for one kind, as a share of answers: the larger one of a long
-/// and a short window. Each rate is shrunk towards a prior by a fixed number of answers.
-pub(crate) fn baseline<'a>(rates: &(impl Iterator<Item = &'a Rates> + Clone), kind: usize) -> f64 {
-    let over = |pick: fn(&Rates, usize) -> (f64, f64), prior: f64| {
-        let shrink = |(bad, judged)| (bad + prior * PRIOR_ANSWERS) / (judged + PRIOR_ANSWERS);
-        let known = rates.clone().map(|rate| pick(rate, kind)).filter(|(_, judged)| *judged > 0.5);
-        median(&mut known.map(shrink).collect::<Vec<_>>()).unwrap_or(prior)
-    };
-    let long = over(|rate, kind| rate.long[kind], FLOOR).max(FLOOR);
-    let short = over(|rate, kind| rate.short[kind], long);
-    long.max(short).min(CEILING)
+/// Median rate over the upstreams for one kind, as a share of answers. Each rate is shrunk towards
+/// the smallest baseline by a fixed number of answers.
+pub(crate) fn baseline<'a>(rates: impl Iterator<Item = &'a Rates>, kind: usize) -> f64 {
+    let mut rates: Vec<f64> = rates.map(|rates| rates.shrunk(kind)).collect();
+    median(&mut rates).unwrap_or(FLOOR).clamp(FLOOR, CEILING)
 }
 
 /// Rate of bad answers of the other upstreams in the time of an alarm, from their bad and judged
--- a/crates/health/src/collector.rs
+++ b/crates/health/src/collector.rs
@@ -177,7 +177,7 @@
         let rates = self.fault_rates();
         for kind in 0..KINDS {
             let known = self.upstreams.values().map(|upstream| &upstream.rates);
-            self.baselines[kind] = baseline(&known, kind);
+            self.baselines[kind] = baseline(known, kind);
             let ratios = rates.iter().map(|rate| log_likelihood_ratio(self.baselines[kind], *rate));
             self.tests.ratios[kind] = ratios.collect();
         }
--- a/crates/health/src/upstream.rs
+++ b/crates/health/src/upstream.rs
@@ -259,7 +259,8 @@
             if excluded(observer) || is_ejected(seen.domain) {
                 continue;
             }
-            let from = (seen.covered + 1).max(first);
+            // An answer before that would have been reported by now.
+            let from = (seen.covered + 1).max(first).max(now.saturating_sub(MAX_SPAN));
             let to = (seen.covered + MAX_SPAN).min(now.saturating_sub(1));
             for slot in from..=to {
                 let index = usize::try_from(slot - first).unwrap_or(usize::MAX);
--- a/crates/health/src/window.rs
+++ b/crates/health/src/window.rs
@@ -38,7 +38,8 @@
         }
         while self.first + (self.slots.len() as u64) <= now {
             let mut slot = if self.slots.len() >= SLOTS { self.slots.pop_front() } else { None };
-            if let Some(old) = &slot {
+            if let Some(old) = &mut slot {
+                old.iter_mut().for_each(|cell| cell.silent = 0.0);
                 fold(self.first, old);
                 self.first += 1;
             }
