Weigh silence in the rate of the other upstreams

During a shared slowdown the silence of observers without requests was counted as good answers and halved the rate of the other upstreams. The rate is now the most likely one given silence, and an alarm must reach its threshold against it.

--- a/crates/health/src/baseline.rs
+++ b/crates/health/src/baseline.rs
@@ -50,15 +50,41 @@
     median(&mut rates).unwrap_or(FLOOR).clamp(FLOOR, CEILING)
 }
 
-/// Rate of bad answers of the other upstreams in the time of an alarm, from their bad and judged
-/// answers. The worst ones are left out, as many as can be faulty together with the upstream of the
-/// alarm without being more than half of all.
-pub(crate) fn contemporary_rate(mut others: Vec<(f64, f64)>, prior: f64) -> f64 {
-    let rate = |(bad, judged): &(f64, f64)| bad / judged;
-    others.sort_by(|a, b| rate(a).total_cmp(&rate(b)));
+/// Answers of an upstream in some time.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Answers {
+    pub(crate) bad: f64,
+    pub(crate) good: f64,
+    /// Expected answers of observers that sent no report.
+    pub(crate) silent: f64,
+}
+
+impl Answers {
+    /// Most likely rate of bad answers. Silence means that there was no bad answer among a Poisson
+    /// number of requests, so the likelihood of a rate p is p^bad × (1 − p)^good × e^(−p × silent).
+    fn rate(&self) -> f64 {
+        let Self { bad, good, silent } = *self;
+        let sum = bad + good + silent;
+        if silent < 1e-6 {
+            return if sum > 0.0 { bad / sum } else { 0.0 };
+        }
+        (sum - (sum * sum - 4.0 * silent * bad).max(0.0).sqrt()) / (2.0 * silent)
+    }
+}
+
+/// Rate of bad answers of the other upstreams in the time of an alarm. The worst ones are left out,
+/// as many as can be faulty together with the upstream of the alarm without being more than half
+/// of all.
+pub(crate) fn contemporary_rate(mut others: Vec<Answers>, prior: f64) -> f64 {
+    others.sort_by(|a, b| a.rate().total_cmp(&b.rate()));
     let faulty = others.len().div_ceil(2).saturating_sub(1);
     others.truncate(others.len() - faulty);
-    let bad: f64 = others.iter().map(|(bad, _)| bad).sum();
-    let judged: f64 = others.iter().map(|(_, judged)| judged).sum();
-    ((bad + prior * CONTEMPORARY_PRIOR) / (judged + CONTEMPORARY_PRIOR)).min(CEILING)
+    let bad = prior * CONTEMPORARY_PRIOR;
+    let start = Answers { bad, good: CONTEMPORARY_PRIOR - bad, silent: 0.0 };
+    let sum = others.iter().fold(start, |sum, other| Answers {
+        bad: sum.bad + other.bad,
+        good: sum.good + other.good,
+        silent: sum.silent + other.silent,
+    });
+    sum.rate().min(CEILING)
 }
--- a/crates/health/src/collector.rs
+++ b/crates/health/src/collector.rs
@@ -8,14 +8,14 @@
     VerdictHealth,
 };
 
-use crate::baseline::{baseline, contemporary_rate};
+use crate::baseline::{Answers, baseline, contemporary_rate};
 use crate::cusum::{FAULT_RATES, Group, KINDS, log_likelihood_ratio};
 use crate::evidence::EXCHANGE_INTERVAL;
 use crate::explain::{Decision, Decisions};
 use crate::observers::{Admitted, Observers};
 use crate::readmission::TRIAL_GOOD_ANSWERS;
 use crate::report::{Report, ReportEntry};
-use crate::upstream::{Alarm, Status, Tests, Upstream};
+use crate::upstream::{APPEARS_FAULTY, Alarm, Status, Tests, Upstream};
 
 /// Upstreams kept for a service. Evidence about further ones is dropped.
 const MAX_UPSTREAMS: usize = 512;
@@ -203,12 +203,15 @@
             }
         }
         for (id, alarm) in alarms {
-            if let Some(shared) = self.shared_cause(slot, &id, &alarm) {
-                self.refuse(now, &id, &alarm, shared);
-                // Later alarms rest on the dropped evidence as well.
-                break;
+            match self.cause(slot, &id, &alarm) {
+                Cause::Own => self.declare_faulty(&id, &alarm),
+                Cause::Open => {}
+                Cause::Shared(appear, total) => {
+                    self.refuse(now, &id, &alarm, (appear, total));
+                    // Later alarms rest on the dropped evidence as well.
+                    break;
+                }
             }
-            self.declare_faulty(&id, &alarm);
         }
         for (id, upstream) in &mut self.upstreams {
             Self::follow_up(slot, id, upstream, &mut self.seq, &self.tests);
@@ -301,26 +304,32 @@
         }
     }
 
-    /// Returns how many upstreams appear faulty, out of how many, if the cause is shared: more than
-    /// half appear faulty, or the alarm does not stand against the rate at which the others fail
-    /// in the same time.
-    fn shared_cause(&self, slot: u64, id: &UpstreamId, alarm: &Alarm) -> Option<(usize, usize)> {
+    /// Tells a fault of one upstream from one that it shares with others: more than half appear
+    /// faulty, or the evidence does not stand against the rate at which the others fail at the
+    /// same time.
+    fn cause(&self, slot: u64, id: &UpstreamId, alarm: &Alarm) -> Cause {
         let group = alarm.tested;
         let reported = self.upstreams.values().filter(|upstream| upstream.is_reported(slot, group));
         let total = reported.clone().count();
         let appear =
             reported.filter(|upstream| upstream.appears_faulty(group, &self.tests)).count();
         if appear * 2 > total {
-            return Some((appear, total));
+            return Cause::Shared(appear, total);
         }
         let others = self.upstreams.iter().filter(|(other, _)| *other != id);
         let answers = others.map(|(_, other)| other.answers(alarm.kind, group, alarm.since));
-        let answers: Vec<(f64, f64)> = answers.filter(|(_, judged)| *judged > 0.0).collect();
-        let affected = answers.iter().filter(|(bad, _)| *bad > 0.0).count() + 1;
+        let answers: Vec<Answers> = answers.collect();
+        let affected = answers.iter().filter(|answers| answers.bad > 0.0).count() + 1;
         let usual = self.baselines[alarm.kind];
         let current = contemporary_rate(answers, usual).max(usual);
-        let stands = alarm.stands_against(current, &self.fault_rates(), self.tests.threshold);
-        (!stands).then_some((affected, total))
+        let score = alarm.score_against(current, &self.fault_rates());
+        if score >= self.tests.threshold {
+            Cause::Own
+        } else if score >= APPEARS_FAULTY * self.tests.threshold {
+            Cause::Open
+        } else {
+            Cause::Shared(affected, total)
+        }
     }
 
     /// Fault rates under test.
@@ -331,6 +340,16 @@
     }
 }
 
+/// Where the evidence of an alarm comes from.
+enum Cause {
+    /// The upstream itself.
+    Own,
+    /// Not clear yet, more evidence will tell.
+    Open,
+    /// A cause that is shared by so many upstreams out of so many.
+    Shared(usize, usize),
+}
+
 /// True if an alarm of a group changes the status.
 fn is_news(status: Status, group: Group) -> bool {
     match status {
--- a/crates/health/src/cusum.rs
+++ b/crates/health/src/cusum.rs
@@ -99,6 +99,8 @@
     pub(crate) by_domain: [f64; MAX_DOMAINS],
     /// Answers by kind, see [`Cell`].
     pub(crate) counts: [f64; 5],
+    /// Expected answers of silent observers.
+    pub(crate) silent: f64,
     /// Slot in which it last was zero.
     pub(crate) since: u64,
     /// Part of the value that is no evidence, in nats.
@@ -122,6 +124,7 @@
             self.by_domain[domain] += step;
             if group.contains(domain) {
                 self.value += step;
+                self.silent += cell.silent;
                 for (sum, count) in self.counts.iter_mut().zip(cell.counts) {
                     *sum += count;
                 }
--- a/crates/health/src/upstream.rs
+++ b/crates/health/src/upstream.rs
@@ -2,7 +2,7 @@
 
 use cactustrack_types::{Counts, Incarnation, Verdict};
 
-use crate::baseline::Rates;
+use crate::baseline::{Answers, Rates};
 use crate::cusum::{
     CAP, Cusum, FAULTY_CAP, Group, KINDS, MAX_DOMAINS, Ratio, Slot, log_likelihood_ratio,
 };
@@ -92,6 +92,8 @@
     pub(crate) kind: usize,
     /// Slot in which the statistic last was zero.
     pub(crate) since: u64,
+    /// Expected answers of silent observers.
+    pub(crate) silent: f64,
     /// Part of the value that is no evidence, in nats.
     pub(crate) head_start: f64,
     pub(crate) value: f64,
@@ -100,21 +102,16 @@
 }
 
 impl Alarm {
-    /// True if the evidence also stands against the rate at which the other upstreams fail now.
-    pub(crate) fn stands_against(
-        &self,
-        baseline: f64,
-        fault_rates: &[f64],
-        threshold: f64,
-    ) -> bool {
+    /// Score of the evidence against the rate at which the other upstreams fail now, in nats.
+    pub(crate) fn score_against(&self, baseline: f64, fault_rates: &[f64]) -> f64 {
         let [ok, refused, failed, cut_short, slow] = self.counts;
         let (bad, good) =
             if self.kind == 0 { (refused + failed + cut_short, ok + slow) } else { (slow, ok) };
         let scores = fault_rates.iter().map(|rate| {
             let ratio = log_likelihood_ratio(baseline, *rate);
-            bad * ratio.bad + good * ratio.good + self.head_start
+            bad * ratio.bad + good * ratio.good + self.silent * ratio.silent + self.head_start
         });
-        scores.fold(0.0, f64::max) >= APPEARS_FAULTY * threshold
+        scores.fold(0.0, f64::max)
     }
 }
 
@@ -314,6 +311,7 @@
                         tested: group,
                         kind: test / tests.per_kind(),
                         since: cusum.since,
+                        silent: cusum.silent,
                         head_start: cusum.head_start,
                         value: cusum.value,
                         counts: cusum.counts,
@@ -414,8 +412,8 @@
         }
     }
 
-    /// Bad and judged answers of a kind and group since a slot, as far as the window goes back.
-    pub(crate) fn answers(&self, kind: usize, group: Group, since: u64) -> (f64, f64) {
+    /// Answers of a kind and group since a slot, as far as the window goes back.
+    pub(crate) fn answers(&self, kind: usize, group: Group, since: u64) -> Answers {
         self.window.answers(kind, group, since)
     }
 
--- a/crates/health/src/window.rs
+++ b/crates/health/src/window.rs
@@ -4,6 +4,7 @@
 
 use cactustrack_types::Counts;
 
+use crate::baseline::Answers;
 use crate::cusum::{Cell, Group};
 
 /// Slots that a report can cover: the wait of ok evidence (5 s) and one exchange interval.
@@ -86,15 +87,14 @@
         cells.all(|cell| cell.counts[1..].iter().all(|count| *count <= 0.0))
     }
 
-    /// Bad and judged answers of one kind in the slots from `since` on, with expected answers of
-    /// silent observers as good ones.
-    pub(crate) fn answers(&self, kind: usize, group: Group, since: u64) -> (f64, f64) {
+    /// Answers of one kind in the slots from `since` on.
+    pub(crate) fn answers(&self, kind: usize, group: Group, since: u64) -> Answers {
         let skipped = usize::try_from(since.saturating_sub(self.first)).unwrap_or(usize::MAX);
         let cells = self.slots.iter().skip(skipped).flat_map(|slot| slot.iter().enumerate());
         let cells = cells.filter(|(domain, _)| group.contains(*domain));
-        cells.fold((0.0, 0.0), |(all_bad, judged), (_, cell)| {
+        cells.fold(Answers::default(), |sum, (_, cell)| {
             let (bad, good) = cell.bad_and_good(kind);
-            (all_bad + bad, judged + bad + good + cell.silent)
+            Answers { bad: sum.bad + bad, good: sum.good + good, silent: sum.silent + cell.silent }
         })
     }
 
