Judge bad evidence at once and apply changed verdicts without waiting for the next round

Cause: in the quickstart all six instances ejected an upstream up to 1.0 s after the first one did, which is two rounds of 500 ms. Change: a collector judges a report with bad evidence before it replies, and an instance plans again when a reply changes a verdict. Not measured on its own; the quickstart shows both times.

--- a/src/daemon/exchange.rs
+++ b/src/daemon/exchange.rs
@@ -17,6 +17,7 @@
 
 use super::blackboard::{Blackboard, SharedBoard};
 use super::configuration::{ConfigPeers, ConfigurationController};
+use super::health;
 
 /// Members that are exchanged with in each round.
 const SYNC_PARTNERS: usize = 2;
@@ -49,10 +50,14 @@
 
 impl Outbox {
     fn has_bad_evidence(&self) -> bool {
-        self.pending.values().any(|counts| counts.failures() > 0 || counts.slow > 0)
+        self.pending.values().any(is_bad)
     }
 }
 
+fn is_bad(counts: &Counts) -> bool {
+    counts.failures() > 0 || counts.slow > 0
+}
+
 /// Exchanges with other instances.
 pub(crate) struct Exchange {
     board: SharedBoard,
@@ -434,8 +439,13 @@
             service: known.service.clone(),
             entries: entries.collect(),
         };
+        let bad = report.entries.iter().any(|(_, _, counts)| is_bad(counts));
         if let Some(fleet) = fleet_collector(board, now, &known.service) {
             fleet.report(now, &report);
+            // Bad evidence is judged at once, so that the reply already has the verdict.
+            if bad {
+                fleet.tick(now);
+            }
         }
         if let Some(service) = board.services.get_mut(&known.service) {
             service.fleet_heard = Some(now);
@@ -450,9 +460,11 @@
         return;
     }
     for verdicts in &reply.services {
-        if let Some(service) = board.services.get_mut(&verdicts.service) {
-            let (collector, incarnation) = (&reply.collector, reply.incarnation);
-            service.planner.exchange(now, collector, incarnation, &verdicts.verdicts);
+        let Some(service) = board.services.get_mut(&verdicts.service) else { continue };
+        let (collector, incarnation) = (&reply.collector, reply.incarnation);
+        service.planner.exchange(now, collector, incarnation, &verdicts.verdicts);
+        if !verdicts.verdicts.is_empty() {
+            health::replan_service(board, now, &verdicts.service);
         }
     }
 }
