--- a/src/daemon/instance.rs
+++ b/src/daemon/instance.rs
@@ -97,83 +97,36 @@
     ///
     /// # Errors
     ///
-    /// Fails if a key cannot be read or an address cannot be bound.
+    /// Fails if a key is too short, an endpoint is invalid or an address cannot be bound.
     pub async fn start(checked: &Checked, log: Logger) -> Result<(Self, StopHandle)> {
         let settings = &checked.settings;
         let metrics = Metrics::new()?;
         let incarnation = new_incarnation();
-        let peer_key = PeerKey::new(checked.peer_key.expose().as_bytes())
-            .ok_or_else(|| eyre!("peers.key is too short"))?;
-        let admin_key = checked.admin_key.as_ref().map(cactustrack_config::Secret::expose);
-
-        let own = own_identity(settings, incarnation);
-        let board = Rc::new(RefCell::new(Blackboard::new(Membership::new(own))));
-        let store = open_store(settings)?;
-        let records = Rc::new(StoreIdempotencyRecords::new(
-            Rc::clone(&store),
-            &settings.store.prefix,
-            RecordsConfig::default(),
-        ));
-        let configuration = ConfigurationController::new(
-            Rc::clone(&board),
-            store,
-            &settings.store.prefix,
-            metrics.clone(),
-            log.clone(),
-        );
-        let counters = Rc::new(PeerCounters::default());
-        let peers = PeerPool::new(peer_key.clone(), Rc::clone(&counters), PoolConfig::default());
-        let exchange = Exchange::new(
-            Rc::clone(&board),
-            peers,
-            Rc::clone(&configuration),
-            settings.peers.bootstrap.clone(),
-            log.clone(),
-        );
-        configuration.set_peers(Rc::new(Rc::clone(&exchange)));
-        let handler: Rc<dyn PeerHandler> = Rc::clone(&exchange) as Rc<dyn PeerHandler>;
-        let peer_address = settings.listen.peers;
-        let server_config = ServerConfig::default();
-        let peer_server =
-            PeerServer::bind(peer_address, peer_key, handler, Rc::clone(&counters), server_config)
-                .await
-                .wrap_err_with(|| format!("cannot listen on {peer_address} for instances"))?;
-        board.borrow_mut().membership.set_address(peer_server.local_addr());
-
-        let spans = SpanQueue::new(settings.otlp_endpoint.is_some(), metrics.spans_dropped.clone());
-        if let Some(endpoint) = &settings.otlp_endpoint {
-            let instance = settings.instance.id.to_string();
-            let target = ExportTarget { endpoint: endpoint.to_string(), instance };
-            compio::runtime::spawn(export_spans(target, spans.clone())).detach();
-        }
+        let control = Control::start(checked, incarnation, &metrics, &log).await?;
         let pool = Pool::new(PoolLimits {
             buffer_bytes: settings.limits.buffer_bytes,
             ..PoolLimits::default()
         });
         let parts = ProxyParts {
             instance: settings.instance.id.clone(),
-            policy: BoardPolicy::new(Rc::clone(&board), metrics.clone(), log.clone()),
-            records: Rc::clone(&records) as Rc<_>,
+            policy: BoardPolicy::new(Rc::clone(&control.board), metrics.clone(), log.clone()),
+            records: Rc::clone(&control.records) as Rc<_>,
             pool: pool.clone(),
             metrics: metrics.clone(),
-            spans,
+            spans: start_export(settings, &metrics),
             log: log.clone(),
         };
         let proxy = Proxy::new(parts, incarnation.0);
         let (server, shutdown) = bind_callers(settings, &proxy).await?;
-        let source =
-            BoardStatus::new(Rc::clone(&board), pool.clone(), record_status(Rc::clone(&records)));
-        let admin_address = settings.listen.admin;
-        let admin = Admin::bind(admin_address, Rc::new(source), metrics.clone(), admin_key)
-            .await
-            .wrap_err_with(|| format!("cannot listen on {admin_address} for operators"))?;
+        let admin = bind_admin(checked, &control, &pool, &metrics).await?;
         let addresses = Addresses {
             callers: server.local_address()?,
             admin: admin.local_address()?,
-            peers: peer_server.local_addr(),
+            peers: control.peer_server.local_addr(),
         };
         compio::runtime::spawn(admin.run()).detach();
 
+        let Control { board, records, configuration, exchange, counters, peer_server } = control;
         let list = settings.instance_list.as_ref();
         let list = list.map(|url| Box::new(HttpInstanceList::new(url.to_string())) as Box<_>);
         let shared = Rc::new(Controllers {
@@ -224,6 +177,61 @@
     }
 }
 
+/// Configuration, membership and records, with the listener for other instances.
+struct Control {
+    board: SharedBoard,
+    records: Rc<StoreIdempotencyRecords>,
+    configuration: Rc<ConfigurationController>,
+    exchange: Rc<Exchange>,
+    counters: Rc<PeerCounters>,
+    peer_server: PeerServer,
+}
+
+impl Control {
+    async fn start(
+        checked: &Checked,
+        incarnation: Incarnation,
+        metrics: &Metrics,
+        log: &Logger,
+    ) -> Result<Self> {
+        let settings = &checked.settings;
+        let membership = Membership::new(own_identity(settings, incarnation));
+        let board = Rc::new(RefCell::new(Blackboard::new(membership)));
+        let store = open_store(settings)?;
+        let prefix = &settings.store.prefix;
+        let config = RecordsConfig::default();
+        let records = Rc::new(StoreIdempotencyRecords::new(Rc::clone(&store), prefix, config));
+        let configuration = ConfigurationController::new(
+            Rc::clone(&board),
+            store,
+            prefix,
+            metrics.clone(),
+            log.clone(),
+        );
+        let key = PeerKey::new(checked.peer_key.expose().as_bytes())
+            .ok_or_else(|| eyre!("peers.key is too short"))?;
+        let counters = Rc::new(PeerCounters::default());
+        let peers = PeerPool::new(key.clone(), Rc::clone(&counters), PoolConfig::default());
+        let bootstrap = settings.peers.bootstrap.clone();
+        let exchange = Exchange::new(
+            Rc::clone(&board),
+            peers,
+            Rc::clone(&configuration),
+            bootstrap,
+            log.clone(),
+        );
+        configuration.set_peers(Rc::new(Rc::clone(&exchange)));
+        let handler = Rc::clone(&exchange) as Rc<dyn PeerHandler>;
+        let address = settings.listen.peers;
+        let config = ServerConfig::default();
+        let peer_server = PeerServer::bind(address, key, handler, Rc::clone(&counters), config)
+            .await
+            .wrap_err_with(|| format!("cannot listen on {address} for instances"))?;
+        board.borrow_mut().membership.set_address(peer_server.local_addr());
+        Ok(Self { board, records, configuration, exchange, counters, peer_server })
+    }
+}
+
 impl Controllers {
     fn start(self: &Rc<Self>) {
         self.configuration.start();
@@ -341,6 +349,32 @@
         .wrap_err_with(|| format!("cannot listen on {address} for callers"))
 }
 
+async fn bind_admin(
+    checked: &Checked,
+    control: &Control,
+    pool: &Pool,
+    metrics: &Metrics,
+) -> Result<Admin> {
+    let records = record_status(Rc::clone(&control.records));
+    let source = BoardStatus::new(Rc::clone(&control.board), pool.clone(), records);
+    let address = checked.settings.listen.admin;
+    let key = checked.admin_key.as_ref().map(cactustrack_config::Secret::expose);
+    Admin::bind(address, Rc::new(source), metrics.clone(), key)
+        .await
+        .wrap_err_with(|| format!("cannot listen on {address} for operators"))
+}
+
+/// Returns the queue of spans, from which they are exported if the settings name an endpoint.
+fn start_export(settings: &Settings, metrics: &Metrics) -> SpanQueue {
+    let spans = SpanQueue::new(settings.otlp_endpoint.is_some(), metrics.spans_dropped.clone());
+    if let Some(endpoint) = &settings.otlp_endpoint {
+        let instance = settings.instance.id.to_string();
+        let target = ExportTarget { endpoint: endpoint.to_string(), instance };
+        compio::runtime::spawn(export_spans(target, spans.clone())).detach();
+    }
+    spans
+}
+
 fn record_status(records: Rc<StoreIdempotencyRecords>) -> Rc<dyn Fn() -> serde_json::Value> {
     Rc::new(move || {
         let stats = records.stats();
