--- /dev/null
+++ b/crates/members/src/changes.rs
@@ -0,0 +1,70 @@
+//! What changes of members affect: the digest, the spread of statements, and the generation.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Instant;
+
+use cactustrack_types::InstanceId;
+
+use crate::digest::Digest;
+use crate::entry::Known;
+use crate::identity::MemberEntry;
+
+/// Messages that carry a changed entry unasked. Eight messages reach nearly all of 800 members by
+/// epidemic spread; the digests repair the rest.
+pub(crate) const RUMOR_MESSAGES: u8 = 8;
+
+/// Values derived from all members, kept up to date with each change of one.
+#[derive(Clone, Debug)]
+pub(crate) struct Changes {
+    pub(crate) digest: Digest,
+    pub(crate) generation: u64,
+    /// Members whose entry goes into messages unasked.
+    spreading: BTreeSet<InstanceId>,
+}
+
+impl Changes {
+    pub(crate) fn new() -> Self {
+        Self { digest: Digest::new(), generation: 0, spreading: BTreeSet::new() }
+    }
+
+    /// Takes a new statement into the digest.
+    pub(crate) fn add(&mut self, entry: &MemberEntry) {
+        self.digest.toggle(&entry.identity, entry.status);
+    }
+
+    /// Sets how many more messages carry the entry unasked.
+    pub(crate) fn spread(&mut self, known: &mut Known, messages: u8) {
+        known.rumors_left = messages;
+        if messages == 0 {
+            self.spreading.remove(&known.entry.identity.id);
+        } else {
+            self.spreading.insert(known.entry.identity.id.clone());
+        }
+    }
+
+    pub(crate) fn is_spreading(&self) -> bool {
+        !self.spreading.is_empty()
+    }
+
+    pub(crate) fn spreading(&self) -> impl Iterator<Item = &InstanceId> {
+        self.spreading.iter()
+    }
+
+    /// Forgets members that are no longer kept.
+    pub(crate) fn retain(&mut self, kept: &BTreeMap<InstanceId, Known>) {
+        self.spreading.retain(|id| kept.contains_key(id));
+    }
+
+    /// Derives the state of a member.
+    pub(crate) fn evaluate(&mut self, known: &mut Known, now: Instant) {
+        let (state, status) = (known.state, known.entry.status);
+        if known.evaluate(now) {
+            self.digest.toggle(&known.entry.identity, status);
+            self.digest.toggle(&known.entry.identity, known.entry.status);
+            self.spread(known, RUMOR_MESSAGES);
+        }
+        if known.state != state {
+            self.generation += 1;
+        }
+    }
+}
--- a/crates/members/src/digest.rs
+++ b/crates/members/src/digest.rs
@@ -2,7 +2,7 @@
 
 use rapidhash::v3::rapidhash_v3;
 
-use crate::identity::{MemberEntry, MemberStatus};
+use crate::identity::{Identity, MemberStatus};
 
 /// Buckets of a digest. At 800 members a bucket holds about 12 entries, and the buckets of a
 /// message take about 300 bytes.
@@ -14,29 +14,46 @@
     usize::try_from(rapidhash_v3(id.as_bytes()) % count).unwrap_or(0)
 }
 
-/// Returns the digest of each bucket, without gone members. The order of entries is irrelevant.
-pub(crate) fn buckets<'a>(entries: impl Iterator<Item = &'a MemberEntry>) -> Vec<u32> {
-    let mut buckets = vec![0u32; BUCKET_COUNT];
-    for entry in entries.filter(|entry| entry.status != MemberStatus::Gone) {
-        let id = &entry.identity.id;
-        buckets[bucket_of(id)] ^= entry_digest(entry);
-    }
-    buckets
+/// Digest of all entries that are not gone, kept up to date with each change. The order of
+/// changes is irrelevant.
+#[derive(Clone, Debug)]
+pub(crate) struct Digest {
+    buckets: [u32; BUCKET_COUNT],
 }
 
-/// Returns the digest over all buckets.
-pub(crate) fn root(buckets: &[u32]) -> u64 {
-    let bytes: Vec<u8> = buckets.iter().flat_map(|bucket| bucket.to_le_bytes()).collect();
-    rapidhash_v3(&bytes)
+impl Digest {
+    pub(crate) fn new() -> Self {
+        Self { buckets: [0; BUCKET_COUNT] }
+    }
+
+    /// Adds a statement, or removes one that was added.
+    pub(crate) fn toggle(&mut self, identity: &Identity, status: MemberStatus) {
+        if status != MemberStatus::Gone {
+            self.buckets[bucket_of(&identity.id)] ^= entry_digest(identity, status);
+        }
+    }
+
+    /// Returns the digest of each bucket.
+    pub(crate) fn buckets(&self) -> &[u32] {
+        &self.buckets
+    }
+
+    /// Returns the digest over all buckets.
+    pub(crate) fn root(&self) -> u64 {
+        let mut bytes = [0; 4 * BUCKET_COUNT];
+        for (to, bucket) in bytes.chunks_exact_mut(4).zip(&self.buckets) {
+            to.copy_from_slice(&bucket.to_le_bytes());
+        }
+        rapidhash_v3(&bytes)
+    }
 }
 
-fn entry_digest(entry: &MemberEntry) -> u32 {
-    let identity = &entry.identity;
+fn entry_digest(identity: &Identity, status: MemberStatus) -> u32 {
     let mut bytes = Vec::with_capacity(64);
     bytes.extend_from_slice(identity.id.as_bytes());
     bytes.extend_from_slice(&identity.incarnation.0.to_le_bytes());
     bytes.extend_from_slice(&identity.seq.to_le_bytes());
-    bytes.push(entry.status as u8);
+    bytes.push(status as u8);
     let hash = rapidhash_v3(&bytes);
     u32::try_from(hash >> 32).unwrap_or(u32::MAX)
 }
--- a/crates/members/src/lib.rs
+++ b/crates/members/src/lib.rs
@@ -4,6 +4,7 @@
 //! members say into one view. [`ConfigSync`] decides when an instance reads the store, asks a
 //! peer, installs a version and passes it on. Both are driven by events and an injected clock.
 
+mod changes;
 mod config_offers;
 mod config_sync;
 mod config_transfer;
--- a/crates/members/src/membership.rs
+++ b/crates/members/src/membership.rs
@@ -6,7 +6,8 @@
 use cactustrack_types::{Incarnation, InstanceId, Listing, ListingState, Role};
 use derive_more::Display;
 
-use crate::digest;
+use crate::changes::{Changes, RUMOR_MESSAGES};
+use crate::digest::{BUCKET_COUNT, bucket_of};
 use crate::entry::Known;
 use crate::identity::{Doubt, Heard, Identity, MemberEntry, MemberStatus, MembersDelta};
 
@@ -21,10 +22,6 @@
 const MAX_DELTA_ENTRIES: usize = 64;
 /// Doubts in one message, and replies to them.
 const MAX_DOUBTS: usize = 16;
-/// Messages that carry a changed entry unasked. Eight messages reach nearly all of 800 members by
-/// epidemic spread; the digests repair the rest.
-const RUMOR_MESSAGES: u8 = 8;
-
 /// State of a member as one instance sees it.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash)]
 pub enum MemberState {
@@ -73,7 +70,7 @@
     own: MemberEntry,
     superseded_by: Option<Incarnation>,
     others: BTreeMap<InstanceId, Known>,
-    generation: u64,
+    changes: Changes,
     refused: u64,
     /// Bucket from which the next list of differing entries starts.
     cursor: usize,
@@ -82,11 +79,13 @@
 impl Membership {
     /// Creates the view of an instance that knows only itself.
     pub fn new(own: Identity) -> Self {
+        let mut changes = Changes::new();
+        changes.digest.toggle(&own, MemberStatus::Live);
         Self {
             own: MemberEntry { identity: own, status: MemberStatus::Live },
             superseded_by: None,
             others: BTreeMap::new(),
-            generation: 0,
+            changes,
             refused: 0,
             cursor: 0,
         }
@@ -105,7 +104,7 @@
 
     /// Grows whenever a member appears, changes its state or is replaced.
     pub fn generation(&self) -> u64 {
-        self.generation
+        self.changes.generation
     }
 
     /// Returns how many statements about unknown members were ignored because of [`MAX_MEMBERS`].
@@ -130,8 +129,8 @@
     pub fn set_leaving(&mut self) {
         if !self.own.identity.leaving {
             self.own.identity.leaving = true;
-            self.own.identity.seq += 1;
-            self.generation += 1;
+            self.raise_own_seq(self.own.identity.seq + 1);
+            self.changes.generation += 1;
         }
     }
 
@@ -201,8 +200,9 @@
             known.listed.is_some()
                 || known.gone_at.is_none_or(|at| now.saturating_duration_since(at) < GONE_KEPT)
         });
+        self.changes.retain(&self.others);
         if self.others.len() != before {
-            self.generation += 1;
+            self.changes.generation += 1;
         }
     }
 
@@ -210,7 +210,7 @@
     pub fn sync_request(&mut self, partner: &str) -> MembersDelta {
         let unreachable = self.others.get(partner).is_some_and(|known| !known.reachable);
         MembersDelta {
-            root: digest::root(&self.buckets()),
+            root: self.changes.digest.root(),
             entries: self.take_rumors(partner),
             doubts: self.doubts(partner),
             unreachable,
@@ -227,8 +227,7 @@
     ) -> MembersDelta {
         self.heard(from, now);
         self.merge_delta(delta, now);
-        let buckets = self.buckets();
-        let root = digest::root(&buckets);
+        let root = self.changes.digest.root();
         let mut reply = MembersDelta {
             root,
             heard: self.heard_replies(&delta.doubts, now),
@@ -237,10 +236,12 @@
         };
         let asks_for_entries = !delta.buckets.is_empty();
         if root != delta.root && asks_for_entries {
-            reply.entries = self.differing_entries(&buckets, &delta.buckets);
+            reply.entries = self.differing_entries(&delta.buckets);
         } else {
             reply.entries = self.take_rumors(&from.id);
-            reply.buckets = if root == delta.root { Vec::new() } else { buckets };
+            if root != delta.root {
+                reply.buckets = self.changes.digest.buckets().to_vec();
+            }
         }
         self.add_statement_about(&from.id, &mut reply);
         reply
@@ -265,14 +266,13 @@
         if delta.buckets.is_empty() {
             return None;
         }
-        let buckets = self.buckets();
-        let root = digest::root(&buckets);
-        let spreading = self.others.values().any(|known| known.rumors_left > 0);
-        if root == delta.root || spreading {
+        let root = self.changes.digest.root();
+        if root == delta.root || self.changes.is_spreading() {
             // While changes are still spreading, most differences resolve without further calls.
             return None;
         }
-        let entries = self.differing_entries(&buckets, &delta.buckets);
+        let entries = self.differing_entries(&delta.buckets);
+        let buckets = self.changes.digest.buckets().to_vec();
         Some(MembersDelta { root, buckets, entries, ..MembersDelta::default() })
     }
 
@@ -330,28 +330,41 @@
         if *id == self.own.identity.id {
             return self.merge_own(entry);
         }
-        let changed = match self.others.get_mut(id) {
-            Some(known) => known.merge(entry),
-            None if entry.status == MemberStatus::Gone => return,
-            None => self.insert(entry),
-        };
-        if !changed {
+        if !self.others.contains_key(id) {
+            if entry.status == MemberStatus::Gone || !self.make_room() {
+                return;
+            }
+            self.changes.add(entry);
+            self.others.insert(id.clone(), Known::new(entry.clone()));
+        } else if !self.merge_known(entry) {
             return;
         }
-        self.generation += 1;
+        self.changes.generation += 1;
         if let Some(known) = self.others.get_mut(id) {
-            known.rumors_left = if spread { RUMOR_MESSAGES } else { 0 };
+            self.changes.spread(known, if spread { RUMOR_MESSAGES } else { 0 });
+            self.changes.evaluate(known, now);
         }
-        self.evaluate_one(id, now);
     }
 
-    fn insert(&mut self, entry: &MemberEntry) -> bool {
-        if self.others.len() >= MAX_MEMBERS && !self.evict_gone() {
-            self.refused += 1;
-            return false;
+    /// Returns true if the statement supersedes the known one.
+    fn merge_known(&mut self, entry: &MemberEntry) -> bool {
+        let Some(known) = self.others.get_mut(&entry.identity.id) else { return false };
+        let before = known.entry.clone();
+        let changed = known.merge(entry);
+        if changed {
+            self.changes.digest.toggle(&before.identity, before.status);
+            self.changes.add(entry);
+        } else {
+            self.changes.spread(known, known.rumors_left);
         }
-        self.others.insert(entry.identity.id.clone(), Known::new(entry.clone()));
-        true
+        changed
+    }
+
+    /// Returns false if no further member can be kept.
+    fn make_room(&mut self) -> bool {
+        let room = self.others.len() < MAX_MEMBERS || self.evict_gone();
+        self.refused += u64::from(!room);
+        room
     }
 
     fn evict_gone(&mut self) -> bool {
@@ -365,31 +378,31 @@
 
     /// Contradicts statements that this instance does not respond or is in another state.
     fn merge_own(&mut self, entry: &MemberEntry) {
-        let own = &mut self.own.identity;
+        let own = &self.own.identity;
         if entry.identity.incarnation > own.incarnation {
             self.superseded_by = self.superseded_by.max(Some(entry.identity.incarnation));
         } else if entry.identity.incarnation == own.incarnation
             && (entry.identity.seq, entry.status) > (own.seq, MemberStatus::Live)
         {
-            own.seq = entry.identity.seq.saturating_add(1);
+            self.raise_own_seq(entry.identity.seq.saturating_add(1));
         }
     }
 
+    fn raise_own_seq(&mut self, seq: u32) {
+        self.changes.digest.toggle(&self.own.identity, self.own.status);
+        self.own.identity.seq = seq;
+        self.changes.digest.toggle(&self.own.identity, self.own.status);
+    }
+
     fn evaluate(&mut self, now: Instant) {
-        let ids: Vec<InstanceId> = self.others.keys().cloned().collect();
-        for id in ids {
-            self.evaluate_one(&id, now);
+        for known in self.others.values_mut() {
+            self.changes.evaluate(known, now);
         }
     }
 
     fn evaluate_one(&mut self, id: &str, now: Instant) {
-        let Some(known) = self.others.get_mut(id) else { return };
-        let state = known.state;
-        if known.evaluate(now) {
-            known.rumors_left = RUMOR_MESSAGES;
-        }
-        if known.state != state {
-            self.generation += 1;
+        if let Some(known) = self.others.get_mut(id) {
+            self.changes.evaluate(known, now);
         }
     }
 
@@ -397,43 +410,40 @@
         std::iter::once(&self.own).chain(self.others.values().map(|known| &known.entry))
     }
 
-    fn buckets(&self) -> Vec<u32> {
-        digest::buckets(self.entries())
-    }
-
     /// Returns changed entries that are still spreading and counts the message. Changes that have
     /// been sent least often go first.
     fn take_rumors(&mut self, partner: &str) -> Vec<MemberEntry> {
-        let mut rumors: Vec<&mut Known> = self
-            .others
-            .values_mut()
-            .filter(|known| known.rumors_left > 0 && *known.entry.identity.id != *partner)
-            .collect();
-        rumors.sort_by_key(|known| std::cmp::Reverse(known.rumors_left));
+        let left = |id: &InstanceId| self.others.get(id).map_or(0, |known| known.rumors_left);
+        let mut ids: Vec<(u8, InstanceId)> =
+            self.changes.spreading().map(|id| (left(id), id.clone())).collect();
+        ids.retain(|(_, id)| **id != *partner);
+        ids.sort_by_key(|(left, _)| std::cmp::Reverse(*left));
         let mut entries = Vec::new();
-        for known in rumors.into_iter().take(MAX_DELTA_ENTRIES) {
-            known.rumors_left -= 1;
-            entries.push(known.entry.clone());
+        for (left, id) in ids.into_iter().take(MAX_DELTA_ENTRIES) {
+            if let Some(known) = self.others.get_mut(&id) {
+                self.changes.spread(known, left.saturating_sub(1));
+                entries.push(known.entry.clone());
+            }
         }
         entries
     }
 
-    fn differing_entries(&mut self, own: &[u32], theirs: &[u32]) -> Vec<MemberEntry> {
-        let start = self.cursor;
+    /// Returns entries of the buckets that differ from those of another instance. Further calls
+    /// continue with the next buckets.
+    fn differing_entries(&mut self, theirs: &[u32]) -> Vec<MemberEntry> {
+        let (start, own) = (self.cursor, self.changes.digest.buckets());
         let differs = |bucket: usize| own.get(bucket) != theirs.get(bucket);
         let mut ordered: Vec<(usize, &MemberEntry)> = self
             .entries()
-            .map(|entry| (digest::bucket_of(&entry.identity.id), entry))
+            .map(|entry| (bucket_of(&entry.identity.id), entry))
             .filter(|(bucket, _)| differs(*bucket))
-            .map(|(bucket, entry)| {
-                ((bucket + digest::BUCKET_COUNT - start) % digest::BUCKET_COUNT, entry)
-            })
+            .map(|(bucket, entry)| ((bucket + BUCKET_COUNT - start) % BUCKET_COUNT, entry))
             .collect();
         ordered.sort_by_key(|(distance, _)| *distance);
         ordered.truncate(MAX_DELTA_ENTRIES);
         let advance = ordered.last().map_or(0, |(distance, _)| *distance);
         let entries = ordered.into_iter().map(|(_, entry)| entry.clone()).collect();
-        self.cursor = (start + advance) % digest::BUCKET_COUNT;
+        self.cursor = (start + advance) % BUCKET_COUNT;
         entries
     }
 
--- a/tests/all/members.rs
+++ b/tests/all/members.rs
@@ -244,6 +244,12 @@
                 prop_assert_eq!(state(&members, n), expected, "member {} after {:?}", n, log);
             }
         }
+        // The digest was kept up to date by changes; that of a new instance is built once.
+        let mut other = Membership::new(identity(9, 1, 0));
+        let ask = MembersDelta { root: 1, buckets: vec![0; 64], ..MembersDelta::default() };
+        let reply = members.on_sync_request(&other.own().clone(), &ask, start + at);
+        other.on_sync_reply("i000", &members.own().clone(), &reply, start + at);
+        prop_assert_eq!(members.sync_request("").root, other.sync_request("").root, "{:?}", log);
     }
 }
 
