--- a/crates/members/src/changes.rs
+++ b/crates/members/src/changes.rs
@@ -1,5 +1,6 @@
 //! What changes of members affect: the digest, the spread of statements, and the generation.
 
+use std::cmp::Ordering;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Instant;
 
@@ -27,17 +28,40 @@
         Self { digest: Digest::new(), generation: 0, spreading: BTreeSet::new() }
     }
 
-    /// Takes a new statement into the digest.
-    pub(crate) fn add(&mut self, entry: &MemberEntry) {
-        self.digest.toggle(&entry.identity, entry.status);
+    /// Takes account of a new member.
+    pub(crate) fn insert(&mut self, known: &mut Known, messages: u8, now: Instant) {
+        self.digest.toggle(&known.entry.identity, known.entry.status);
+        self.generation += 1;
+        self.spread(known, messages);
+        self.evaluate(known, now);
+    }
+
+    /// Takes over a statement about a member if it supersedes the known one.
+    pub(crate) fn merge(
+        &mut self,
+        known: &mut Known,
+        entry: &MemberEntry,
+        messages: u8,
+        now: Instant,
+    ) {
+        match entry.order().cmp(&known.entry.order()) {
+            Ordering::Less => {}
+            // Another member already has it, so it needs to be spread less.
+            Ordering::Equal => self.spread(known, known.rumors_left.saturating_sub(1)),
+            Ordering::Greater => {
+                self.digest.toggle(&known.entry.identity, known.entry.status);
+                known.replace(entry);
+                self.insert(known, messages, now);
+            }
+        }
     }
 
     /// Sets how many more messages carry the entry unasked.
     pub(crate) fn spread(&mut self, known: &mut Known, messages: u8) {
-        known.rumors_left = messages;
-        if messages == 0 {
+        let before = std::mem::replace(&mut known.rumors_left, messages);
+        if before > 0 && messages == 0 {
             self.spreading.remove(&known.entry.identity.id);
-        } else {
+        } else if before == 0 && messages > 0 {
             self.spreading.insert(known.entry.identity.id.clone());
         }
     }
--- a/crates/members/src/entry.rs
+++ b/crates/members/src/entry.rs
@@ -54,22 +54,15 @@
         }
     }
 
-    /// Takes over a statement if it supersedes the known one. Returns true if it did.
-    pub(crate) fn merge(&mut self, entry: &MemberEntry) -> bool {
-        if !entry.supersedes(&self.entry) {
-            if !self.entry.supersedes(entry) {
-                // Another member already has it, so it needs to be spread less.
-                self.rumors_left = self.rumors_left.saturating_sub(1);
-            }
-            return false;
-        }
+    /// Takes over a statement that supersedes the known one.
+    pub(crate) fn replace(&mut self, entry: &MemberEntry) {
         if entry.identity.incarnation > self.entry.identity.incarnation {
             // Nothing that was observed about the former life applies to the new one. The list
             // lags, so the new one has not left it; but only the former one was told to stop.
             let listed = self.listed.map(|_| ListingState::Live);
-            *self = Self::new(entry.clone());
-            self.listed = listed;
-            return true;
+            let rumors_left = self.rumors_left;
+            *self = Self { listed, rumors_left, ..Self::new(entry.clone()) };
+            return;
         }
         if entry.identity.seq > self.entry.identity.seq && !self.reachable {
             // Our suspicion was refuted by the member itself.
@@ -77,7 +70,6 @@
             self.failing_since = None;
         }
         self.entry = entry.clone();
-        true
     }
 
     /// Replaces what the list said about this life by what the member says about itself.
--- a/crates/members/src/identity.rs
+++ b/crates/members/src/identity.rs
@@ -50,11 +50,10 @@
 }
 
 impl MemberEntry {
-    /// Returns true if this statement is about a later life of the instance, or a later statement
-    /// about the same life.
-    pub fn supersedes(&self, other: &Self) -> bool {
-        let order = |entry: &Self| (entry.identity.incarnation, entry.identity.seq, entry.status);
-        order(self) > order(other)
+    /// Orders statements about one instance: a later life first, then a later statement of the
+    /// instance itself, then the worse status.
+    pub(crate) fn order(&self) -> (Incarnation, u32, MemberStatus) {
+        (self.identity.incarnation, self.identity.seq, self.status)
     }
 }
 
--- a/crates/members/src/membership.rs
+++ b/crates/members/src/membership.rs
@@ -330,34 +330,13 @@
         if *id == self.own.identity.id {
             return self.merge_own(entry);
         }
-        if !self.others.contains_key(id) {
-            if entry.status == MemberStatus::Gone || !self.make_room() {
-                return;
-            }
-            self.changes.add(entry);
-            self.others.insert(id.clone(), Known::new(entry.clone()));
-        } else if !self.merge_known(entry) {
-            return;
-        }
-        self.changes.generation += 1;
+        let messages = if spread { RUMOR_MESSAGES } else { 0 };
         if let Some(known) = self.others.get_mut(id) {
-            self.changes.spread(known, if spread { RUMOR_MESSAGES } else { 0 });
-            self.changes.evaluate(known, now);
-        }
-    }
-
-    /// Returns true if the statement supersedes the known one.
-    fn merge_known(&mut self, entry: &MemberEntry) -> bool {
-        let Some(known) = self.others.get_mut(&entry.identity.id) else { return false };
-        let before = known.entry.clone();
-        let changed = known.merge(entry);
-        if changed {
-            self.changes.digest.toggle(&before.identity, before.status);
-            self.changes.add(entry);
-        } else {
-            self.changes.spread(known, known.rumors_left);
+            self.changes.merge(known, entry, messages, now);
+        } else if entry.status != MemberStatus::Gone && self.make_room() {
+            let known = self.others.entry(id.clone()).or_insert_with(|| Known::new(entry.clone()));
+            self.changes.insert(known, messages, now);
         }
-        changed
     }
 
     /// Returns false if no further member can be kept.
