Shrink reports, retry gone members, and bound the wait for a connection

Cause: a report repeated the names of services and the collector's incarnation; a reply repeated what had not changed. A partition that outlives the record of gone members did not heal while the instance list was unavailable. A statement about the caller was dropped from a full reply. Calls that waited for a connecting one waited once for each. Change: known sequence numbers are sent with the evidence of their service, replies carry changes only and name services that are not collected. Gone members are kept for 2 h and called every 10 minutes, and sooner once they call. The statement about the caller goes first. The connect time-out includes the wait.

--- a/benches/control.rs
+++ b/benches/control.rs
@@ -83,6 +83,11 @@
     fleet.accept();
     fleet.measure(Duration::from_secs(5)).print(n, "first 5 s after an acceptance");
 
+    let took = fleet.restart_one(n / 2, Duration::from_secs(60));
+    println!("{n} instances, restart of one until known everywhere: {took:.2} s");
+    let took = fleet.leave(n / 2, Duration::from_secs(60));
+    println!("{n} instances, leave of one until known everywhere: {took:.2} s");
+
     let (took, window) = fleet.restart_all(Duration::from_secs(60));
     println!("{n} instances, restart of all until in force everywhere: {took:.2} s");
     window.print(n, "first 10 s after a restart of all");
--- a/benches/control/evidence.rs
+++ b/benches/control/evidence.rs
@@ -10,7 +10,7 @@
 
 use cactustrack_members::{Identity, Membership};
 use cactustrack_peer::codec::Message;
-use cactustrack_peer::{KnownSeq, Report, ReportEntry, ReportReply, ServiceVerdicts};
+use cactustrack_peer::{KnownSeq, Report, ReportEntry, ReportReply};
 use cactustrack_types::{Counts, Incarnation, InstanceId, Outcome, ServiceId};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
@@ -162,24 +162,21 @@
             .collect();
         let mut services: Vec<ServiceId> = entries.iter().map(|e| e.service.clone()).collect();
         services.dedup();
-        let known = |service: &ServiceId| KnownSeq {
-            service: service.clone(),
-            collector: incarnation,
-            seq: 17,
-        };
+        let known = |service| KnownSeq { service, seq: 17 };
         let report = Report {
             observer: self.own.id.clone(),
             incarnation,
             seq,
             failure_domain: self.own.failure_domain.clone(),
+            collector: incarnation,
             entries,
-            known_seqs: services.iter().map(known).collect(),
+            known_seqs: services.into_iter().map(known).collect(),
         };
-        let confirmed = |service| ServiceVerdicts { service, seq: 17, verdicts: Vec::new() };
         let reply = ReportReply {
             collector: collector.clone(),
             incarnation,
-            services: services.into_iter().map(confirmed).collect(),
+            services: Vec::new(),
+            not_collected: Vec::new(),
         };
         let (report, reply) =
             (report.encode().expect("encodable"), reply.encode().expect("encodable"));
--- a/benches/control/fleet.rs
+++ b/benches/control/fleet.rs
@@ -345,6 +345,34 @@
         (took, window)
     }
 
+    /// Restarts one instance. Returns the seconds until all others know its new life.
+    pub(crate) fn restart_one(&mut self, i: usize, limit: Duration) -> f64 {
+        let life = self.instances[i].life + 1;
+        self.instances[i] = self.new_instance(i, life);
+        self.boot(i);
+        let (id, incarnation) = (identity(self.shape, i, 1).id, incarnation(i, life));
+        self.wait_until(limit, |fleet| {
+            let knows = |instance: &Instance| {
+                let view = instance.members.member(&id);
+                view.is_some_and(|view| view.identity.incarnation == incarnation)
+            };
+            fleet.instances.iter().all(knows)
+        })
+    }
+
+    /// Lets one instance declare that it leaves. Returns the seconds until all others know it.
+    pub(crate) fn leave(&mut self, i: usize, limit: Duration) -> f64 {
+        self.instances[i].members.set_leaving();
+        let id = identity(self.shape, i, 1).id;
+        self.wait_until(limit, |fleet| {
+            let knows = |instance: &Instance| {
+                let view = instance.members.member(&id);
+                view.is_some_and(|view| view.state == MemberState::Leaving)
+            };
+            fleet.instances.iter().all(knows)
+        })
+    }
+
     /// Cuts the regions off from each other, or joins them. The store stays reachable.
     pub(crate) fn set_partitioned(&mut self, partitioned: bool) {
         self.partitioned = partitioned;
--- a/benches/control/wire.rs
+++ b/benches/control/wire.rs
@@ -39,7 +39,12 @@
     }
 
     fn report(&self, report: Report) -> ReportReply {
-        ReportReply { collector: report.observer, incarnation: Incarnation(1), services: vec![] }
+        ReportReply {
+            collector: report.observer,
+            incarnation: Incarnation(1),
+            services: vec![],
+            not_collected: vec![],
+        }
     }
 
     fn sync(&self, request: SyncRequest) -> SyncReply {
--- a/crates/members/src/entry.rs
+++ b/crates/members/src/entry.rs
@@ -9,7 +9,10 @@
 
 /// Time before a member that does not respond is called again; doubles up to the maximum.
 const FIRST_RETRY: Duration = Duration::from_secs(1);
-const MAX_RETRY: Duration = Duration::from_secs(32);
+const MAX_RETRY: Duration = Duration::from_secs(64);
+/// Time between calls to a member that is gone and not listed. About 80 members are replaced in
+/// the two hours for which they are kept, which gives one such call in 8 s.
+const GONE_RETRY: Duration = Duration::from_secs(600);
 /// Longest time between two suspicions of a member that others can reach. Without a limit, a
 /// permanent one-way partition would spread a suspicion and its refutation every few seconds.
 const MAX_SUSPICION_WAIT: Duration = Duration::from_secs(320);
@@ -82,6 +85,9 @@
     /// Records that the member called or answered.
     pub(crate) fn record_contact(&mut self, now: Instant) {
         self.heard = Some(self.heard.map_or(now, |heard| heard.max(now)));
+        // A member that calls can probably be called, so a long wait for a retry is cut short.
+        let soon = |at: Instant| at.min(now + FIRST_RETRY);
+        self.next_attempt = self.next_attempt.map(soon).filter(|_| !self.reachable);
     }
 
     /// Records that a call from here was answered.
@@ -98,12 +104,17 @@
     pub(crate) fn record_failure(&mut self, now: Instant) {
         self.reachable = false;
         let since = *self.failing_since.get_or_insert(now);
-        self.next_attempt = Some(now + self.retry);
+        self.next_attempt = Some(now + self.retry_after());
         if now.saturating_duration_since(since) >= SUSPECT_AFTER {
             self.retry = (self.retry * 2).min(MAX_RETRY);
         }
     }
 
+    fn retry_after(&self) -> Duration {
+        let gone = self.entry.status == MemberStatus::Gone && self.listed.is_none();
+        if gone { GONE_RETRY } else { self.retry }
+    }
+
     /// Asks for a call to the member soon, because another member gets no response from it.
     pub(crate) fn request_attempt(&mut self, now: Instant) {
         if self.next_attempt.is_none() && !self.responded_within(SUSPECT_AFTER, now) {
@@ -131,7 +142,10 @@
         }
         self.state = self.derive_state(now);
         match (self.entry.status, self.gone_at) {
-            (MemberStatus::Gone, None) => self.gone_at = Some(now),
+            (MemberStatus::Gone, None) => {
+                self.gone_at = Some(now);
+                self.next_attempt = Some(now + self.retry_after());
+            }
             (MemberStatus::Live | MemberStatus::Suspect, Some(_)) => self.gone_at = None,
             _ => {}
         }
@@ -159,11 +173,12 @@
     }
 
     /// Returns true if a call to the member is only an attempt to find out whether it responds.
+    /// Gone members are included, so that a partition heals also while the list is unavailable.
     pub(crate) fn is_doubtful(&self) -> bool {
         !self.reachable
             || self.next_attempt.is_some()
             || self.state == MemberState::Suspect
-            || (self.state == MemberState::Gone && self.listed.is_some())
+            || self.state == MemberState::Gone
     }
 
     /// Returns true if an attempt may be made now.
--- a/crates/members/src/membership.rs
+++ b/crates/members/src/membership.rs
@@ -16,8 +16,9 @@
 /// Largest number of members that are kept, live and gone. Twice the planned fleet, to leave room
 /// for gone members.
 pub const MAX_MEMBERS: usize = 2048;
-/// Time for which a gone member is kept, so that a late statement does not bring it back.
-const GONE_KEPT: Duration = Duration::from_secs(600);
+/// Time for which a gone member is kept. A late statement then does not bring it back, and two
+/// regions find each other again after a partition of an hour without the instance list.
+const GONE_KEPT: Duration = Duration::from_secs(2 * 3600);
 /// Entries in one message. 64 of them take about 6 KB.
 const MAX_DELTA_ENTRIES: usize = 64;
 /// Doubts in one message, and replies to them.
@@ -454,7 +455,9 @@
             && known.entry.status != MemberStatus::Live
             && !reply.entries.iter().any(|entry| *entry.identity.id == *id)
         {
-            reply.entries.push(known.entry.clone());
+            // First, because receivers ignore entries beyond the bound.
+            reply.entries.insert(0, known.entry.clone());
+            reply.entries.truncate(MAX_DELTA_ENTRIES);
         }
     }
 }
--- a/crates/peer/schema/peer.capnp
+++ b/crates/peer/schema/peer.capnp
@@ -67,19 +67,22 @@
 struct UpstreamEvidence {
   upstream @0 :Text;
   incarnation @1 :UInt64;
-  counts @2 :Counts;
+  # The counts, without the pointer that a separate struct would cost.
+  ok @2 :UInt32;
+  refused @3 :UInt32;
+  failed @4 :UInt32;
+  cutShort @5 :UInt32;
+  slow @6 :UInt32;
+  silent @7 :UInt32;
+  shed @8 :UInt32;
 }
 
 struct ServiceEvidence {
   service @0 :Text;
   upstreams @1 :List(UpstreamEvidence);
-}
-
-struct KnownSeq {
-  service @0 :Text;
-  # Incarnation of the collector that assigned the sequence number.
-  collector @1 :UInt64;
-  seq @2 :UInt64;
+  # True if the observer follows the verdicts on this service, up to knownSeq.
+  follows @2 :Bool;
+  knownSeq @3 :UInt64;
 }
 
 struct Report {
@@ -87,9 +90,10 @@
   incarnation @1 :UInt64;
   failureDomain @2 :Text;
   services @3 :List(ServiceEvidence);
-  knownSeqs @4 :List(KnownSeq);
   # Number of the report among those of the observer to the collector.
-  seq @5 :UInt64;
+  seq @4 :UInt64;
+  # Incarnation of the collector that assigned the known sequence numbers.
+  collector @5 :UInt64;
 }
 
 struct Verdict {
@@ -114,7 +118,10 @@
 struct ReportReply {
   collector @0 :Text;
   incarnation @1 :UInt64;
+  # Services with changed verdicts. Verdicts on other services are confirmed by the reply.
   services @2 :List(ServiceVerdicts);
+  # Services in the report that this instance does not collect.
+  notCollected @3 :List(Text);
 }
 
 struct ConfigHead {
--- a/crates/peer/src/codec/report.rs
+++ b/crates/peer/src/codec/report.rs
@@ -1,12 +1,14 @@
 //! Encoding of evidence and verdicts.
 
-use cactustrack_types::{Counts, Incarnation, Scope, Verdict, VerdictHealth};
+use std::collections::BTreeMap;
+
+use cactustrack_types::{Counts, Incarnation, Scope, ServiceId, Verdict, VerdictHealth};
 use capnp::{Error, Result};
 
 use super::{MAX_LIST_ITEMS, check_length, impl_message, list_length, read_text};
 use crate::messages::{KnownSeq, Report, ReportEntry, ReportReply, ServiceVerdicts};
 use crate::peer_capnp::{
-    counts, known_seq, report, report_reply, service_evidence, service_verdicts, verdict,
+    counts, report, report_reply, service_evidence, service_verdicts, verdict,
 };
 
 /// Services in one message.
@@ -20,77 +22,98 @@
     to.set_incarnation(value.incarnation.0);
     to.set_seq(value.seq);
     to.set_failure_domain(&value.failure_domain);
-    let groups: Vec<&[ReportEntry]> =
-        value.entries.chunk_by(|a, b| a.service == b.service).collect();
-    let mut services = to.reborrow().init_services(list_length(groups.len()));
+    to.set_collector(value.collector.0);
+    let groups = groups(value);
+    let mut services = to.init_services(list_length(groups.len()));
     for (i, group) in (0..services.len()).zip(groups) {
-        write_group(group, services.reborrow().get(i));
-    }
-    let mut known = to.init_known_seqs(list_length(value.known_seqs.len()));
-    for (i, seq) in (0..known.len()).zip(&value.known_seqs) {
-        let mut item = known.reborrow().get(i);
-        item.set_service(&seq.service);
-        item.set_collector(seq.collector.0);
-        item.set_seq(seq.seq);
+        write_group(&group, services.reborrow().get(i));
     }
 }
 
-fn write_group(group: &[ReportEntry], mut to: service_evidence::Builder<'_>) {
-    if let Some(entry) = group.first() {
-        to.set_service(&entry.service);
+/// Evidence and known verdicts of one service.
+struct Group<'a> {
+    service: &'a ServiceId,
+    entries: &'a [ReportEntry],
+    known_seq: Option<u64>,
+}
+
+fn groups(value: &Report) -> Vec<Group<'_>> {
+    let mut known: BTreeMap<&ServiceId, u64> =
+        value.known_seqs.iter().map(|known| (&known.service, known.seq)).collect();
+    let mut groups = Vec::new();
+    for entries in value.entries.chunk_by(|a, b| a.service == b.service) {
+        let service = &entries[0].service;
+        groups.push(Group { service, entries, known_seq: known.remove(service) });
     }
-    let mut upstreams = to.init_upstreams(list_length(group.len()));
-    for (i, entry) in (0..upstreams.len()).zip(group) {
+    let rest = known.into_iter();
+    groups.extend(rest.map(|(service, seq)| Group { service, entries: &[], known_seq: Some(seq) }));
+    groups
+}
+
+fn write_group(group: &Group<'_>, mut to: service_evidence::Builder<'_>) {
+    to.set_service(group.service);
+    to.set_follows(group.known_seq.is_some());
+    to.set_known_seq(group.known_seq.unwrap_or(0));
+    let mut upstreams = to.init_upstreams(list_length(group.entries.len()));
+    for (i, entry) in (0..upstreams.len()).zip(group.entries) {
         let mut item = upstreams.reborrow().get(i);
         item.set_upstream(&entry.upstream);
         item.set_incarnation(entry.incarnation.0);
-        write_counts(&entry.counts, item.init_counts());
+        item.set_ok(entry.counts.ok);
+        item.set_refused(entry.counts.refused);
+        item.set_failed(entry.counts.failed);
+        item.set_cut_short(entry.counts.cut_short);
+        item.set_slow(entry.counts.slow);
+        item.set_silent(entry.counts.silent);
+        item.set_shed(entry.counts.shed);
     }
 }
 
 pub(crate) fn read_report(from: report::Reader<'_>) -> Result<Report> {
     let services = from.get_services()?;
     check_length(services.len(), MAX_SERVICES)?;
-    let known = from.get_known_seqs()?;
-    check_length(known.len(), MAX_SERVICES)?;
-    let mut entries = Vec::new();
-    for service in services {
-        read_group(service, &mut entries)?;
-    }
-    Ok(Report {
+    let mut report = Report {
         observer: read_text(from.get_observer()?)?,
         incarnation: Incarnation(from.get_incarnation()),
         seq: from.get_seq(),
         failure_domain: read_text(from.get_failure_domain()?)?,
-        entries,
-        known_seqs: known.iter().map(read_known_seq).collect::<Result<_>>()?,
-    })
+        collector: Incarnation(from.get_collector()),
+        entries: Vec::new(),
+        known_seqs: Vec::new(),
+    };
+    for service in services {
+        read_group(service, &mut report)?;
+    }
+    Ok(report)
 }
 
-fn read_group(from: service_evidence::Reader<'_>, entries: &mut Vec<ReportEntry>) -> Result<()> {
+fn read_group(from: service_evidence::Reader<'_>, report: &mut Report) -> Result<()> {
     let service = read_text(from.get_service()?)?;
+    if from.get_follows() {
+        report.known_seqs.push(KnownSeq { service: service.clone(), seq: from.get_known_seq() });
+    }
     let upstreams = from.get_upstreams()?;
-    let room = MAX_LIST_ITEMS.saturating_sub(list_length(entries.len()));
+    let room = MAX_LIST_ITEMS.saturating_sub(list_length(report.entries.len()));
     check_length(upstreams.len(), room)?;
     for upstream in upstreams {
-        entries.push(ReportEntry {
+        report.entries.push(ReportEntry {
             service: service.clone(),
             upstream: read_text(upstream.get_upstream()?)?,
             incarnation: Incarnation(upstream.get_incarnation()),
-            counts: read_counts(upstream.get_counts()?),
+            counts: Counts {
+                ok: upstream.get_ok(),
+                refused: upstream.get_refused(),
+                failed: upstream.get_failed(),
+                cut_short: upstream.get_cut_short(),
+                slow: upstream.get_slow(),
+                silent: upstream.get_silent(),
+                shed: upstream.get_shed(),
+            },
         });
     }
     Ok(())
 }
 
-fn read_known_seq(from: known_seq::Reader<'_>) -> Result<KnownSeq> {
-    Ok(KnownSeq {
-        service: read_text(from.get_service()?)?,
-        collector: Incarnation(from.get_collector()),
-        seq: from.get_seq(),
-    })
-}
-
 fn write_counts(value: &Counts, mut to: counts::Builder<'_>) {
     to.set_ok(value.ok);
     to.set_refused(value.refused);
@@ -116,10 +139,16 @@
 pub(crate) fn write_reply(value: &ReportReply, mut to: report_reply::Builder<'_>) {
     to.set_collector(&value.collector);
     to.set_incarnation(value.incarnation.0);
-    let mut services = to.init_services(list_length(value.services.len()));
+    let mut services = to.reborrow().init_services(list_length(value.services.len()));
     for (i, service) in (0..services.len()).zip(&value.services) {
         write_service(service, services.reborrow().get(i));
     }
+    if !value.not_collected.is_empty() {
+        let mut names = to.init_not_collected(list_length(value.not_collected.len()));
+        for (i, service) in (0..names.len()).zip(&value.not_collected) {
+            names.set(i, service);
+        }
+    }
 }
 
 fn write_service(value: &ServiceVerdicts, mut to: service_verdicts::Builder<'_>) {
@@ -150,6 +179,8 @@
 pub(crate) fn read_reply(from: report_reply::Reader<'_>) -> Result<ReportReply> {
     let services = from.get_services()?;
     check_length(services.len(), MAX_SERVICES)?;
+    let not_collected = from.get_not_collected()?;
+    check_length(not_collected.len(), MAX_SERVICES)?;
     let mut room = MAX_LIST_ITEMS;
     let mut read = Vec::new();
     for service in services {
@@ -165,6 +196,10 @@
         collector: read_text(from.get_collector()?)?,
         incarnation: Incarnation(from.get_incarnation()),
         services: read,
+        not_collected: not_collected
+            .iter()
+            .map(|service| read_text(service?))
+            .collect::<Result<_>>()?,
     })
 }
 
--- a/crates/peer/src/messages.rs
+++ b/crates/peer/src/messages.rs
@@ -18,14 +18,12 @@
     pub counts: Counts,
 }
 
-/// The verdicts that the reporter already has from the collector.
+/// The verdicts on one service that the reporter already has from the collector.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct KnownSeq {
     /// The service.
     pub service: ServiceId,
-    /// Incarnation of the collector that assigned the sequence number.
-    pub collector: Incarnation,
-    /// Highest sequence number of the verdicts.
+    /// Highest sequence number of the verdicts, or 0 if none is known.
     pub seq: u64,
 }
 
@@ -41,9 +39,12 @@
     pub seq: u64,
     /// Failure domain of the observer.
     pub failure_domain: FailureDomain,
+    /// The life of the collector that `known_seqs` refers to; 0 if none is known.
+    pub collector: Incarnation,
     /// The evidence. Entries of one service are adjacent.
     pub entries: Vec<ReportEntry>,
-    /// Verdicts that the observer has. A service is named here to receive its verdicts.
+    /// Services whose verdicts the observer follows. Those with entries come first when the
+    /// report is received.
     pub known_seqs: Vec<KnownSeq>,
 }
 
@@ -52,8 +53,7 @@
 pub struct ServiceVerdicts {
     /// The service.
     pub service: ServiceId,
-    /// Highest sequence number that the collector has assigned for the service. It is sent also
-    /// without changed verdicts, because it confirms the earlier ones.
+    /// Highest sequence number that the collector has assigned for the service.
     pub seq: u64,
     /// Verdicts that changed since the sequence number that the observer knows.
     pub verdicts: Vec<Verdict>,
@@ -66,8 +66,12 @@
     pub collector: InstanceId,
     /// Incarnation of the collector. Sequence numbers are comparable within it only.
     pub incarnation: Incarnation,
-    /// Verdicts by service.
+    /// Services with changed verdicts. The reply confirms the verdicts that the observer has on
+    /// all other services it follows, except those in `not_collected`.
     pub services: Vec<ServiceVerdicts>,
+    /// Services of the report that this instance does not collect, because its view of the
+    /// members differs from that of the observer.
+    pub not_collected: Vec<ServiceId>,
 }
 
 /// Exchange of membership and configuration.
--- a/crates/peer/src/pool.rs
+++ b/crates/peer/src/pool.rs
@@ -186,7 +186,11 @@
     ) -> Result<T, CallError> {
         let slot = self.slot(address)?;
         let _guard = InFlight::new(self, &slot)?;
-        let connection = self.connection(address, &slot).await?;
+        // The limit includes the wait for another call that is connecting.
+        let connection = timeout(self.config.connect_timeout, self.connection(address, &slot));
+        let connection = connection.await.unwrap_or_else(|_| {
+            Err(CallError::Connect { reason: "no connection in time".to_owned() })
+        })?;
         slot.last_used.set(Some(Instant::now()));
         let sent = Instant::now();
         let reply = timeout(self.config.call_timeout, run(connection.client)).await;
@@ -243,10 +247,7 @@
             return Ok(open.clone());
         }
         *connection = None;
-        let opened = timeout(self.config.connect_timeout, self.connect(address)).await;
-        let opened = opened.unwrap_or_else(|_| {
-            Err(CallError::Connect { reason: "no connection in time".to_owned() })
-        })?;
+        let opened = self.connect(address).await?;
         *slot.link.borrow_mut() = Some(opened.link.clone());
         *connection = Some(opened.clone());
         Ok(opened)
--- a/tests/all/members.rs
+++ b/tests/all/members.rs
@@ -316,6 +316,34 @@
     assert_eq!(state(&a, 1), Some(MemberState::Live));
 }
 
+/// Guards against a partition that does not heal because both sides have given each other up
+/// while the instance list is empty, and against frequent calls to members that are gone.
+#[test]
+fn gone_members_are_found_again_without_the_list() {
+    let now = Instant::now();
+    let mut members = fleet(2, now);
+    members.update_list(&[], now);
+    for second in 0..7 {
+        members.call_failed("i001", Incarnation(1), now + Duration::from_secs(second));
+    }
+    assert_eq!(state(&members, 1), Some(MemberState::Gone));
+    let mut calls = 0;
+    let mut rng = SmallRng::seed_from_u64(1);
+    for second in 7..3607 {
+        let at = now + Duration::from_secs(second);
+        members.tick(at);
+        for id in members.sync_partners(&mut rng, 2, at) {
+            calls += 1;
+            members.call_failed(&id, Incarnation(1), at);
+        }
+    }
+    assert!((3..=8).contains(&calls), "{calls} calls in an hour");
+    members.heard(&identity(1, 1, 1), now + Duration::from_secs(3607));
+    assert_eq!(state(&members, 1), Some(MemberState::Live));
+    let at = now + Duration::from_secs(3609);
+    assert_eq!(members.sync_partners(&mut rng, 2, at), ["i001".into()]);
+}
+
 /// Guards against doubts that are not answered, or not acted on.
 #[test]
 fn doubts_are_answered_by_direct_contacts_only() {
@@ -344,12 +372,12 @@
     for _ in 0..200 {
         let request = b.sync_request("i000");
         let reply = a.on_sync_request(&b.own().clone(), &request, now);
-        assert!(request.entries.len() <= 64 && reply.entries.len() <= 65);
+        assert!(request.entries.len() <= 64 && reply.entries.len() <= 64);
         let more = b.on_sync_reply("i000", &a.own().clone(), &reply, now);
         if let Some(more) = more {
             assert!(more.entries.len() <= 64);
             let reply = a.on_sync_request(&b.own().clone(), &more, now);
-            assert!(reply.entries.len() <= 65);
+            assert!(reply.entries.len() <= 64);
             b.on_sync_reply("i000", &a.own().clone(), &reply, now);
         }
     }
--- a/tests/all/peer.rs
+++ b/tests/all/peer.rs
@@ -44,13 +44,15 @@
         incarnation: Incarnation(u64::MAX),
         counts,
     };
+    let known = |service: &str, seq| KnownSeq { service: service.into(), seq };
     Report {
         observer: "i001".into(),
         incarnation: Incarnation(1),
         seq: 7,
         failure_domain: "zone-1".into(),
         entries: vec![entry("pulih", "p1"), entry("pulih", "p2"), entry("muat", "m1")],
-        known_seqs: vec![KnownSeq { service: "pulih".into(), collector: Incarnation(3), seq: 9 }],
+        collector: Incarnation(3),
+        known_seqs: vec![known("pulih", 9), known("katalog", 0)],
     }
 }
 
@@ -71,7 +73,12 @@
         verdict(VerdictHealth::Faulty { scope: Scope::Domain("zone-1".into()) }),
     ];
     let services = vec![ServiceVerdicts { service: "pulih".into(), seq: 12, verdicts }];
-    ReportReply { collector: "i002".into(), incarnation: Incarnation(3), services }
+    ReportReply {
+        collector: "i002".into(),
+        incarnation: Incarnation(3),
+        services,
+        not_collected: vec!["muat".into()],
+    }
 }
 
 fn delta(entries: u16) -> MembersDelta {
