Follow the shorter reports: replies name changed verdicts only

Cause: the schema of reports changed so that a reply confirms unchanged verdicts without naming them and says which services it does not collect.

--- a/src/daemon/blackboard.rs
+++ b/src/daemon/blackboard.rs
@@ -57,10 +57,6 @@
     pub(crate) local: Collector,
     /// Judges from the fleet's evidence while this instance is a collector of the service.
     pub(crate) fleet: Option<Collector>,
-    /// True if this instance is a collector of the service by its own view of the members.
-    pub(crate) is_collector: bool,
-    /// When another instance last reported on the service.
-    pub(crate) fleet_heard: Option<Instant>,
     pub(crate) shares: BTreeMap<UpstreamId, Share>,
     pub(crate) candidates: Vec<Candidate>,
     /// Subsets of all instances, for the members and upstreams in `assigned_*`.
@@ -83,8 +79,6 @@
             planner: EjectionPlanner::new(now, id.clone()),
             local: Collector::new(now, id, service.detection.clone()),
             fleet: None,
-            is_collector: false,
-            fleet_heard: None,
             shares: BTreeMap::new(),
             candidates: Vec::new(),
             assignment: Assignment::default(),
--- a/src/daemon/exchange.rs
+++ b/src/daemon/exchange.rs
@@ -33,10 +33,6 @@
 /// Longest time between two reports to a collector. Verdicts expire after 10 s.
 const MAX_REPORT_INTERVAL: Duration = Duration::from_secs(4);
 
-/// Time for which evidence is kept after this instance ceased to be a collector by its own view.
-/// Others may still report to it while their views differ.
-const COLLECTOR_LINGER: Duration = Duration::from_secs(10);
-
 /// Evidence that waits for one collector. It stays until the collector has confirmed it.
 #[derive(Default)]
 struct Outbox {
@@ -257,7 +253,7 @@
         let now = Instant::now();
         let mut board = self.board.borrow_mut();
         match reply {
-            Ok(reply) => on_report_reply(&mut board, now, &collector, &reply),
+            Ok(reply) => on_report_reply(&mut board, now, &collector, &services, &reply),
             Err(_) => board.membership.call_failed(&collector, incarnation, now),
         }
     }
@@ -272,14 +268,14 @@
         let known_seqs = services.iter().filter_map(|id| {
             let service = board.services.get(id)?;
             let seq = service.planner.seq(collector, incarnation);
-            Some(KnownSeq { service: id.clone(), collector: incarnation, seq })
+            Some(KnownSeq { service: id.clone(), seq })
         });
         let known_seqs: Vec<KnownSeq> = known_seqs.collect();
         let observer = board.observer.clone();
         let mut outboxes = self.outboxes.borrow_mut();
         let outbox = outboxes.entry(collector.clone()).or_default();
         if let Some(unanswered) = &outbox.unanswered {
-            return Report { known_seqs, ..unanswered.clone() };
+            return Report { collector: incarnation, known_seqs, ..unanswered.clone() };
         }
         outbox.seq += 1;
         let pending = std::mem::take(&mut outbox.pending).into_iter();
@@ -294,6 +290,7 @@
             incarnation: observer.incarnation,
             seq: outbox.seq,
             failure_domain: observer.failure_domain,
+            collector: incarnation,
             entries: entries.collect(),
             known_seqs,
         }
@@ -336,16 +333,22 @@
         if is_new {
             take_report(&mut board, now, &report);
         }
-        let own = board.observer.incarnation;
-        let services = report.known_seqs.iter().filter_map(|known| {
-            let fleet = fleet_collector(&mut board, now, &known.service)?;
-            let since = if known.collector == own { known.seq } else { 0 };
-            let verdicts = fleet.verdicts_since(since);
-            Some(ServiceVerdicts { service: known.service.clone(), seq: fleet.seq(), verdicts })
-        });
-        let services: Vec<ServiceVerdicts> = services.collect();
+        let incarnation = board.observer.incarnation;
+        let same_life = report.collector == incarnation;
+        let (mut services, mut not_collected) = (Vec::new(), Vec::new());
+        for KnownSeq { service, seq } in &report.known_seqs {
+            let Some(fleet) = collected(&mut board, service) else {
+                not_collected.push(service.clone());
+                continue;
+            };
+            let verdicts = fleet.verdicts_since(if same_life { *seq } else { 0 });
+            if !verdicts.is_empty() {
+                let (service, seq) = (service.clone(), fleet.seq());
+                services.push(ServiceVerdicts { service, seq, verdicts });
+            }
+        }
         let collector = board.observer.instance.clone();
-        ReportReply { collector, incarnation: own, services }
+        ReportReply { collector, incarnation, services, not_collected }
     }
 
     fn sync(&self, request: SyncRequest) -> SyncReply {
@@ -395,31 +398,20 @@
 /// Sets for which services this instance collects.
 fn update_own_role(board: &mut Blackboard, now: Instant, collectors: &Collectors) {
     let own = collectors.get(&board.observer.instance);
-    let ids: Vec<ServiceId> = board.services.keys().cloned().collect();
-    for id in ids {
-        let Some(service) = board.services.get_mut(&id) else { continue };
-        service.is_collector = own.is_some_and(|services| services.contains(&id));
-        let silent = service
-            .fleet_heard
-            .is_none_or(|at| now.saturating_duration_since(at) > COLLECTOR_LINGER);
-        if service.is_collector {
-            fleet_collector(board, now, &id);
-        } else if silent {
+    for (id, service) in &mut board.services {
+        let collects = own.is_some_and(|services| services.contains(id));
+        if !collects {
             service.fleet = None;
+        } else if service.fleet.is_none() {
+            let policy = service.service.detection.clone();
+            service.fleet = Some(Collector::new(now, id.clone(), policy));
         }
     }
 }
 
-/// Returns the collector of a service on this instance, creating it if others report to it.
-fn fleet_collector<'a>(
-    board: &'a mut Blackboard,
-    now: Instant,
-    id: &ServiceId,
-) -> Option<&'a mut Collector> {
-    let service = board.services.get_mut(id)?;
-    let policy = &service.service.detection;
-    let fleet = &mut service.fleet;
-    Some(fleet.get_or_insert_with(|| Collector::new(now, id.clone(), policy.clone())))
+/// Returns the collector of a service, if this instance is one of its collectors.
+fn collected<'a>(board: &'a mut Blackboard, id: &ServiceId) -> Option<&'a mut Collector> {
+    board.services.get_mut(id)?.fleet.as_mut()
 }
 
 /// Feeds the evidence of another instance to the collectors of its services.
@@ -440,31 +432,36 @@
             entries: entries.collect(),
         };
         let bad = report.entries.iter().any(|(_, _, counts)| is_bad(counts));
-        if let Some(fleet) = fleet_collector(board, now, &known.service) {
+        if let Some(fleet) = collected(board, &known.service) {
             fleet.report(now, &report);
             // Bad evidence is judged at once, so that the reply already has the verdict.
             if bad {
                 fleet.tick(now);
             }
         }
-        if let Some(service) = board.services.get_mut(&known.service) {
-            service.fleet_heard = Some(now);
-        }
     }
 }
 
 /// Takes over the verdicts of a collector.
-fn on_report_reply(board: &mut Blackboard, now: Instant, called: &InstanceId, reply: &ReportReply) {
+fn on_report_reply(
+    board: &mut Blackboard,
+    now: Instant,
+    called: &InstanceId,
+    followed: &BTreeSet<ServiceId>,
+    reply: &ReportReply,
+) {
     if reply.collector != *called {
         // Another instance took over the address. The next exchange of members will tell.
         return;
     }
-    for verdicts in &reply.services {
-        let Some(service) = board.services.get_mut(&verdicts.service) else { continue };
-        let (collector, incarnation) = (&reply.collector, reply.incarnation);
-        service.planner.exchange(now, collector, incarnation, &verdicts.verdicts);
-        if !verdicts.verdicts.is_empty() {
-            health::replan_service(board, now, &verdicts.service);
+    for id in followed.iter().filter(|id| !reply.not_collected.contains(id)) {
+        let Some(service) = board.services.get_mut(id) else { continue };
+        // A service that the reply does not name has no changes, and its verdicts are confirmed.
+        let changed = reply.services.iter().find(|verdicts| verdicts.service == *id);
+        let verdicts = changed.map_or(&[][..], |changed| &changed.verdicts);
+        service.planner.exchange(now, &reply.collector, reply.incarnation, verdicts);
+        if !verdicts.is_empty() {
+            health::replan_service(board, now, id);
         }
     }
 }
--- a/src/daemon/health.rs
+++ b/src/daemon/health.rs
@@ -74,11 +74,9 @@
     let Some(fleet) = &mut service.fleet else { return };
     fleet.retain(&known);
     fleet.tick(now);
-    if service.is_collector {
-        let seq = service.planner.seq(&observer.instance, observer.incarnation);
-        let verdicts = fleet.verdicts_since(seq);
-        service.planner.exchange(now, &observer.instance, observer.incarnation, &verdicts);
-    }
+    let seq = service.planner.seq(&observer.instance, observer.incarnation);
+    let verdicts = fleet.verdicts_since(seq);
+    service.planner.exchange(now, &observer.instance, observer.incarnation, &verdicts);
 }
 
 /// Draws the subsets of all instances from the upstreams in service. They depend on members and
--- a/src/daemon/status.rs
+++ b/src/daemon/status.rs
@@ -97,7 +97,7 @@
         "in_flight": service.overload.limit().in_flight(),
         "waiting": service.overload.limit().waiting(),
         "limit": service.overload.limit().limit(),
-        "is_collector": service.is_collector,
+        "is_collector": service.fleet.is_some(),
         "upstreams": upstreams,
     })
 }
