Count requests in flight until their body was sent

Cause: the gauge was decremented when the head of the response was ready, so an instance that was stopped during a long download logged and exported 0 requests in flight. Change: the response body holds the count until it was sent or dropped. Conclusion: operators see what a stop waits for.

--- a/crates/proxy/src/body.rs
+++ b/crates/proxy/src/body.rs
@@ -1,5 +1,6 @@
 //! Bodies towards callers and upstreams.
 
+use std::any::Any;
 use std::cell::Cell;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -12,8 +13,6 @@
 use http_body::{Body, Frame, SizeHint};
 use hyper::body::Incoming;
 
-use crate::Admission;
-
 /// The body could not be completed. hyper closes the connection without ending the body, so that
 /// the receiver can tell that it is not whole.
 #[derive(Clone, Copy, Debug, Display, Error)]
@@ -23,8 +22,8 @@
 /// Body of an answer to a caller.
 pub struct OutBody {
     inner: Inner,
-    /// Keeps the request's place until the body was sent.
-    admission: Option<Admission>,
+    /// What is kept until the body was sent, such as the request's place.
+    held: Vec<Box<dyn Any>>,
 }
 
 enum Inner {
@@ -54,12 +53,12 @@
     }
 
     fn new(inner: Inner) -> Self {
-        Self { inner, admission: None }
+        Self { inner, held: Vec::new() }
     }
 
-    /// Keeps `admission` until the body is dropped.
-    pub(crate) fn hold(&mut self, admission: Admission) {
-        self.admission = Some(admission);
+    /// Keeps a value until the body is dropped.
+    pub(crate) fn hold(&mut self, value: Box<dyn Any>) {
+        self.held.push(value);
     }
 }
 
--- a/crates/proxy/src/handler.rs
+++ b/crates/proxy/src/handler.rs
@@ -99,12 +99,12 @@
         let in_flight = InFlight::new(self.metrics());
         let (head, body) = req.into_parts();
         let (routed, result) = self.process(started, head, body, span.context()).await;
-        drop(in_flight);
         let (service, class) = match &routed {
             Some(routed) => (&*routed.service, routed.class.to_string()),
             None => ("none", "none".to_owned()),
         };
-        let response = result.unwrap_or_else(|rejection| self.reject(service, rejection));
+        let mut response = result.unwrap_or_else(|rejection| self.reject(service, rejection));
+        response.body_mut().hold(Box::new(in_flight));
         let code = response.status();
         self.metrics().requests.with_label_values(&[service, &class, code.as_str()]).inc();
         let seconds = started.elapsed().as_secs_f64();
