Print a runnable command for an unknown outcome

Change: the command names the option with a placeholder for the URL. Conclusion: tests/all/operations.rs parses the printed command with the real command line, which fails without this change.

--- a/crates/store/src/operator.rs
+++ b/crates/store/src/operator.rs
@@ -136,7 +136,7 @@
             PublishOutcome::Unknown(unknown) => write!(
                 f,
                 "unknown: the store gave no answer; version {} may be in force now or later\n\
-                 to determine the outcome: cactustrack accept --determine {unknown}",
+                 to determine the outcome: cactustrack accept --store URL --determine {unknown}",
                 unknown.version
             ),
         }
