--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -4,6 +4,7 @@
 mod fleet;
 mod health;
 mod members;
+mod operations;
 mod peer;
 mod proxy;
 mod routing;
