Shorten the account of the quickstart

It shows the requests in flight at a planned stop, and the slots of the upstreams that got requests next to the floor, because with six instances the subsets leave some upstreams of a service without requests (7 of 20 of symfonia in one run).

--- a/examples/quickstart/fleet.rs
+++ b/examples/quickstart/fleet.rs
@@ -155,13 +155,14 @@
         self.list.set(self.listings.clone());
     }
 
-    /// Runs the operators' command line and returns what it prints.
+    /// Runs the operators' command line and returns its results, or its errors if there are none.
     pub(crate) fn cli(arguments: &[&str]) -> (Exit, String) {
         let mut all: Vec<OsString> = vec!["cactustrack".into()];
         all.extend(arguments.iter().map(OsString::from));
         let (mut out, mut err) = (Vec::new(), Vec::new());
         let exit = cli::run(all, &mut out, &mut err);
-        (exit, String::from_utf8_lossy(&out).trim().to_owned())
+        let text = if out.is_empty() { err } else { out };
+        (exit, String::from_utf8_lossy(&text).trim().to_owned())
     }
 
     /// Writes a questionnaire to a file of its own.
--- a/examples/quickstart/guarantees.rs
+++ b/examples/quickstart/guarantees.rs
@@ -52,7 +52,8 @@
     let services = run.fleet.services.iter().enumerate();
     let counts = services.map(|(service, case)| {
         let used = run.fleet.controls(service).filter(|control| control.requests() > 0).count();
-        format!("{} {used} of {}", case.id, case.upstreams)
+        let (id, upstreams, floor) = (&case.id, case.upstreams, case.floor_slots);
+        format!("{id} {used} of {upstreams} ({} slots, floor {floor})", used as u32 * case.slots)
     });
     counts.collect::<Vec<_>>().join(", ")
 }
--- a/examples/quickstart/sampler.rs
+++ b/examples/quickstart/sampler.rs
@@ -124,7 +124,7 @@
         instance: (endpoint.id.clone(), endpoint.life),
         at,
         version: status["configuration"]["version"].as_u64().unwrap_or_default(),
-        capacities: services.into_iter().flatten().map(|service| capacity(service)).collect(),
+        capacities: services.into_iter().flatten().map(capacity).collect(),
     })
 }
 
--- a/examples/quickstart/scenario.rs
+++ b/examples/quickstart/scenario.rs
@@ -74,12 +74,12 @@
         let (exit, text) = accept(&fleet, 0, "first", fleet.questionnaire(), "owners")?;
         ensure!(exit == Exit::Ok, "the questionnaire was not accepted: {text}");
         let accepted = vec![(1, Instant::now())];
-        println!("  $ cactustrack accept {}", text.replace('\n', "\n    "));
         for number in 0..instances {
             fleet.start_instance(number)?;
         }
         let took = fleet.wait_ready()?;
-        println!("  {instances} instances in 3 failure domains are ready after {}", seconds(took));
+        let took = seconds(took);
+        println!("  {text}; {instances} instances in 3 failure domains ready after {took}");
         let ledger = Ledger::default();
         let traffic = Traffic::start(&fleet.services, &fleet.directory, &ledger);
         let counted = Counted { accepted, ..Counted::default() };
@@ -222,8 +222,8 @@
         self.say(&format!("callers meanwhile ({class}): {}", counts.join(", ")));
     }
 
-    /// Waits until a version is in force on all instances and prints how long it took.
-    pub(crate) fn say_in_force(&self, version: Version, since: Instant) -> Result<()> {
+    /// Waits until a version is in force on all instances and returns how long it took.
+    pub(crate) fn wait_in_force(&self, version: Version, since: Instant) -> Result<String> {
         let mut count = 0;
         self.fleet.wait("the version is in force", || {
             let Ok(statuses) = block_on(statuses(&self.ready())) else { return false };
@@ -233,8 +233,7 @@
             })
         })?;
         let took = seconds(since.elapsed());
-        self.say(&format!("version {version} is in force on all {count} instances after {took}"));
-        Ok(())
+        Ok(format!("version {version} is in force on all {count} instances after {took}"))
     }
 
     /// Entries of the ledger about one life of an instance since `since`.
--- a/examples/quickstart/scenarios.rs
+++ b/examples/quickstart/scenarios.rs
@@ -1,11 +1,12 @@
 //! The injected faults and planned events, in order.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
 
 use cactustrack::cli::Exit;
-use cactustrack_test_support::caller::Call;
+use cactustrack_test_support::caller::{Call, Reply};
 use cactustrack_test_support::store::Outage;
 use cactustrack_types::{Incarnation, ListingState, RequestClass, Version};
 use eyre::{Result, ensure};
@@ -168,14 +169,14 @@
     }
     let executed = run.fleet.controls(service).flat_map(|control| control.executed());
     let executed = executed.filter(|entry| entry.contains(" once/")).count();
+    let answer = |reply: &Reply| {
+        format!("{} {}", reply.status.as_u16(), reply.execution().unwrap_or("without execution"))
+    };
     run.say(&format!(
-        "first: {}; repeat meanwhile: {}, execution {}; repeat afterwards: {}, \
-                      execution {}; it was run {executed} time(s)",
-        first.status,
-        during.status,
-        during.execution().unwrap_or("not stated"),
-        after.status,
-        after.execution().unwrap_or("not stated")
+        "first: {}; repeat meanwhile: {}; repeat afterwards: {}; run {executed} time(s)",
+        first.status.as_u16(),
+        answer(&during),
+        answer(&after),
     ));
     ensure!(during.status == 409 && after.status == 409, "a repeat was not recognised");
     Ok(())
@@ -262,14 +263,13 @@
     if accepted > 1 {
         run.counted.lost_changes += 1;
     }
-    for (_, text) in &results {
-        for line in text.lines().take_while(|line| !line.starts_with("from the version")) {
-            run.say(line.split(" (checksum").next().unwrap_or(line));
-        }
+    for ((_, author), (_, text)) in changes.iter().zip(&results) {
+        run.say(&format!("{author}: {}", text.lines().next().unwrap_or_default()));
     }
     ensure!(accepted >= 1, "neither change was accepted ({conflicts} conflicts)");
     run.counted.accepted.push((seen + 1, answered));
-    run.say_in_force(seen + 1, answered)
+    run.say(&run.wait_in_force(seen + 1, answered)?);
+    Ok(())
 }
 
 fn lost_answer(run: &mut Run) -> Result<()> {
@@ -280,10 +280,11 @@
     let (exit, answer) = accept(&run.fleet, seen, "partners", &text, "Eleni")?;
     let answered = Instant::now();
     run.fleet.store.handle().stop_losing_answers();
-    run.say(&format!("$ cactustrack accept: {answer}"));
     ensure!(exit == Exit::Ok, "the outcome was not found out: {exit:?}");
     run.counted.accepted.push((seen + 1, answered));
-    run.say_in_force(seen + 1, answered)
+    let in_force = run.wait_in_force(seen + 1, answered)?;
+    run.say(&format!("{answer}, as read back from the store; {in_force}"));
+    Ok(())
 }
 
 fn store_outage(run: &mut Run) -> Result<()> {
@@ -345,6 +346,7 @@
     let instance = (endpoint.id.clone(), endpoint.life);
     run.counted.stopped.push((instance.clone(), stop));
     run.fleet.begin_stop(&endpoint.id);
+    let in_flight = requests_in_flight(endpoint.addresses.admin)?;
     let id = &endpoint.id;
     let took = run.fleet.wait("the instance has stopped", || run.fleet.has_stopped(id))?;
     let ending = download.join().map_err(|_| eyre::eyre!("the download failed"))??;
@@ -354,14 +356,21 @@
     run.fleet.remove(id);
     let entries = run.entries_of(&instance, stop);
     run.say(&format!(
-        "the download of {DOWNLOAD_BYTES} bytes: {ending}; the instance stopped {} \
-                      after the order and answered {} other requests meanwhile",
+        "{in_flight} in flight at the order; download of {DOWNLOAD_BYTES} bytes: {ending}; stopped \
+         after {}; {} others answered meanwhile",
         seconds(took),
         entries.len()
     ));
     Ok(())
 }
 
+fn requests_in_flight(admin: SocketAddr) -> Result<u64> {
+    let metrics = block_on(ask_metrics(admin))?;
+    let line =
+        metrics.lines().find_map(|line| line.strip_prefix("cactustrack_requests_in_flight "));
+    Ok(line.and_then(|value| value.parse().ok()).unwrap_or_default())
+}
+
 fn set_pace(run: &Run, service: usize, pause: Duration) {
     run.fleet.controls(service).for_each(|control| control.set(|b| b.chunk_delay = pause));
 }
@@ -378,7 +387,6 @@
     run.fleet.start_instance(number)?;
     let ready = run.fleet.wait_ready()?;
     let version = in_force(run, &id)?;
-    run.say(&format!("it is ready {} after its start, with version {version}", seconds(ready)));
     let known = run.fleet.wait("all instances know the new life", || {
         let Ok(statuses) = block_on(statuses(&run.ready())) else { return false };
         let address = run.fleet.endpoints().last().map(|e| e.addresses.peers.to_string());
@@ -391,7 +399,11 @@
             }) || status["instance"] == *id
         })
     })?;
-    run.say(&format!("all instances know its new life {} later", seconds(known)));
+    run.say(&format!(
+        "ready {} after its start, with version {version}; all others know its new life {} later",
+        seconds(ready),
+        seconds(known)
+    ));
     thread::sleep(Duration::from_secs(1));
     Ok(())
 }
