--- a/examples/quickstart/scenarios.rs
+++ b/examples/quickstart/scenarios.rs
@@ -1,5 +1,6 @@
 //! The injected faults and planned events, in order.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -345,6 +346,7 @@
     let instance = (endpoint.id.clone(), endpoint.life);
     run.counted.stopped.push((instance.clone(), stop));
     run.fleet.begin_stop(&endpoint.id);
+    let in_flight = requests_in_flight(endpoint.addresses.admin)?;
     let id = &endpoint.id;
     let took = run.fleet.wait("the instance has stopped", || run.fleet.has_stopped(id))?;
     let ending = download.join().map_err(|_| eyre::eyre!("the download failed"))??;
@@ -354,14 +356,21 @@
     run.fleet.remove(id);
     let entries = run.entries_of(&instance, stop);
     run.say(&format!(
-        "download of {DOWNLOAD_BYTES} bytes: {ending}; stopped {} after the order; {} other requests \
-         answered meanwhile",
+        "{in_flight} in flight at the order; download of {DOWNLOAD_BYTES} bytes: {ending}; stopped \
+         after {}; {} others answered meanwhile",
         seconds(took),
         entries.len()
     ));
     Ok(())
 }
 
+fn requests_in_flight(admin: SocketAddr) -> Result<u64> {
+    let metrics = block_on(ask_metrics(admin))?;
+    let line =
+        metrics.lines().find_map(|line| line.strip_prefix("cactustrack_requests_in_flight "));
+    Ok(line.and_then(|value| value.parse().ok()).unwrap_or_default())
+}
+
 fn set_pace(run: &Run, service: usize, pause: Duration) {
     run.fleet.controls(service).for_each(|control| control.set(|b| b.chunk_delay = pause));
 }
--- a/tests/all/operations.rs
+++ b/tests/all/operations.rs
@@ -4,6 +4,8 @@
 use std::path::{Path, PathBuf};
 
 use cactustrack::cli;
+use cactustrack_store::operator::{AcceptReport, SubmittedChange};
+use cactustrack_store::{PublishOutcome, UnknownPublication};
 
 /// Pages that operators are promised.
 const PAGES: [&str; 7] = [
@@ -131,3 +133,19 @@
         ["cactustrack_a_total"]
     );
 }
+
+/// Guards against a report of an unknown outcome whose command cannot be run.
+#[test]
+fn the_command_that_determines_an_outcome_is_valid() {
+    let unknown: UnknownPublication = "3-94bc77bb3e646b32".parse().expect("a publication");
+    let change = SubmittedChange {
+        seen_version: 2,
+        checksum: String::new(),
+        author: "Eleni".to_owned(),
+        reason: "night".to_owned(),
+    };
+    let report = AcceptReport { change, outcome: PublishOutcome::Unknown(unknown) }.to_string();
+    let at = report.find("cactustrack accept").expect("a command");
+    let parsed = cli::command().try_get_matches_from(words(&report[at..]));
+    assert!(parsed.is_ok(), "{report}\n{}", parsed.expect_err("an error"));
+}
