--- a/src/daemon/exchange.rs
+++ b/src/daemon/exchange.rs
@@ -28,7 +28,7 @@
 
 /// Reports that an instance sends in a second at most, apart from those with bad evidence. With
 /// more collectors each of them gets fewer, so that the traffic for control stays bounded.
-const MAX_REPORTS_PER_SECOND: u32 = 24;
+const MAX_REPORTS_PER_SECOND: u32 = 6;
 
 /// Longest time between two reports to a collector. Verdicts expire after 10 s.
 const MAX_REPORT_INTERVAL: Duration = Duration::from_secs(4);
