Keep idempotency records in the store

A non-idempotent request with a key must be executed at most once, whichever instance gets the repeat, and its key must become free again if it was certainly not run.

A claim is one transaction that creates the record or reads the one that holds the key. It is repeated within a time budget after a lost answer. A claim that ends undecided, also because its caller went away, is released in the background, and looked for a second time after the window in which a held-up write may still arrive. Completions and releases wait in a bounded queue, are retried with backoff and guarded by the whole value of the claim's own record, so that a resumed instance leaves the records of others alone. A grant that is seen after its budget, by either clock, is no grant. Records of an hour share a lease of 25 h, so that each lives at least 24 h.

--- a/crates/store/src/etcd.rs
+++ b/crates/store/src/etcd.rs
@@ -138,7 +138,9 @@
         exchange: impl Future<Output = Result<T, StoreError>>,
     ) -> Result<T, StoreError> {
         let Ok(result) = timeout_at(deadline, exchange).await else {
-            *self.client.borrow_mut() = new_client()?;
+            if let Ok(client) = new_client() {
+                *self.client.borrow_mut() = client;
+            }
             return Err(no_answer("timeout"));
         };
         result
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -7,6 +7,7 @@
 mod kv;
 pub mod operator;
 mod publication;
+mod records;
 
 pub use envelope::{VALUE_FORMAT, ValueError, decode_value, encode_value};
 pub use etcd::{DEFAULT_CALL_TIMEOUT, DEFAULT_MAX_REPLY_BYTES, EtcdStore};
@@ -20,3 +21,6 @@
     MAX_PART_BYTES, MAX_PARTS, ParsePublicationError, Publication, PublishOutcome, RepositoryError,
     StoredConfiguration, StoredVersion, UNUSED_PARTS_AGE, UnknownPublication,
 };
+pub use records::{
+    LEASE_SHARING_PERIOD, RECORD_LIFE, RecordStats, RecordsConfig, StoreIdempotencyRecords,
+};
--- a/crates/store/src/publication.rs
+++ b/crates/store/src/publication.rs
@@ -38,6 +38,8 @@
 const DEFAULT_TRIES: u32 = 5;
 /// Default wait before the second try. It doubles for each further one.
 const DEFAULT_RETRY_DELAY: Duration = Duration::from_millis(100);
+/// Longest wait between two tries.
+const MAX_RETRY_DELAY: Duration = Duration::from_secs(5);
 
 /// Configuration versions under a key prefix of the store.
 #[derive(Clone)]
@@ -254,7 +256,9 @@
         publication: &'a Publication,
         replaced: Option<Head>,
     ) -> Result<Draft<'a>, RepositoryError> {
-        let version = publication.seen_version.saturating_add(1);
+        let version = publication.seen_version.checked_add(1);
+        let version =
+            version.ok_or_else(|| damaged(&self.keys.head(), "there is no higher version"))?;
         let nonce = format!("{:016x}", rand::random::<u64>());
         let key = self.keys.unused(version, &nonce);
         let removable_from_ms = self.now_ms() + millis(UNUSED_PARTS_AGE);
@@ -307,11 +311,9 @@
 
     fn switch_txn(&self, draft: &Draft<'_>) -> Txn {
         let (head, history) = (self.keys.head(), self.keys.history(draft.version));
-        let unchanged =
-            Compare::ModRevision { key: head.clone(), revision: draft.replaced_revision() };
         let mark = self.keys.unused(draft.version, &draft.nonce);
         let mut txn = Txn::new()
-            .with_compare(unchanged)
+            .with_compare(unchanged(&head, draft.replaced_revision()))
             .with_compare(absent(&history))
             .with_compare(self.mark_present(draft))
             .with_then(put_json(&head, &draft.head()))
@@ -327,8 +329,7 @@
     }
 
     fn mark_present(&self, draft: &Draft<'_>) -> Compare {
-        let key = self.keys.unused(draft.version, &draft.nonce);
-        Compare::ModRevision { key, revision: draft.mark_revision }
+        unchanged(&self.keys.unused(draft.version, &draft.nonce), draft.mark_revision)
     }
 
     /// Removes the parts of a publication that did not come into force.
@@ -348,9 +349,7 @@
             let is_removable = decode_json::<UnusedMark>(&mark)
                 .is_ok_and(|value| value.removable_from_ms <= self.now_ms());
             if is_removable {
-                let revision = mark.mod_revision;
-                let mut txn = Txn::new()
-                    .with_compare(Compare::ModRevision { key: mark.key.clone(), revision });
+                let mut txn = Txn::new().with_compare(unchanged(&mark.key, mark.mod_revision));
                 txn.then = self.removal(&mark.key);
                 self.repeat(&txn).await?;
             }
@@ -379,7 +378,7 @@
         for attempt in 0..self.tries {
             if attempt > 0 {
                 compio::time::sleep(delay).await;
-                delay *= 2;
+                delay = (delay * 2).min(MAX_RETRY_DELAY);
             }
             let err = match self.store.txn(txn.clone()).await {
                 Ok(reply) => return Ok(reply),
@@ -452,7 +451,11 @@
 }
 
 fn absent(key: &str) -> Compare {
-    Compare::ModRevision { key: key.to_owned(), revision: 0 }
+    unchanged(key, 0)
+}
+
+fn unchanged(key: &str, revision: Revision) -> Compare {
+    Compare::ModRevision { key: key.to_owned(), revision }
 }
 
 fn read(key: &str) -> Operation {
--- /dev/null
+++ b/crates/store/src/records.rs
@@ -0,0 +1,337 @@
+//! Idempotency records in the store.
+//!
+//! A claim is one transaction that creates the record if its key is free and otherwise reads the
+//! record that holds it. Since a claim id is unique to its attempt, the transaction can be
+//! repeated after a lost answer: it then finds either no record or who holds the key.
+
+mod lease;
+mod queue;
+
+use std::cell::RefCell;
+use std::collections::VecDeque;
+use std::rc::Rc;
+use std::time::{Duration, Instant, SystemTime};
+
+use compio::time::timeout;
+use derive_more::Debug;
+use futures::channel::mpsc;
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+
+use crate::envelope::hex;
+use crate::{
+    Claim, ClaimOutcome, Compare, IdempotencyRecords, KeyValue, LocalFuture, Operation,
+    OperationReply, RecordError, RecordState, Store, StoreError, Txn, TxnReply, decode_value,
+    encode_value,
+};
+use lease::SharedLease;
+use queue::{Job, Queue};
+
+/// How long a record lasts at least.
+pub const RECORD_LIFE: Duration = Duration::from_secs(24 * 3600);
+/// How long an instance attaches new records to the same lease.
+pub const LEASE_SHARING_PERIOD: Duration = Duration::from_secs(3600);
+
+/// Wait before a claim without an answer is repeated. It doubles for each further repetition.
+const FIRST_CLAIM_RETRY_DELAY: Duration = Duration::from_millis(10);
+
+/// Settings of [`StoreIdempotencyRecords`].
+#[derive(Clone, Debug)]
+pub struct RecordsConfig {
+    /// Time for a claim, repetitions included.
+    pub claim_budget: Duration,
+    /// Number of completions and releases that may wait for the store. More are dropped.
+    pub queue_capacity: usize,
+    /// Wait after the first failure of a completion or release. It doubles for each further one.
+    pub first_backoff: Duration,
+    /// Longest wait between two tries of a completion or release.
+    pub max_backoff: Duration,
+    /// Time after which the store has applied or discarded a write that got no answer. The
+    /// release of a claim that was not found is repeated then.
+    pub late_write_window: Duration,
+    /// Wall clock. It also runs while the machine is suspended, unlike [`Instant`].
+    #[debug(skip)]
+    pub clock: Rc<dyn Fn() -> SystemTime>,
+}
+
+impl Default for RecordsConfig {
+    fn default() -> Self {
+        Self {
+            claim_budget: Duration::from_secs(1),
+            queue_capacity: 4096,
+            first_backoff: Duration::from_millis(100),
+            max_backoff: Duration::from_secs(10),
+            late_write_window: Duration::from_secs(15),
+            clock: Rc::new(SystemTime::now),
+        }
+    }
+}
+
+/// Counters of the records of an instance.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct RecordStats {
+    /// Completions and releases that are not recorded yet.
+    pub pending: usize,
+    /// Completions and releases that were dropped because too many were pending. Their records
+    /// stay `running` until they expire.
+    pub dropped: u64,
+    /// Completions that are recorded.
+    pub completed: u64,
+    /// Claims that are released.
+    pub released: u64,
+    /// Completions and releases that found the record of another claim and left it.
+    pub not_own: u64,
+    /// Failed tries of completions and releases.
+    pub retries: u64,
+}
+
+/// [`IdempotencyRecords`] in the platform's store.
+#[derive(Debug)]
+pub struct StoreIdempotencyRecords {
+    inner: Rc<Inner>,
+    /// Wakes the background task. The task ends when this sender is gone and nothing is pending.
+    wake: RefCell<mpsc::Sender<()>>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    #[debug(skip)]
+    store: Rc<dyn Store>,
+    prefix: String,
+    cfg: RecordsConfig,
+    lease: SharedLease,
+    queue: Queue,
+    /// Ids of granted claims that were sent more than once. An earlier transaction of such a claim
+    /// may still arrive after its release.
+    repeated: RefCell<VecDeque<String>>,
+}
+
+/// Value of a record.
+#[derive(Debug, PartialEq, Serialize, Deserialize)]
+struct Record {
+    claim_id: String,
+    fingerprint: String,
+    #[serde(flatten)]
+    state: RecordState,
+}
+
+impl StoreIdempotencyRecords {
+    /// Creates records under the key prefix and starts the background task on the current compio
+    /// runtime.
+    pub fn new(store: Rc<dyn Store>, prefix: &str, cfg: RecordsConfig) -> Self {
+        let (tx, rx) = mpsc::channel(1);
+        let inner = Rc::new(Inner {
+            store,
+            prefix: prefix.trim_end_matches('/').to_owned(),
+            lease: SharedLease::default(),
+            queue: Queue::new(cfg.queue_capacity),
+            repeated: RefCell::default(),
+            cfg,
+        });
+        compio::runtime::spawn(queue::run(inner.clone(), rx)).detach();
+        Self { inner, wake: RefCell::new(tx) }
+    }
+
+    /// Counters since the start.
+    pub fn stats(&self) -> RecordStats {
+        self.inner.queue.stats()
+    }
+
+    /// Waits until nothing is pending, at most for `wait`. Returns whether that is the case.
+    pub async fn flush(&self, wait: Duration) -> bool {
+        const CHECK_INTERVAL: Duration = Duration::from_millis(5);
+        let drained = async {
+            while self.stats().pending > 0 {
+                compio::time::sleep(CHECK_INTERVAL).await;
+            }
+        };
+        timeout(wait, drained).await.is_ok()
+    }
+
+    fn enqueue(&self, job: Job) {
+        self.inner.queue.push(job);
+        // A full channel means that the task will wake anyway.
+        let _ = self.wake.borrow_mut().try_send(());
+    }
+
+    async fn decide(
+        &self,
+        claim: &Claim,
+        pending: &mut PendingClaim<'_>,
+    ) -> Result<ClaimOutcome, RecordError> {
+        let mut delay = FIRST_CLAIM_RETRY_DELAY;
+        let mut may_replace_lease = true;
+        loop {
+            match self.try_claim(claim, pending).await {
+                Ok(reply) => return claim_outcome(claim, &reply),
+                Err(StoreError::NoAnswer { .. }) => {
+                    compio::time::sleep(delay).await;
+                    delay *= 2;
+                }
+                // The lease may have lapsed early.
+                Err(StoreError::Refused { .. }) if may_replace_lease => {
+                    may_replace_lease = false;
+                    self.inner.lease.forget().await;
+                }
+                Err(err) => return Err(RecordError { reason: err.to_string() }),
+            }
+        }
+    }
+
+    /// Runs the transaction of a claim once and notes whether it may have written the claim.
+    async fn try_claim(
+        &self,
+        claim: &Claim,
+        pending: &mut PendingClaim<'_>,
+    ) -> Result<TxnReply, StoreError> {
+        let lease = self.inner.current_lease().await?;
+        let key = self.inner.key(claim);
+        let txn = Txn::new()
+            .with_compare(Compare::ModRevision { key: key.clone(), revision: 0 })
+            .with_then(Operation::Put { key: key.clone(), value: running(claim), lease })
+            .with_otherwise(Operation::Range { key, end: None });
+        let was_written_before = pending.may_be_written;
+        // Set before the call: this future may be dropped during it.
+        pending.may_be_written = true;
+        let result = self.inner.store.txn(txn).await;
+        pending.may_be_written = match result {
+            Ok(_) => {
+                if was_written_before {
+                    self.inner.note_repeated(claim);
+                }
+                false
+            }
+            Err(StoreError::NoAnswer { .. }) => true,
+            Err(_) => was_written_before,
+        };
+        result
+    }
+
+    async fn claim_in_time(&self, claim: &Claim) -> Result<ClaimOutcome, RecordError> {
+        let cfg = &self.inner.cfg;
+        let (start, wall_start) = (Instant::now(), (cfg.clock)());
+        let mut pending = PendingClaim { records: self, claim, may_be_written: false };
+        let decided = timeout(cfg.claim_budget, self.decide(claim, &mut pending)).await;
+        // A reply that was read after a long pause may be about a record that expired meanwhile.
+        let wall_elapsed = (cfg.clock)().duration_since(wall_start).unwrap_or_default();
+        let is_late = start.elapsed().max(wall_elapsed) > cfg.claim_budget;
+        match decided {
+            Ok(Ok(ClaimOutcome::Granted)) if is_late => {
+                pending.may_be_written = true;
+                Err(RecordError { reason: "the claim was granted too late".to_owned() })
+            }
+            Ok(result) => result,
+            Err(_) => Err(RecordError { reason: "the store gave no answer in time".to_owned() }),
+        }
+    }
+}
+
+impl IdempotencyRecords for StoreIdempotencyRecords {
+    fn claim<'a>(&'a self, claim: &'a Claim) -> LocalFuture<'a, Result<ClaimOutcome, RecordError>> {
+        Box::pin(self.claim_in_time(claim))
+    }
+
+    fn complete(&self, claim: &Claim, status: u16) {
+        let completed = encode_record(claim, RecordState::Completed { status });
+        self.inner.was_repeated(claim);
+        self.enqueue(Job::complete(self.inner.key(claim), running(claim), completed));
+    }
+
+    fn release(&self, claim: &Claim) {
+        let (key, running) = (self.inner.key(claim), running(claim));
+        if self.inner.was_repeated(claim) {
+            self.enqueue(Job::release_if_written(key, running));
+        } else {
+            self.enqueue(Job::release(key, running));
+        }
+    }
+}
+
+/// A claim that is being made. If it ends undecided, also because its future is dropped, a record
+/// that may have been written is released in the background.
+struct PendingClaim<'a> {
+    records: &'a StoreIdempotencyRecords,
+    claim: &'a Claim,
+    may_be_written: bool,
+}
+
+impl Drop for PendingClaim<'_> {
+    fn drop(&mut self) {
+        if self.may_be_written {
+            let key = self.records.inner.key(self.claim);
+            self.records.enqueue(Job::release_if_written(key, running(self.claim)));
+        }
+    }
+}
+
+impl Inner {
+    /// Key of the record of a claim.
+    ///
+    /// Lengths are part of the hash, so that no two combinations of texts give the same input.
+    fn key(&self, claim: &Claim) -> String {
+        let mut hash = Sha256::new();
+        for text in [&*claim.service, &*claim.account, &claim.key] {
+            hash.update(text.len().to_be_bytes());
+            hash.update(text);
+        }
+        format!("{}/idem/{}/{}", self.prefix, claim.service, hex(&hash.finalize()))
+    }
+
+    /// Notes a claim that was sent more than once, in place of the oldest if there are too many.
+    fn note_repeated(&self, claim: &Claim) {
+        let mut repeated = self.repeated.borrow_mut();
+        if repeated.len() >= self.cfg.queue_capacity {
+            repeated.pop_front();
+        }
+        repeated.push_back(claim.claim_id.clone());
+    }
+
+    /// Returns whether the claim was sent more than once, and forgets it.
+    fn was_repeated(&self, claim: &Claim) -> bool {
+        let mut repeated = self.repeated.borrow_mut();
+        let index = repeated.iter().position(|id| *id == claim.claim_id);
+        index.is_some_and(|index| repeated.remove(index).is_some())
+    }
+
+    async fn current_lease(&self) -> Result<crate::LeaseId, StoreError> {
+        self.lease.get(&*self.store, (self.cfg.clock)()).await
+    }
+}
+
+fn running(claim: &Claim) -> Vec<u8> {
+    encode_record(claim, RecordState::Running)
+}
+
+/// Encodes a record. Equal records have equal bytes, so a guard can compare the whole value.
+fn encode_record(claim: &Claim, state: RecordState) -> Vec<u8> {
+    let record =
+        Record { claim_id: claim.claim_id.clone(), fingerprint: claim.fingerprint.clone(), state };
+    // The type has string keys only and always serializes.
+    encode_value(&serde_json::to_vec(&record).unwrap_or_default())
+}
+
+fn claim_outcome(claim: &Claim, reply: &TxnReply) -> Result<ClaimOutcome, RecordError> {
+    if reply.succeeded {
+        return Ok(ClaimOutcome::Granted);
+    }
+    let undecided = |reason: String| RecordError { reason };
+    let found = found_key(reply).ok_or_else(|| undecided("the reply has no record".to_owned()))?;
+    let payload = decode_value(&found.value).map_err(|err| undecided(err.to_string()))?;
+    let record: Record =
+        serde_json::from_slice(payload).map_err(|err| undecided(err.to_string()))?;
+    Ok(match record {
+        Record { claim_id, state: RecordState::Running, .. } if claim_id == claim.claim_id => {
+            ClaimOutcome::Granted
+        }
+        Record { fingerprint, .. } if fingerprint != claim.fingerprint => ClaimOutcome::Mismatch,
+        Record { state, .. } => ClaimOutcome::Held(state),
+    })
+}
+
+/// The record that a transaction read, if there is one.
+fn found_key(reply: &TxnReply) -> Option<&KeyValue> {
+    reply.replies.iter().find_map(|reply| match reply {
+        OperationReply::Range(found) => found.first(),
+        _ => None,
+    })
+}
--- a/crates/test-support/src/store/faults.rs
+++ b/crates/test-support/src/store/faults.rs
@@ -234,6 +234,11 @@
         self.add_call_faults(1, &CallFault::Garble(body.to_vec()));
     }
 
+    /// Serves all further calls as usual, except for rules by key prefix.
+    pub fn clear_call_faults(&self) {
+        self.lock().call_faults.clear();
+    }
+
     fn add_call_faults(&self, count: usize, fault: &CallFault) {
         self.lock().call_faults.extend(std::iter::repeat_n(fault.clone(), count));
     }
--- a/tests/all/store/support.rs
+++ b/tests/all/store/support.rs
@@ -3,14 +3,27 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use cactustrack_store::{Compare, EtcdStore, Operation, Txn};
-use cactustrack_test_support::store::{StoreHandle, StoreServer};
+use cactustrack_store::{Claim, Compare, EtcdStore, Operation, Publication, Txn};
+use cactustrack_test_support::store::{Outage, StoreHandle, StoreServer};
 
 /// Far above what any call takes, so that no test depends on the machine's speed.
 pub(super) const AMPLE: Duration = Duration::from_secs(60);
 /// For calls that the stand-in never answers in time.
 pub(super) const BRIEF: Duration = Duration::from_millis(100);
 
+/// What happens to the next calls.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum Fault {
+    Outage(Outage),
+    /// This many answers are lost after a write to a key with the prefix.
+    LostAnswers(&'static str, usize),
+    /// This many calls are lost before they have an effect.
+    LostCalls(usize),
+    GarbledAnswer,
+    /// An error reply with this gRPC status code.
+    Error(i64),
+}
+
 /// A running stand-in with an adapter for it.
 pub(super) struct Fixture {
     pub(super) server: StoreServer,
@@ -27,6 +40,16 @@
     pub(super) fn handle(&self) -> StoreHandle {
         self.server.handle()
     }
+
+    pub(super) async fn inject(&self, fault: Fault) {
+        match fault {
+            Fault::Outage(outage) => self.handle().set_outage(outage).await,
+            Fault::LostAnswers(prefix, count) => self.handle().lose_answers(prefix, count),
+            Fault::LostCalls(count) => self.handle().drop_calls(count),
+            Fault::GarbledAnswer => self.handle().garble_answer(b"{\"succeeded\": 7}"),
+            Fault::Error(code) => self.handle().fail_calls(1, code, "reason"),
+        }
+    }
 }
 
 pub(super) fn adapter(server: &StoreServer, call_timeout: Duration) -> EtcdStore {
@@ -57,3 +80,25 @@
         compio::time::sleep(Duration::from_millis(2)).await;
     }
 }
+
+/// A change that `author` bases on the version.
+pub(super) fn publication(seen_version: u64, author: &str) -> Publication {
+    Publication {
+        parts: vec![author.as_bytes().to_vec(), vec![0, 159, 146, 150]],
+        checksum: format!("sum-{author}"),
+        seen_version,
+        author: author.into(),
+        reason: "more slots\x1b[2J".into(),
+    }
+}
+
+/// A claim of the account `nightly`.
+pub(super) fn claim(key: &str, claim_id: &str) -> Claim {
+    Claim {
+        service: "pulih".into(),
+        account: "nightly".into(),
+        key: key.into(),
+        fingerprint: "POST /restore".into(),
+        claim_id: claim_id.into(),
+    }
+}
