Keep parts in force when the mark of unused parts arrives late

Cause: the call that writes the mark of unused parts may be held up, repeated, and arrive after the switch removed the mark. An hour later, the parts of the version in force or of the kept one were then removed as leftovers.

Change: the removal of leftovers leaves the parts that `head` refers to alone and is guarded by the revision of `head`.

The new test fails without the check of `head`.

--- a/crates/store/src/publication.rs
+++ b/crates/store/src/publication.rs
@@ -343,16 +343,33 @@
     }
 
     /// Removes parts that are no longer kept or never came into force.
+    ///
+    /// The call that writes a mark may be held up and arrive after the parts came into force.
+    /// Therefore the parts that `head` refers to are left alone, and a removal is guarded by the
+    /// revision of `head`.
     async fn remove_unused(&self) -> Result<(), RepositoryError> {
+        let Some(head) = self.current_head().await? else {
+            return Ok(());
+        };
+        let kept = [Some(head.stored_version()), head.previous.clone()];
+        let kept_marks: Vec<String> =
+            kept.iter().flatten().map(|kept| self.keys.unused(kept.version, &kept.nonce)).collect();
         let (first, end) = self.keys.all_unused();
         for mark in self.store.range(&first, Some(&end)).await? {
             let is_removable = decode_json::<UnusedMark>(&mark)
                 .is_ok_and(|value| value.removable_from_ms <= self.now_ms());
-            if is_removable {
-                let mut txn = Txn::new().with_compare(unchanged(&mark.key, mark.mod_revision));
-                txn.then = self.removal(&mark.key);
-                self.repeat(&txn).await?;
+            if !is_removable {
+                continue;
             }
+            let mut txn = Txn::new()
+                .with_compare(unchanged(&self.keys.head(), head.revision))
+                .with_compare(unchanged(&mark.key, mark.mod_revision));
+            txn.then = if kept_marks.contains(&mark.key) {
+                vec![Operation::Delete { key: mark.key, end: None }]
+            } else {
+                self.removal(&mark.key)
+            };
+            self.repeat(&txn).await?;
         }
         Ok(())
     }
--- a/tests/all/store/publication.rs
+++ b/tests/all/store/publication.rs
@@ -232,6 +232,26 @@
     assert_eq!(after.read_head().await.unwrap().unwrap().version, 2);
 }
 
+/// Guards against a mark of unused parts that arrives after its parts came into force and gets
+/// them removed an hour later.
+#[compio::test]
+async fn a_delayed_mark_does_not_remove_parts_in_force() {
+    let fixture = Fixture::start().await;
+    let impatient: Rc<dyn Store> = Rc::new(adapter(&fixture.server, BRIEF));
+    let slow = ConfigurationRepository::new(impatient, "team").with_tries(100, NO_DELAY);
+    fixture.handle().pass_calls(1);
+    fixture.handle().hold_next_call();
+    assert_eq!(slow.publish(&publication(0, "a")).await, Ok(published(1)));
+    fixture.handle().release_calls();
+    eventually("the delayed mark", || fixture.handle().held_calls() == 0).await;
+    let later = repository_at(&fixture, SystemTime::now() + 2 * UNUSED_PARTS_AGE);
+    assert_eq!(later.publish(&publication(1, "b")).await, Ok(published(2)));
+    assert_eq!(later.read(1).await.unwrap().checksum, "sum-a");
+    assert!(fixture.handle().keys("team/unused/").is_empty());
+    assert_eq!(later.publish(&publication(2, "c")).await, Ok(published(3)));
+    assert_eq!(stored_publications(&fixture.handle()), ["2", "3"]);
+}
+
 /// Guards against installing damaged values or values of a newer format, and against versions
 /// that are used twice.
 #[compio::test]
