Charge retries only after a failed attempt

Cause: Repeatable::run asked for the next upstream before it looked at the result of the attempt. Each successful repeatable request therefore took one retry from the budget and marked a second upstream as tried, so that no budget was left for failures and a cut large answer skipped healthy upstreams.

Change: a usable answer is returned first. An upstream that the budget refuses is not marked as tried. The rest of a large answer is asked for at one upstream after the other, within the budget, when one fails; another version still aborts. A body that ended as announced counts as complete although hyper dropped the caller's side first, so its connection is kept.

Found by tests/all/proxy: a_large_answer_that_cannot_be_completed_is_aborted and a_successful_request_charges_nothing.

--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -93,14 +93,19 @@
             let reading = compio::time::timeout(STALL_TIMEOUT, body.frame());
             let reading = std::pin::pin!(reading);
             match select(reading, &mut *caller).await {
-                Either::Left((frame, _)) => frame,
-                Either::Right(_) => return End::CallerLeft,
+                Either::Left((frame, _)) => Some(frame),
+                Either::Right(_) => None,
             }
         };
+        let Some(frame) = frame else {
+            // hyper drops the body once the announced length was written, which can happen before
+            // the end of the upstream's body was read.
+            return if body.is_end_stream() { End::Complete } else { End::CallerLeft };
+        };
         match frame {
             Ok(Some(Ok(frame))) => {
                 *offset += frame.data_ref().map_or(0, |data| data.len() as u64);
-                if tx.send(Ok(frame)).await.is_err() {
+                if tx.send(Ok(frame)).await.is_err() && !body.is_end_stream() {
                     return End::CallerLeft;
                 }
             }
--- a/crates/proxy/src/repeatable.rs
+++ b/crates/proxy/src/repeatable.rs
@@ -51,16 +51,20 @@
             let attempts =
                 self.proxy.metrics().attempts.with_label_values(&[&*self.routed.service, kind]);
             attempts.inc();
-            let round = self.round(target).await;
+            let round = match self.round(target).await {
+                Round::Usable(answer) => return Ok(self.respond(answer)),
+                round => round,
+            };
             let retry_free = matches!(round, Round::Failed(Cause::AtLimit));
             match (round, self.next(retry_free)) {
-                (Round::Usable(answer), _) => return Ok(self.respond(answer)),
                 (Round::Faulty(answer), Some(next)) => {
                     discard(answer, Outcome::Failed).await;
                     target = next;
                 }
-                (Round::Faulty(answer), None) => return Ok(self.respond(answer)),
                 (_, Some(next)) => target = next,
+                (Round::Usable(answer) | Round::Faulty(answer), None) => {
+                    return Ok(self.respond(answer));
+                }
                 (Round::Shed(retry_after), None) => return Err(self.busy(retry_after)),
                 (Round::Failed(cause), None) => return Err(self.rejection(cause)),
             }
@@ -87,6 +91,9 @@
         let target = self.pick().ok()?;
         let allowed = retry_free
             || self.proxy.policy().allow_extra(Instant::now(), &self.routed, Extra::Retry);
+        if !allowed {
+            self.tried.pop();
+        }
         allowed.then_some(target)
     }
 
--- a/crates/proxy/src/resume.rs
+++ b/crates/proxy/src/resume.rs
@@ -8,10 +8,11 @@
 use cactustrack_types::{Outcome, RequestClass};
 use futures::FutureExt;
 use futures::future::LocalBoxFuture;
+use http::HeaderMap;
 
 use crate::Extra;
 use crate::exchange::{Answer, Reuse, exchange};
-use crate::relay::Resume;
+use crate::relay::{Resume, discard};
 use crate::repeatable::Repeatable;
 
 /// Time given to another upstream for the head of the rest of an answer.
@@ -40,8 +41,29 @@
         Some(Box::new(Self { request: RefCell::new(request), resumable }))
     }
 
+    /// Asks one upstream after the other for the rest, until one gives an answer that belongs to
+    /// the start or to another version.
     async fn fetch(&self, offset: u64) -> Option<Answer> {
         let range = self.resumable.request_headers(offset).ok()?;
+        loop {
+            let Some(answer) = self.attempt(&range).await? else { continue };
+            let log = self.request.borrow().proxy.log().clone();
+            match self.resumable.check(offset, answer.head.status, &answer.head.headers) {
+                Ok(()) if !answer.is_unframed() => return Some(answer),
+                Ok(()) => answer.attempt.finish(Outcome::Failed),
+                Err(error) => {
+                    slog::warn!(log, "proxy: answer cannot be resumed: {}", error);
+                    // Another version of the resource is no fault of the upstream.
+                    answer.attempt.finish(Outcome::Ok);
+                    return None;
+                }
+            }
+        }
+    }
+
+    /// Asks one upstream. Returns `None` if there is none or the budget is used up, and `Some(None)`
+    /// if the upstream failed.
+    async fn attempt(&self, range: &HeaderMap) -> Option<Option<Answer>> {
         let (proxy, target, req) = {
             let mut request = self.request.borrow_mut();
             let now = Instant::now();
@@ -54,22 +76,17 @@
             }
             let service = &*request.routed.service;
             proxy.metrics().attempts.with_label_values(&[service, "resume"]).inc();
-            (proxy, target, request.out.build_range(HEAD_TIMEOUT, &range))
+            (proxy, target, request.out.build_range(HEAD_TIMEOUT, range))
         };
         let deadline = Instant::now() + HEAD_TIMEOUT;
         let answer = exchange(proxy.pool(), proxy.policy(), target, req, Reuse::Idle, deadline);
-        let answer = answer.await.ok()?;
-        let fits = self.resumable.check(offset, answer.head.status, &answer.head.headers);
-        match fits {
-            Ok(()) => Some(answer),
-            Err(error) => {
-                slog::warn!(proxy.log(), "proxy: answer cannot be resumed: {}", error);
-                // Another version of the resource is no fault of the upstream.
-                let outcome = if answer.is_failure() { Outcome::Failed } else { Outcome::Ok };
-                answer.attempt.finish(outcome);
-                None
-            }
+        let Ok(answer) = answer.await else { return Some(None) };
+        if answer.is_shed() || answer.is_failure() {
+            let outcome = if answer.is_shed() { Outcome::Shed } else { Outcome::Failed };
+            discard(answer, outcome).await;
+            return Some(None);
         }
+        Some(Some(answer))
     }
 }
 
