Refuse ambiguous requests and keep caller faults out of the evidence

hyper drops Content-Length from a request that also has Transfer-Encoding, so the header check never saw such requests. A reader in front of hyper follows heads and bodies on the raw connection and marks them; they get 400. HTTP/1.0 requests get 400 too, since their answers may end by closing only.

Refusals could be lost: closing a socket with unread bytes resets the connection. A refused connection now lingers for at most 256 KiB and 1 s, and at most 64 connections beyond the limit do so. A head that is too slow gets 408 with not_run in place of a silent close. A malformed request closes its connection.

Both are now reported as given up, without blame, and a passed deadline before a connection is 504 not_run. A request without a body no longer gets 408 for a passed deadline.

Non-idempotent requests always open a connection, and the idle ones of earlier requests filled the connection limit, so that a service was refused as overloaded until they expired. The one that was idle for longest makes room.

An upstream that closes each new connection was connected to without end; it is asked once. An answer with invalid framing or status 101 is a failure.

--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -36,6 +36,12 @@
         self.policy.on_response_head(now, &self.target, headers);
     }
 
+    /// Gives the attempt up for a reason that says nothing about the upstream.
+    pub(crate) fn abandon(mut self) {
+        self.reported = true;
+        self.policy.on_cancel(Instant::now(), &self.target, Duration::ZERO);
+    }
+
     /// Reports how the attempt ended.
     pub(crate) fn finish(mut self, outcome: Outcome) {
         self.reported = true;
--- a/crates/proxy/src/body.rs
+++ b/crates/proxy/src/body.rs
@@ -91,6 +91,25 @@
     }
 }
 
+/// State of a request body that is passed on from the caller.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Upload {
+    /// The upstream decides the pace, or the body is complete.
+    #[default]
+    Flowing,
+    /// The next bytes have to come from the caller.
+    WaitingForCaller,
+    /// The caller broke the body off.
+    Failed,
+}
+
+impl Upload {
+    /// Returns true if the caller is the reason that the exchange does not go on.
+    pub(crate) fn is_held_by_caller(self) -> bool {
+        self != Self::Flowing
+    }
+}
+
 /// Body of a request to an upstream.
 #[derive(Debug)]
 pub struct UpstreamBody(Source);
@@ -98,7 +117,7 @@
 #[derive(Debug)]
 enum Source {
     Full(Option<Bytes>),
-    Streamed { body: Incoming, caller_failed: Rc<Cell<bool>> },
+    Streamed { body: Incoming, upload: Rc<Cell<Upload>> },
 }
 
 impl UpstreamBody {
@@ -107,10 +126,18 @@
         Self(Source::Full((!bytes.is_empty()).then_some(bytes)))
     }
 
-    /// Creates a body that is passed on from the caller. `caller_failed` is set if the caller
-    /// breaks it off, for which the upstream is not to blame.
-    pub fn streamed(body: Incoming, caller_failed: Rc<Cell<bool>>) -> Self {
-        Self(Source::Streamed { body, caller_failed })
+    /// Creates a body that is passed on from the caller. `upload` tells whether the caller holds it
+    /// up or broke it off, for which the upstream is not to blame.
+    pub fn streamed(body: Incoming, upload: Rc<Cell<Upload>>) -> Self {
+        Self(Source::Streamed { body, upload })
+    }
+
+    /// State of the body, shared with the one that sends it.
+    pub(crate) fn upload(&self) -> Rc<Cell<Upload>> {
+        match &self.0 {
+            Source::Full(_) => Rc::default(),
+            Source::Streamed { upload, .. } => Rc::clone(upload),
+        }
     }
 }
 
@@ -124,11 +151,13 @@
     ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
         match &mut self.0 {
             Source::Full(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
-            Source::Streamed { body, caller_failed } => {
+            Source::Streamed { body, upload } => {
                 let polled = Pin::new(body).poll_frame(cx);
-                if matches!(polled, Poll::Ready(Some(Err(_)))) {
-                    caller_failed.set(true);
-                }
+                upload.set(match &polled {
+                    Poll::Ready(Some(Err(_))) => Upload::Failed,
+                    Poll::Ready(_) => Upload::Flowing,
+                    Poll::Pending => Upload::WaitingForCaller,
+                });
                 polled
             }
         }
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -3,11 +3,13 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use cactustrack_routing::headers::check_framing;
 use cactustrack_types::Outcome;
 use http::{Request, StatusCode, header, response};
 use hyper::body::{Body, Incoming};
 
 use crate::attempt::Attempt;
+use crate::body::Upload;
 use crate::pool::{ConnectError, Connection};
 use crate::{Pool, Target, TrafficPolicy, UpstreamBody};
 
@@ -108,6 +110,7 @@
     deadline: Instant,
 ) -> Result<Answer, Failure> {
     let mut attempt = Attempt::new(Rc::clone(policy), target);
+    let upload = req.body().upload();
     loop {
         let idle = match reuse {
             Reuse::Idle => pool.take_idle(attempt.target()),
@@ -127,18 +130,29 @@
             Ok(Ok(res)) => {
                 let (head, body) = res.into_parts();
                 attempt.on_head(&head.headers);
+                // An answer with two lengths, or with an interim status as its last one, has no
+                // certain end.
+                if check_framing(&head.headers).is_err() || head.status.is_informational() {
+                    attempt.finish(Outcome::Failed);
+                    return Err(Failure::sent(Cause::Broken));
+                }
                 let outcome = Outcome::Ok;
                 return Ok(Answer { head, body, connection, attempt, outcome });
             }
             Ok(Err(mut error)) => match error.take_message() {
                 // The connection closed while it was idle. Nothing was sent.
-                Some(unsent) => req = unsent,
+                Some(unsent) if connection.reused => req = unsent,
+                // An upstream that closes each new connection would be asked without end.
+                Some(_) => {
+                    attempt.finish(Outcome::Refused);
+                    return Err(Failure::unsent(Cause::Connect));
+                }
                 None => {
                     let reused = connection.reused;
-                    return Err(broken(pool, attempt, reused));
+                    return Err(broken(pool, attempt, reused, upload.get()));
                 }
             },
-            Err(_) => return Err(timed_out(pool, attempt, connection.reused)),
+            Err(_) => return Err(timed_out(pool, attempt, connection.reused, upload.get())),
         }
     }
 }
@@ -150,12 +164,14 @@
 ) -> Result<Connection, ConnectError> {
     let connecting = pool.connect(attempt.target());
     let connected = compio::time::timeout(until(deadline), connecting).await;
-    connected.unwrap_or(Err(ConnectError::TimedOut))
+    connected.unwrap_or(Err(ConnectError::DeadlinePassed))
 }
 
 fn connect_failure(error: ConnectError, attempt: Attempt) -> Failure {
     match error {
         ConnectError::AtLimit => Failure::unsent(Cause::AtLimit),
+        // A caller that gives little time must not make a healthy upstream look refusing.
+        ConnectError::DeadlinePassed => Failure::unsent(Cause::TimedOut),
         ConnectError::Refused | ConnectError::TimedOut => {
             attempt.finish(Outcome::Refused);
             Failure::unsent(Cause::Connect)
@@ -165,8 +181,10 @@
 
 /// A break on a reused connection may be the connection's fault. The idle ones may share it, so
 /// they are closed, and the next request decides the case on a new connection.
-fn broken(pool: &Pool, attempt: Attempt, reused: bool) -> Failure {
-    if reused {
+fn broken(pool: &Pool, attempt: Attempt, reused: bool, upload: Upload) -> Failure {
+    if upload == Upload::Failed {
+        attempt.abandon();
+    } else if reused {
         pool.close_idle(attempt.target());
         attempt.finish(Outcome::Silent);
     } else {
@@ -175,8 +193,10 @@
     Failure::sent(Cause::Broken)
 }
 
-fn timed_out(pool: &Pool, attempt: Attempt, reused: bool) -> Failure {
-    if reused {
+fn timed_out(pool: &Pool, attempt: Attempt, reused: bool, upload: Upload) -> Failure {
+    if upload.is_held_by_caller() {
+        attempt.abandon();
+    } else if reused {
         pool.close_idle(attempt.target());
         attempt.finish(Outcome::Silent);
     } else {
--- a/crates/proxy/src/handler.rs
+++ b/crates/proxy/src/handler.rs
@@ -5,16 +5,19 @@
 use std::time::Instant;
 
 use cactustrack_observe::{Metrics, SpanKind, SpanQueue, SpanTimer, TraceContext};
-use cactustrack_routing::headers;
+use cactustrack_routing::headers::{self, HeadError};
 use cactustrack_routing::route::request_host;
 use cactustrack_store::{Claim, IdempotencyRecords};
 use cactustrack_types::{InstanceId, RequestClass};
 use http::request::Parts;
-use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode, Uri, header};
-use hyper::body::Incoming;
+use http::{
+    HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode, Uri, Version, header,
+};
+use hyper::body::{Body, Incoming};
 use slog::Logger;
 
 use crate::exchange::{Answer, until};
+use crate::framing::AmbiguousFraming;
 use crate::reject::{Reason, Rejection};
 use crate::relay::relay;
 use crate::repeatable::Repeatable;
@@ -133,6 +136,13 @@
     fn route(&self, now: Instant, head: &Parts) -> Result<Routed, Rejection> {
         let malformed =
             |detail: String| Rejection::not_run(Reason::Malformed, StatusCode::BAD_REQUEST, detail);
+        // An HTTP/1.0 caller cannot tell a complete answer of unknown length from a broken one.
+        if head.version < Version::HTTP_11 {
+            return Err(malformed("the request must use HTTP/1.1".to_owned()));
+        }
+        if head.extensions.get::<AmbiguousFraming>().is_some() {
+            return Err(malformed(HeadError::LengthAndEncoding.to_string()));
+        }
         headers::check_request_head(&head.headers).map_err(|error| malformed(error.to_string()))?;
         let host = request_host(&head.uri, &head.headers);
         let host = host.map_err(|error| malformed(error.to_string()))?;
@@ -156,8 +166,15 @@
         let traceparent = HeaderValue::from_str(&trace.header_value());
         headers.insert(TRACEPARENT, traceparent.unwrap_or(HeaderValue::from_static("")));
         let uri = origin_form(&head.uri);
+        // Without a body there is nothing to wait for, and a passed deadline is not the caller's
+        // slowness.
+        let is_empty = body.is_end_stream();
         let taking = Outgoing::new(head.method, uri, headers, body);
-        let taken = compio::time::timeout(until(routed.deadline), taking).await;
+        let taken = if is_empty {
+            Ok(taking.await)
+        } else {
+            compio::time::timeout(until(routed.deadline), taking).await
+        };
         let broken = |status, detail: &str| Rejection::not_run(Reason::Malformed, status, detail);
         let out = match taken {
             Ok(Ok(out)) => out,
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -6,6 +6,7 @@
 mod attempt;
 mod body;
 mod exchange;
+mod framing;
 mod handler;
 mod non_idempotent;
 mod policy;
@@ -17,7 +18,7 @@
 mod resume;
 mod server;
 
-pub use body::{OutBody, UpstreamBody};
+pub use body::{OutBody, Upload, UpstreamBody};
 pub use handler::{Proxy, ProxyParts};
 pub use policy::{Admission, Extra, Routed, Target, TrafficPolicy};
 pub use pool::{Pool, PoolLimits};
--- a/crates/proxy/src/policy.rs
+++ b/crates/proxy/src/policy.rs
@@ -101,7 +101,7 @@
     /// Notes that an attempt ended. `latency` is the time to the response head, if there was one.
     fn on_finish(&self, now: Instant, target: &Target, outcome: Outcome, latency: Option<Duration>);
 
-    /// Notes that an attempt was given up after `elapsed`, because the caller left or another
-    /// attempt was faster.
+    /// Notes that an attempt was given up, because the caller left or another attempt was faster.
+    /// `elapsed` is the time that the upstream let pass, zero if it was not to blame for any.
     fn on_cancel(&self, now: Instant, target: &Target, elapsed: Duration);
 }
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -49,6 +49,9 @@
     /// The upstream did not accept the connection.
     #[display("the connection was refused")]
     Refused,
+    /// The deadline of the request passed first.
+    #[display("the deadline passed before a connection was open")]
+    DeadlinePassed,
     /// The upstream did not accept the connection in time.
     #[display("the connection was not accepted in time")]
     TimedOut,
@@ -145,6 +148,7 @@
 
     fn reserve(&self, target: &Target) -> Result<Place, ConnectError> {
         let key = key_of(target);
+        self.close_surplus(&key, target.max_connections);
         let mut entries = self.entries.borrow_mut();
         let entry = entries.entry(key.clone()).or_default();
         if entry.open >= target.max_connections {
@@ -155,6 +159,18 @@
         Ok(self.place(key))
     }
 
+    /// Closes the connection that was idle for longest if it takes the place of a new one. Requests
+    /// that need a new connection would otherwise be refused until idle ones expire.
+    fn close_surplus(&self, key: &PoolKey, max_connections: usize) {
+        let oldest = match self.entries.borrow_mut().get_mut(key) {
+            Some(entry) if entry.open >= max_connections && !entry.idle.is_empty() => {
+                entry.idle.remove(0)
+            }
+            _ => return,
+        };
+        drop(Connection::new(oldest.parts, self.place(key.clone()), true));
+    }
+
     fn place(&self, key: PoolKey) -> Place {
         Place { entries: Rc::clone(&self.entries), key, held: true }
     }
--- a/crates/proxy/src/reject.rs
+++ b/crates/proxy/src/reject.rs
@@ -127,6 +127,10 @@
             Execution::Completed => "completed",
         };
         headers.insert(EXECUTION, HeaderValue::from_static(execution));
+        if self.reason == Reason::Malformed {
+            // Where a malformed request ends is not certain, so nothing after it is read.
+            headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
+        }
         if let Some(retry_after) = self.retry_after {
             let seconds = retry_after.as_secs_f64().ceil().max(1.0) as u64;
             headers.insert(header::RETRY_AFTER, HeaderValue::from(seconds));
--- a/crates/proxy/src/request.rs
+++ b/crates/proxy/src/request.rs
@@ -11,6 +11,7 @@
 use hyper::body::{Body, Incoming};
 
 use crate::UpstreamBody;
+use crate::body::Upload;
 
 /// Request bodies up to this size are held in memory so that they can be sent again.
 const REPLAY_LIMIT_BYTES: u64 = 64 * 1024;
@@ -26,7 +27,7 @@
     uri: Uri,
     headers: HeaderMap,
     payload: Payload,
-    caller_failed: Rc<Cell<bool>>,
+    upload: Rc<Cell<Upload>>,
 }
 
 impl Outgoing {
@@ -49,7 +50,7 @@
         } else {
             Payload::Once(Some(body))
         };
-        Ok(Self { method, uri, headers, payload, caller_failed: Rc::default() })
+        Ok(Self { method, uri, headers, payload, upload: Rc::default() })
     }
 
     /// Returns true if the request can be sent once more.
@@ -59,7 +60,7 @@
 
     /// Returns true if the caller broke off the request body.
     pub(crate) fn caller_failed(&self) -> bool {
-        self.caller_failed.get()
+        self.upload.get() == Upload::Failed
     }
 
     /// Method of the request.
@@ -76,9 +77,7 @@
     pub(crate) fn build(&mut self, remaining: Duration) -> Option<Request<UpstreamBody>> {
         let body = match &mut self.payload {
             Payload::Replayable(bytes) => UpstreamBody::full(bytes.clone()),
-            Payload::Once(body) => {
-                UpstreamBody::streamed(body.take()?, Rc::clone(&self.caller_failed))
-            }
+            Payload::Once(body) => UpstreamBody::streamed(body.take()?, Rc::clone(&self.upload)),
         };
         let mut req = Request::new(body);
         *req.method_mut() = self.method.clone();
--- a/crates/proxy/src/server.rs
+++ b/crates/proxy/src/server.rs
@@ -1,21 +1,23 @@
 //! The listener for callers.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use compio::io::AsyncWriteExt;
+use compio::io::{AsyncRead, AsyncWrite, AsyncWriteExt};
 use compio::net::{TcpListener, TcpStream};
-use cyper_core::{CompioTimer, HyperStream};
+use cyper_core::CompioTimer;
 use futures::FutureExt;
 use futures::channel::oneshot;
 use futures::future::{Either, Shared, select};
+use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 
 use crate::Proxy;
+use crate::framing::{AmbiguousFraming, FramingWatch, Scratch, WatchedStream, new_scratch};
 
 /// Answer to a connection beyond the limit. It is written without reading a request, so the
 /// request was not run.
@@ -23,6 +25,19 @@
     Connection: close\r\nContent-Length: 0\r\nRetry-After: 1\r\n\
     Cactustrack-Execution: not_run\r\n\r\n";
 
+/// Answer to a request whose head did not arrive in time.
+const HEAD_TOO_SLOW: &[u8] = b"HTTP/1.1 408 Request Timeout\r\n\
+    Connection: close\r\nContent-Length: 0\r\n\
+    Cactustrack-Execution: not_run\r\n\r\n";
+
+/// Bytes and time for which a refused connection is still read. Closing a socket with unread bytes
+/// resets the connection, which can discard the refusal before the caller has read it.
+const LINGER_BYTES: usize = 256 * 1024;
+const LINGER_TIME: Duration = Duration::from_secs(1);
+
+/// Most connections beyond the limit that linger. Further ones are closed at once.
+const MAX_LINGERING_REFUSALS: usize = 64;
+
 /// Pause after a failed accept, for example because no file descriptor is left.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -73,6 +88,8 @@
     limits: ServerLimits,
     signal: Signal,
     connections: Rc<Cell<usize>>,
+    refusals: Rc<Cell<usize>>,
+    scratch: Scratch,
 }
 
 impl Server {
@@ -89,7 +106,8 @@
         let listener = TcpListener::bind(address).await?;
         let (tx, rx) = oneshot::channel();
         let connections = Rc::default();
-        let server = Self { listener, proxy, limits, signal: rx.shared(), connections };
+        let (refusals, scratch, signal) = (Rc::default(), new_scratch(), rx.shared());
+        let server = Self { listener, proxy, limits, signal, connections, refusals, scratch };
         Ok((server, Shutdown(tx)))
     }
 
@@ -111,7 +129,7 @@
                 continue;
             };
             if self.connections.get() >= self.limits.max_connections {
-                compio::runtime::spawn(refuse(stream)).detach();
+                self.refuse(stream);
                 continue;
             }
             self.serve(stream);
@@ -131,10 +149,24 @@
         }
     }
 
+    /// Answers a connection beyond the limit.
+    fn refuse(&self, mut stream: TcpStream) {
+        let refusals = Rc::clone(&self.refusals);
+        refusals.set(refusals.get() + 1);
+        let task = async move {
+            let _ = stream.write_all(TOO_MANY_CONNECTIONS).await;
+            if refusals.get() <= MAX_LINGERING_REFUSALS {
+                linger(stream).await;
+            }
+            refusals.set(refusals.get() - 1);
+        };
+        compio::runtime::spawn(task).detach();
+    }
+
     fn serve(&self, stream: TcpStream) {
         let count = Counted::new(&self.connections, &self.proxy);
-        let connection =
-            serve_connection(stream, Rc::clone(&self.proxy), self.limits, self.signal.clone());
+        let (proxy, scratch) = (Rc::clone(&self.proxy), Rc::clone(&self.scratch));
+        let connection = serve_connection(stream, proxy, self.limits, self.signal.clone(), scratch);
         let task = async move {
             connection.await;
             drop(count);
@@ -148,10 +180,17 @@
     proxy: Rc<Proxy>,
     limits: ServerLimits,
     signal: Signal,
+    scratch: Scratch,
 ) {
     let _ = stream.set_nodelay(true);
-    let service = service_fn(move |req| {
+    let watch = Rc::new(RefCell::new(FramingWatch::default()));
+    let watched = WatchedStream::new(stream.clone(), Rc::clone(&watch), scratch);
+    let heads = Rc::clone(&watch);
+    let service = service_fn(move |mut req: http::Request<Incoming>| {
         let proxy = Rc::clone(&proxy);
+        if heads.borrow_mut().take_is_ambiguous() {
+            req.extensions_mut().insert(AmbiguousFraming);
+        }
         async move { Ok::<_, std::convert::Infallible>(proxy.handle(req).await) }
     });
     let connection = http1::Builder::new()
@@ -159,21 +198,52 @@
         .header_read_timeout(limits.head_timeout)
         .max_buf_size(limits.max_head_bytes.max(8192))
         .max_headers(limits.max_headers)
-        .serve_connection(HyperStream::new_plain(stream), service);
+        .serve_connection(watched, service);
     let mut connection = std::pin::pin!(connection);
-    // A fault of the connection concerns this caller only, and the caller sees it.
-    match select(connection.as_mut(), signal).await {
-        Either::Left(_) => {}
+    let ended = match select(connection.as_mut(), signal).await {
+        Either::Left((ended, _)) => ended,
         Either::Right(_) => {
             connection.as_mut().graceful_shutdown();
-            let _ = connection.await;
+            connection.await
         }
+    };
+    let (is_mid_head, is_mid_message) = {
+        let watch = watch.borrow();
+        (watch.is_mid_head(), watch.is_mid_message())
+    };
+    finish_connection(stream, ended.err(), is_mid_head, is_mid_message).await;
+}
+
+/// Makes sure that a refusal reaches the caller before the connection is closed. Other faults of a
+/// connection concern this caller only, who sees them.
+async fn finish_connection(
+    mut stream: TcpStream,
+    error: Option<hyper::Error>,
+    is_mid_head: bool,
+    is_mid_message: bool,
+) {
+    if is_mid_head && error.as_ref().is_some_and(hyper::Error::is_timeout) {
+        let _ = stream.write_all(HEAD_TOO_SLOW).await;
+    }
+    let is_refused = error.is_none_or(|error| error.is_parse() || error.is_timeout());
+    if is_refused && is_mid_message {
+        linger(stream).await;
     }
 }
 
-async fn refuse(mut stream: TcpStream) {
-    let _ = stream.write_all(TOO_MANY_CONNECTIONS).await;
-    let _ = stream.close().await;
+/// Ends the sending direction and discards what the caller still sends.
+async fn linger(mut stream: TcpStream) {
+    let _ = stream.shutdown().await;
+    let reading = async {
+        let (mut left, mut buf) = (LINGER_BYTES, vec![0; 4096]);
+        while left > 0 {
+            let (read, returned) = stream.read(buf).await.into();
+            let Ok(1..) = read else { return };
+            left = left.saturating_sub(read.unwrap_or_default());
+            buf = returned;
+        }
+    };
+    let _ = compio::time::timeout(LINGER_TIME, reading).await;
 }
 
 /// Counts an open connection while it lives.
