Test the proxy with a small policy and raw connections

The tests run Server, Proxy and Pool on a thread of its own with a policy and idempotency records that note what is asked of them, against the upstream stand-in and upstreams that speak raw TCP.

--- /dev/null
+++ b/tests/all/proxy/fakes.rs
@@ -0,0 +1,218 @@
+//! A policy and idempotency records that note what the proxy asks of them.
+
+use std::cell::Cell;
+use std::collections::BTreeMap;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use cactustrack_proxy::{Admission, Extra, Reason, Rejection, Routed, Target, TrafficPolicy};
+use cactustrack_routing::deadline::Deadline;
+use cactustrack_routing::route::{RouteMatch, RouteTable};
+use cactustrack_store::{Claim, ClaimOutcome, IdempotencyRecords, RecordError, RecordState};
+use cactustrack_types::{
+    Configuration, Incarnation, Millis, Outcome, RequestClass, Route, UpstreamId,
+};
+use futures::FutureExt;
+use http::{HeaderMap, StatusCode};
+
+/// What was asked and reported, shared with the test's thread.
+#[derive(Clone, Default)]
+pub(super) struct Journal(Arc<Mutex<Vec<String>>>);
+
+impl Journal {
+    fn lock(&self) -> MutexGuard<'_, Vec<String>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(super) fn note(&self, line: String) {
+        self.lock().push(line);
+    }
+
+    pub(super) fn all(&self) -> Vec<String> {
+        self.lock().clone()
+    }
+
+    pub(super) fn has(&self, line: &str) -> bool {
+        self.lock().iter().any(|noted| noted == line)
+    }
+
+    pub(super) fn count(&self, prefix: &str) -> usize {
+        self.lock().iter().filter(|noted| noted.starts_with(prefix)).count()
+    }
+}
+
+/// Asks upstreams in a fixed order and grants a fixed number of extra attempts.
+pub(super) struct FakePolicy {
+    pub(super) targets: Vec<(&'static str, SocketAddr)>,
+    pub(super) extra: Cell<u32>,
+    pub(super) hedge_delay: Option<Duration>,
+    pub(super) max_connections: usize,
+    pub(super) timeout: Duration,
+    pub(super) journal: Journal,
+}
+
+/// Classes by path: `/n` is non-idempotent, `/bytes` is large, all else is idempotent.
+fn routes(timeout: Duration) -> RouteTable {
+    let route = |prefix: &str, class| Route {
+        host: "*".into(),
+        path_prefix: prefix.into(),
+        service: "svc".into(),
+        class,
+        timeout: Millis(timeout),
+        max_timeout: Millis(Duration::from_secs(60)),
+    };
+    RouteTable::new(&Configuration {
+        format: 1,
+        version: 1,
+        team: "test".into(),
+        services: Vec::new(),
+        routes: vec![
+            route("/", RequestClass::Idempotent),
+            route("/bytes", RequestClass::Large),
+            route("/n", RequestClass::NonIdempotent),
+        ],
+        accounts: Vec::new(),
+    })
+}
+
+impl TrafficPolicy for FakePolicy {
+    fn route(
+        &self,
+        now: Instant,
+        host: &str,
+        path: &str,
+        headers: &HeaderMap,
+    ) -> Result<Routed, Rejection> {
+        let route: RouteMatch = routes(self.timeout).find(host, path).map_err(|error| {
+            let detail = error.to_string();
+            Rejection::not_run(Reason::UnacceptablePath, StatusCode::BAD_REQUEST, detail)
+        })?;
+        let deadline = Deadline::from_headers(now, headers, &route).expect("a valid timeout");
+        Ok(Routed { service: route.service, class: route.class, deadline: deadline.at })
+    }
+
+    fn admit<'a>(
+        &'a self,
+        _routed: &'a Routed,
+        _account: &'a str,
+    ) -> Pin<Box<dyn Future<Output = Result<Admission, Rejection>> + 'a>> {
+        async { Ok(Box::new(()) as Admission) }.boxed_local()
+    }
+
+    fn pick(
+        &self,
+        _now: Instant,
+        routed: &Routed,
+        exclude: &[UpstreamId],
+    ) -> Result<Target, Rejection> {
+        let free = self.targets.iter().find(|(id, _)| !exclude.iter().any(|tried| &**tried == *id));
+        let Some((id, address)) = free else {
+            let status = StatusCode::SERVICE_UNAVAILABLE;
+            return Err(Rejection::not_run(Reason::NoUpstream, status, "no upstream is left"));
+        };
+        Ok(Target {
+            service: routed.service.clone(),
+            upstream: (*id).into(),
+            incarnation: Incarnation(1),
+            address: *address,
+            max_connections: self.max_connections,
+        })
+    }
+
+    fn allow_extra(&self, _now: Instant, _routed: &Routed, extra: Extra) -> bool {
+        let left = self.extra.get();
+        let granted = left > 0;
+        self.extra.set(left.saturating_sub(1));
+        self.journal.note(format!("extra {extra:?} granted={granted}"));
+        granted
+    }
+
+    fn hedge_delay(&self, _routed: &Routed) -> Option<Duration> {
+        self.hedge_delay
+    }
+
+    fn on_start(&self, _now: Instant, target: &Target) {
+        self.journal.note(format!("start {}", target.upstream));
+    }
+
+    fn on_response_head(&self, _now: Instant, _target: &Target, _headers: &HeaderMap) {}
+
+    fn on_finish(
+        &self,
+        _now: Instant,
+        target: &Target,
+        outcome: Outcome,
+        _latency: Option<Duration>,
+    ) {
+        self.journal.note(format!("finish {} {outcome}", target.upstream));
+    }
+
+    fn on_cancel(&self, _now: Instant, target: &Target, elapsed: Duration) {
+        let blamed = if elapsed.is_zero() { "without blame" } else { "after a wait" };
+        self.journal.note(format!("cancel {} {blamed}", target.upstream));
+    }
+}
+
+/// Records in memory. `fails` stands for an unavailable store.
+#[derive(Clone, Default)]
+pub(super) struct FakeRecords(Arc<Mutex<RecordsState>>);
+
+#[derive(Default)]
+struct RecordsState {
+    records: BTreeMap<(String, String), (String, RecordState)>,
+    fails: bool,
+}
+
+impl FakeRecords {
+    fn lock(&self) -> MutexGuard<'_, RecordsState> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(super) fn set_fails(&self, fails: bool) {
+        self.lock().fails = fails;
+    }
+
+    /// State of a key of the empty account.
+    pub(super) fn state(&self, key: &str) -> Option<RecordState> {
+        let id = (String::new(), key.to_owned());
+        self.lock().records.get(&id).map(|(_, state)| state.clone())
+    }
+}
+
+fn record_id(claim: &Claim) -> (String, String) {
+    (claim.account.to_string(), claim.key.clone())
+}
+
+impl IdempotencyRecords for FakeRecords {
+    fn claim<'a>(
+        &'a self,
+        claim: &'a Claim,
+    ) -> Pin<Box<dyn Future<Output = Result<ClaimOutcome, RecordError>> + 'a>> {
+        let mut state = self.lock();
+        let outcome = match state.records.get(&record_id(claim)) {
+            _ if state.fails => Err(RecordError { reason: "the store is unavailable".to_owned() }),
+            Some((fingerprint, _)) if *fingerprint != claim.fingerprint => {
+                Ok(ClaimOutcome::Mismatch)
+            }
+            Some((_, held)) => Ok(ClaimOutcome::Held(held.clone())),
+            None => {
+                let record = (claim.fingerprint.clone(), RecordState::Running);
+                state.records.insert(record_id(claim), record);
+                Ok(ClaimOutcome::Granted)
+            }
+        };
+        async move { outcome }.boxed_local()
+    }
+
+    fn complete(&self, claim: &Claim, status: u16) {
+        let record = (claim.fingerprint.clone(), RecordState::Completed { status });
+        self.lock().records.insert(record_id(claim), record);
+    }
+
+    fn release(&self, claim: &Claim) {
+        self.lock().records.remove(&record_id(claim));
+    }
+}
--- /dev/null
+++ b/tests/all/proxy/matching.rs
@@ -0,0 +1,122 @@
+//! Each caller gets the answer to its own request, and only that.
+
+use std::io::Write;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use cactustrack_test_support::caller::Call;
+use cactustrack_test_support::upstream::Behaviour;
+
+use super::rig::{RawUpstream, Setup, read_head, upstreams, wait_until};
+
+/// Guards against answers that are swapped between callers when connections are shared.
+#[test]
+fn concurrent_requests_get_their_own_answers() {
+    let behaviour = Behaviour { latency: Duration::from_millis(2), ..Behaviour::default() };
+    let up = upstreams(&["up-0", "up-1"], &behaviour);
+    let targets = [("up-0", up.all[0].address), ("up-1", up.all[1].address)];
+    let rig = Arc::new(Setup::with(&targets).start());
+    let callers: Vec<_> = (0..100)
+        .map(|caller| {
+            let rig = Arc::clone(&rig);
+            thread::spawn(move || {
+                for (round, class) in ["/", "/n", "/i", "/n"].iter().enumerate() {
+                    let tag = format!("t-{caller}-{round}");
+                    let reply = rig.call(&Call::get("a", class).with_header("x-tag", &tag));
+                    let text = reply.text();
+                    assert!(text.contains(&format!(r#""tag":"{tag}""#)), "{tag}: {text}");
+                }
+            })
+        })
+        .collect();
+    for caller in callers {
+        caller.join().expect("a caller with its own answers");
+    }
+}
+
+/// Guards against a connection for each request: an exchange that ended gives its connection back,
+/// also if the caller's side ended first.
+#[test]
+fn completed_exchanges_share_a_connection() {
+    let up = upstreams(&["up-0"], &Behaviour::default());
+    let rig = Setup::with(&[("up-0", up.all[0].address)]).start();
+    for request in 0..50 {
+        let path = if request % 2 == 0 { "/" } else { "/bytes/100000" };
+        assert!(rig.call(&Call::get("a", path)).is_complete);
+        wait_until("the exchange is reported", || rig.journal.count("finish") == request + 1);
+    }
+    assert_eq!(up.all[0].control.connections(), 1, "{:?}", rig.journal.all());
+    assert_eq!(rig.journal.count("cancel"), 0, "{:?}", rig.journal.all());
+}
+
+/// Guards against late answers that reach the next caller on the same connection: the connection
+/// of an exchange that was given up is closed, whatever the reason.
+#[test]
+fn an_abandoned_exchange_closes_its_connection() {
+    struct Case {
+        name: &'static str,
+        path: &'static str,
+        /// Timeout that the caller asks for, or `None` if the caller leaves.
+        timeout_ms: Option<&'static str>,
+    }
+    let cases = [
+        Case { name: "idempotent, deadline", path: "/", timeout_ms: Some("50") },
+        Case { name: "non-idempotent, deadline", path: "/n", timeout_ms: Some("50") },
+        Case { name: "large, deadline", path: "/bytes/x", timeout_ms: Some("50") },
+        Case { name: "idempotent, caller left", path: "/", timeout_ms: None },
+        Case { name: "large, caller left", path: "/bytes/x", timeout_ms: None },
+    ];
+    for Case { name, path, timeout_ms } in cases {
+        let (late_tx, late_rx) = std::sync::mpsc::channel();
+        let (asked_tx, asked_rx) = std::sync::mpsc::channel();
+        let channels = std::sync::Mutex::new((late_rx, asked_tx));
+        let upstream = RawUpstream::spawn(move |connection, stream| {
+            if connection == 0 {
+                read_head(stream).expect("a request");
+                let channels = channels.lock().expect("channels");
+                channels.1.send(()).expect("a test");
+                channels.0.recv().expect("the time to answer");
+                let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate");
+                return;
+            }
+            while read_head(stream).is_some() {
+                let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfresh");
+            }
+        });
+        let rig = Setup { extra: 0, ..Setup::with(&[("up-0", upstream.address)]) }.start();
+        match timeout_ms {
+            Some(ms) => {
+                let call = Call::get("a", path).with_header("cactustrack-timeout-ms", ms);
+                let reply = rig.call(&call);
+                assert_eq!((reply.status.as_u16(), reply.execution()), (504, Some("unknown")));
+                asked_rx.recv().expect("a request at the upstream");
+            }
+            None => {
+                let mut stream = rig.connect();
+                let get = format!("GET {path} HTTP/1.1\r\nHost: a\r\n\r\n");
+                stream.write_all(get.as_bytes()).expect("a request");
+                asked_rx.recv().expect("a request at the upstream");
+            }
+        }
+        rig.wait_open(0);
+        late_tx.send(()).expect("an upstream");
+        for _ in 0..3 {
+            let reply = rig.call(&Call::get("a", path));
+            assert_eq!(reply.text(), "fresh", "{name}");
+        }
+    }
+}
+
+/// Guards against bytes behind an answer that are taken for the answer to the next request.
+#[test]
+fn surplus_bytes_of_an_upstream_reach_nobody() {
+    let surplus = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok\
+                   HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong";
+    let upstream = RawUpstream::answering(surplus);
+    let rig = Setup::with(&[("up-0", upstream.address)]).start();
+    for path in ["/", "/n", "/bytes/x", "/"] {
+        let reply = rig.call(&Call::get("a", path));
+        assert_eq!((reply.status.as_u16(), reply.text().as_str()), (200, "ok"), "{path}");
+    }
+}
--- /dev/null
+++ b/tests/all/proxy/rig.rs
@@ -0,0 +1,271 @@
+//! Runs the proxy on a thread of its own, and upstreams and callers that speak raw TCP.
+
+use std::cell::Cell;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::rc::Rc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, mpsc};
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
+
+use cactustrack_observe::{Metrics, SpanQueue};
+use cactustrack_proxy::{Pool, PoolLimits, Proxy, ProxyParts, Server, ServerLimits};
+use cactustrack_test_support::caller::{Call, Reply};
+use cactustrack_test_support::upstream::{Behaviour, Upstreams};
+use slog::{Discard, Logger, o};
+
+use super::fakes::{FakePolicy, FakeRecords, Journal};
+
+/// Longest wait for something that must happen. It is long against any pause of a busy machine.
+pub(super) const WAIT_LIMIT: Duration = Duration::from_secs(60);
+
+/// A deadline that no healthy exchange reaches.
+pub(super) const LONG: Duration = Duration::from_secs(50);
+
+/// How the proxy of a test is set up.
+pub(super) struct Setup {
+    pub(super) targets: Vec<(&'static str, SocketAddr)>,
+    pub(super) extra: u32,
+    pub(super) hedge_delay: Option<Duration>,
+    pub(super) max_connections: usize,
+    pub(super) timeout: Duration,
+    pub(super) limits: ServerLimits,
+}
+
+impl Default for Setup {
+    fn default() -> Self {
+        let limits = ServerLimits { head_timeout: LONG, ..ServerLimits::default() };
+        let (targets, timeout) = (Vec::new(), LONG);
+        Self { targets, extra: 0, hedge_delay: None, max_connections: 1000, timeout, limits }
+    }
+}
+
+/// A running proxy.
+pub(super) struct Rig {
+    pub(super) address: SocketAddr,
+    pub(super) journal: Journal,
+    pub(super) records: FakeRecords,
+    /// Open connections to upstreams, and the number of this sample.
+    open: Arc<Mutex<(usize, u64)>>,
+    stop: Arc<AtomicBool>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Setup {
+    /// Creates a setup with these upstreams and as many extra attempts as a test can use.
+    pub(super) fn with(targets: &[(&'static str, SocketAddr)]) -> Self {
+        Self { targets: targets.to_vec(), extra: 100, ..Self::default() }
+    }
+
+    pub(super) fn start(self) -> Rig {
+        let (journal, records) = (Journal::default(), FakeRecords::default());
+        let (open, stop) =
+            (Arc::<Mutex<(usize, u64)>>::default(), Arc::new(AtomicBool::new(false)));
+        let (tx, rx) = mpsc::channel();
+        let shared = (journal.clone(), records.clone(), Arc::clone(&open), Arc::clone(&stop));
+        let thread = thread::spawn(move || {
+            let (journal, records, open, stop) = shared;
+            let runtime = compio::runtime::Runtime::new().expect("a runtime");
+            runtime.block_on(async move {
+                let limits = self.limits;
+                let pool = Pool::new(PoolLimits::default());
+                let proxy = self.proxy(pool.clone(), journal, records);
+                let address = "127.0.0.1:0".parse().expect("an address");
+                let (server, _shutdown) =
+                    Server::bind(address, proxy, limits).await.expect("a free port");
+                tx.send(server.local_address().expect("a bound address")).expect("a test");
+                let serving = compio::runtime::spawn(server.run());
+                while !stop.load(Ordering::SeqCst) {
+                    pool.close_expired();
+                    take_sample(&open, &pool);
+                    compio::time::sleep(Duration::from_millis(5)).await;
+                }
+                drop(serving);
+            });
+        });
+        let address = rx.recv().expect("the address of the proxy");
+        Rig { address, journal, records, open, stop, thread: Some(thread) }
+    }
+
+    fn proxy(self, pool: Pool, journal: Journal, records: FakeRecords) -> Rc<Proxy> {
+        let metrics = Metrics::new().expect("metrics");
+        let policy = FakePolicy {
+            targets: self.targets,
+            extra: Cell::new(self.extra),
+            hedge_delay: self.hedge_delay,
+            max_connections: self.max_connections,
+            timeout: self.timeout,
+            journal,
+        };
+        let spans = SpanQueue::new(false, metrics.spans_dropped.clone());
+        let log = Logger::root(Discard, o!());
+        let (policy, records) = (Rc::new(policy), Rc::new(records));
+        let instance = "instance-0".into();
+        Proxy::new(ProxyParts { instance, policy, records, pool, metrics, spans, log }, 1)
+    }
+}
+
+impl Rig {
+    pub(super) fn call(&self, call: &Call) -> Reply {
+        call.send(self.address).expect("an answer")
+    }
+
+    /// Sends raw bytes and returns all that comes back.
+    pub(super) fn raw(&self, bytes: &[u8]) -> String {
+        let mut stream = self.connect();
+        // The proxy may refuse and close before it has read everything.
+        let _ = stream.write_all(bytes);
+        read_all(&mut stream)
+    }
+
+    pub(super) fn connect(&self) -> TcpStream {
+        connect(self.address)
+    }
+
+    /// Waits until the proxy reported `line` to its policy.
+    pub(super) fn wait_noted(&self, line: &str) {
+        wait_until(&format!("{line:?} is noted: {:?}", self.journal.all()), || {
+            self.journal.has(line)
+        });
+    }
+
+    /// Waits until this number of connections to upstreams is open, idle ones included.
+    pub(super) fn wait_open(&self, connections: usize) {
+        let sample = || *self.open.lock().expect("a sample");
+        let (_, stale) = sample();
+        wait_until("connections to upstreams are closed", || {
+            let (open, number) = sample();
+            open == connections && number > stale
+        });
+    }
+}
+
+impl Drop for Rig {
+    fn drop(&mut self) {
+        self.stop.store(true, Ordering::SeqCst);
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+type Script = dyn Fn(usize, &mut TcpStream) + Send + Sync;
+
+/// An upstream whose connections follow a script, which is given the number of the connection.
+pub(super) struct RawUpstream {
+    pub(super) address: SocketAddr,
+    heads: Arc<Mutex<Vec<String>>>,
+    connections: Arc<AtomicU64>,
+    stop: Arc<AtomicBool>,
+}
+
+impl RawUpstream {
+    pub(super) fn spawn(script: impl Fn(usize, &mut TcpStream) + Send + Sync + 'static) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = listener.local_addr().expect("a bound address");
+        let upstream = Self {
+            address,
+            heads: Arc::default(),
+            connections: Arc::default(),
+            stop: Arc::default(),
+        };
+        let script: Arc<Script> = Arc::new(script);
+        let (connections, stop) = (Arc::clone(&upstream.connections), Arc::clone(&upstream.stop));
+        thread::spawn(move || {
+            for stream in listener.incoming() {
+                let Ok(mut stream) = stream else { continue };
+                if stop.load(Ordering::SeqCst) {
+                    return;
+                }
+                let number = connections.fetch_add(1, Ordering::SeqCst);
+                let script = Arc::clone(&script);
+                thread::spawn(move || script(usize::try_from(number).unwrap_or(0), &mut stream));
+            }
+        });
+        upstream
+    }
+
+    /// Answers every request with the same bytes, on one connection after the other.
+    pub(super) fn answering(answer: impl Into<Vec<u8>>) -> Self {
+        let (answer, heads) = (answer.into(), Arc::<Mutex<Vec<String>>>::default());
+        let noted = Arc::clone(&heads);
+        let mut upstream = Self::spawn(move |_, stream| {
+            while let Some(head) = read_head(stream) {
+                noted.lock().expect("heads").push(head);
+                if stream.write_all(&answer).is_err() {
+                    return;
+                }
+            }
+        });
+        upstream.heads = heads;
+        upstream
+    }
+
+    /// Heads of the requests that an `answering` upstream got.
+    pub(super) fn heads(&self) -> Vec<String> {
+        self.heads.lock().expect("heads").clone()
+    }
+
+    /// Number of connections that were accepted.
+    pub(super) fn connections(&self) -> u64 {
+        self.connections.load(Ordering::SeqCst)
+    }
+}
+
+impl Drop for RawUpstream {
+    fn drop(&mut self) {
+        self.stop.store(true, Ordering::SeqCst);
+        let _ = TcpStream::connect(self.address);
+    }
+}
+
+fn take_sample(open: &Mutex<(usize, u64)>, pool: &Pool) {
+    let mut sample = open.lock().expect("a sample");
+    *sample = (pool.open_connections(), sample.1 + 1);
+}
+
+/// Starts stand-in upstreams that follow HTTP.
+pub(super) fn upstreams(ids: &[&str], behaviour: &Behaviour) -> Upstreams {
+    let ids: Vec<String> = ids.iter().map(ToString::to_string).collect();
+    Upstreams::spawn(&ids, behaviour)
+}
+
+/// An address that refuses connections.
+pub(super) fn refusing_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    listener.local_addr().expect("a bound address")
+}
+
+pub(super) fn connect(address: SocketAddr) -> TcpStream {
+    let stream = TcpStream::connect(address).expect("a connection");
+    stream.set_read_timeout(Some(WAIT_LIMIT)).expect("a timeout");
+    stream.set_write_timeout(Some(WAIT_LIMIT)).expect("a timeout");
+    stream
+}
+
+/// Reads up to the empty line after a head. Returns `None` at the end of the connection.
+pub(super) fn read_head(stream: &mut TcpStream) -> Option<String> {
+    let (mut head, mut byte) = (Vec::new(), [0]);
+    while !head.ends_with(b"\r\n\r\n") {
+        if stream.read(&mut byte).ok()? == 0 {
+            return None;
+        }
+        head.push(byte[0]);
+    }
+    Some(String::from_utf8_lossy(&head).into_owned())
+}
+
+pub(super) fn read_all(stream: &mut TcpStream) -> String {
+    let mut bytes = Vec::new();
+    let _ = stream.read_to_end(&mut bytes);
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
+pub(super) fn wait_until(what: &str, mut condition: impl FnMut() -> bool) {
+    let started = Instant::now();
+    while !condition() {
+        assert!(started.elapsed() < WAIT_LIMIT, "timed out waiting until {what}");
+        thread::sleep(Duration::from_millis(5));
+    }
+}
