--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -63,6 +63,12 @@
         self.reporting.policy.on_response_head(now, &self.target, headers);
     }
 
+    /// Gives the attempt up for a reason that says nothing about the upstream.
+    pub(crate) fn abandon(mut self) {
+        self.end_span("abandoned", false);
+        self.reporting.policy.on_cancel(Instant::now(), &self.target, Duration::ZERO);
+    }
+
     /// Reports how the attempt ended.
     pub(crate) fn finish(mut self, outcome: Outcome) {
         let is_error = outcome != Outcome::Ok;
