Hold other upstreams' failures against an alarm

An alarm must reach its threshold against the rate of all other upstreams that are not judged faulty, and it counts as shared when it does not stand against the better ones of them. Evidence that was dropped still counts in this comparison, and the present slot is taken as complete.

--- a/crates/health/src/baseline.rs
+++ b/crates/health/src/baseline.rs
@@ -72,13 +72,8 @@
     }
 }
 
-/// Rate of bad answers of the other upstreams in the time of an alarm. The worst ones are left out,
-/// as many as can be faulty together with the upstream of the alarm without being more than half
-/// of all.
-pub(crate) fn contemporary_rate(mut others: Vec<Answers>, prior: f64) -> f64 {
-    others.sort_by(|a, b| a.rate().total_cmp(&b.rate()));
-    let faulty = others.len().div_ceil(2).saturating_sub(1);
-    others.truncate(others.len() - faulty);
+/// Rate of bad answers of the other upstreams in the time of an alarm, from the answers of each.
+pub(crate) fn contemporary_rate(others: &[Answers], prior: f64) -> f64 {
     let bad = prior * CONTEMPORARY_PRIOR;
     let start = Answers { bad, good: CONTEMPORARY_PRIOR - bad, silent: 0.0 };
     let sum = others.iter().fold(start, |sum, other| Answers {
@@ -88,3 +83,11 @@
     });
     sum.rate().min(CEILING)
 }
+
+/// The same without the worst upstreams, as many as can be faulty together with the upstream of the
+/// alarm without being more than half of all.
+pub(crate) fn trimmed_rate(mut others: Vec<Answers>, prior: f64) -> f64 {
+    others.sort_by(|a, b| a.rate().total_cmp(&b.rate()));
+    let faulty = others.len().div_ceil(2).saturating_sub(1);
+    contemporary_rate(&others[..others.len() - faulty], prior)
+}
--- a/crates/health/src/collector.rs
+++ b/crates/health/src/collector.rs
@@ -8,7 +8,7 @@
     VerdictHealth,
 };
 
-use crate::baseline::{Answers, baseline, contemporary_rate};
+use crate::baseline::{Answers, baseline, contemporary_rate, trimmed_rate};
 use crate::cusum::{FAULT_RATES, Group, KINDS, log_likelihood_ratio};
 use crate::evidence::EXCHANGE_INTERVAL;
 use crate::explain::{Decision, Decisions};
@@ -20,6 +20,11 @@
 /// Upstreams kept for a service. Evidence about further ones is dropped.
 const MAX_UPSTREAMS: usize = 512;
 
+/// Slots (3 s, and the whole window) over which an alarm is compared with the other upstreams, next
+/// to those since its statistic was zero. A few bad answers that arrive in one slot raise an alarm
+/// before the others have answers in that slot.
+const LOOKBACK_SLOTS: [u64; 2] = [6, 14];
+
 /// Judges the upstreams of one service from the reports of all observers.
 ///
 /// Evidence is kept in slots of [`EXCHANGE_INTERVAL`] in the order in which it arose, because bad
@@ -197,15 +202,21 @@
     fn judge(&mut self, now: Instant, slot: u64) {
         let alarms = self.alarms(slot);
         if !alarms.is_empty() {
+            // The comparison with other upstreams takes the present slot as complete. Otherwise it
+            // would hold only bad answers, because ok ones are not reported yet.
             let observers = &self.observers;
             for upstream in self.upstreams.values_mut() {
-                upstream.set_silence(slot, |observer| observers.is_excluded(observer));
+                upstream.set_silence(slot, slot, |observer| observers.is_excluded(observer));
             }
         }
         for (id, alarm) in alarms {
             match self.cause(slot, &id, &alarm) {
                 Cause::Own => self.declare_faulty(&id, &alarm),
-                Cause::Open => {}
+                Cause::Open(rate) => {
+                    if let Some(upstream) = self.upstreams.get_mut(&id) {
+                        upstream.hold_against(&alarm, rate);
+                    }
+                }
                 Cause::Shared(appear, total) => {
                     self.refuse(now, &id, &alarm, (appear, total));
                     // Later alarms rest on the dropped evidence as well.
@@ -266,7 +277,7 @@
         );
         self.decisions.push_once(now, decision);
         for upstream in self.upstreams.values_mut() {
-            if !matches!(upstream.status, Status::Faulty(_)) {
+            if !upstream.is_faulty() {
                 upstream.restart(alarm.tested, 0.0);
             }
         }
@@ -304,9 +315,11 @@
         }
     }
 
-    /// Tells a fault of one upstream from one that it shares with others: more than half appear
-    /// faulty, or the evidence does not stand against the rate at which the others fail at the
-    /// same time.
+    /// Tells a fault of one upstream from one that it shares with others.
+    ///
+    /// The cause is shared if more than half appear faulty, or if the evidence does not stand
+    /// against the rate at which the better ones of the others fail at the same time. It is the
+    /// upstream's own if its evidence stands against the rate of all others.
     fn cause(&self, slot: u64, id: &UpstreamId, alarm: &Alarm) -> Cause {
         let group = alarm.tested;
         let reported = self.upstreams.values().filter(|upstream| upstream.is_reported(slot, group));
@@ -316,22 +329,48 @@
         if appear * 2 > total {
             return Cause::Shared(appear, total);
         }
-        let others = self.upstreams.iter().filter(|(other, _)| *other != id);
-        let answers = others.map(|(_, other)| other.answers(alarm.kind, group, alarm.since));
-        let answers: Vec<Answers> = answers.collect();
-        let affected = answers.iter().filter(|answers| answers.bad > 0.0).count() + 1;
-        let usual = self.baselines[alarm.kind];
-        let current = contemporary_rate(answers, usual).max(usual);
-        let score = alarm.score_against(current, &self.fault_rates());
-        if score >= self.tests.threshold {
+        let (all, trimmed) = self.contemporary_rates(slot, id, alarm);
+        let known = self.upstreams.get(id).map_or(0.0, |upstream| upstream.held_against(alarm));
+        let fault_rates = self.fault_rates();
+        if alarm.score_against(all.max(known), &fault_rates) >= self.tests.threshold {
             Cause::Own
-        } else if score >= APPEARS_FAULTY * self.tests.threshold {
-            Cause::Open
+        } else if alarm.score_against(trimmed, &fault_rates) < APPEARS_FAULTY * self.tests.threshold
+        {
+            Cause::Shared(self.affected(id, alarm), total)
         } else {
-            Cause::Shared(affected, total)
+            Cause::Open(all)
         }
     }
 
+    /// Largest rates of bad answers of the other upstreams over the slots of the alarm and over the
+    /// lookbacks: of all that are not known to be faulty, and without the worst ones.
+    fn contemporary_rates(&self, slot: u64, id: &UpstreamId, alarm: &Alarm) -> (f64, f64) {
+        let others = self.upstreams.iter().filter(|(other, _)| *other != id);
+        let others: Vec<&Upstream> = others.map(|(_, other)| other).collect();
+        let usual = self.baselines[alarm.kind];
+        let lookbacks = LOOKBACK_SLOTS.map(|slots| slot.saturating_sub(slots).min(alarm.since));
+        let (mut all, mut trimmed) = (usual, usual);
+        for since in [alarm.since].into_iter().chain(lookbacks) {
+            // One failure domain has few answers, so the other upstreams count as a whole as well.
+            for group in [alarm.tested, Group::All] {
+                let answers = |other: &&Upstream| other.answers(alarm.kind, group, since);
+                let unknown = others.iter().filter(|other| !other.is_faulty());
+                let unknown: Vec<Answers> = unknown.map(answers).collect();
+                all = contemporary_rate(&unknown, usual).max(all);
+                trimmed = trimmed_rate(others.iter().map(answers).collect(), usual).max(trimmed);
+            }
+        }
+        (all, trimmed)
+    }
+
+    /// Upstreams with bad answers in the window, the one of the alarm included.
+    fn affected(&self, id: &UpstreamId, alarm: &Alarm) -> usize {
+        let affected = self.upstreams.iter().filter(|(other, upstream)| {
+            *other == id || upstream.answers(alarm.kind, alarm.tested, 0).bad > 0.0
+        });
+        affected.count()
+    }
+
     /// Fault rates under test.
     fn fault_rates(&self) -> Vec<f64> {
         let smallest = self.policy.smallest_fault_rate;
@@ -344,8 +383,8 @@
 enum Cause {
     /// The upstream itself.
     Own,
-    /// Not clear yet, more evidence will tell.
-    Open,
+    /// Not clear yet, because others fail at this rate at the same time.
+    Open(f64),
     /// A cause that is shared by so many upstreams out of so many.
     Shared(usize, usize),
 }
--- a/crates/health/src/cusum.rs
+++ b/crates/health/src/cusum.rs
@@ -47,14 +47,36 @@
     pub(crate) counts: [f64; 5],
     /// Expected answers of observers that sent no report for the slot.
     pub(crate) silent: f64,
+    /// Answers that were taken out of the statistics because their cause is known. They still tell
+    /// how the upstream does at present.
+    pub(crate) dropped: [f64; 5],
 }
 
 impl Cell {
     /// Bad and good answers for the test of failures (0) or of slow answers (1).
     pub(crate) fn bad_and_good(&self, kind: usize) -> (f64, f64) {
-        let [ok, refused, failed, cut_short, slow] = self.counts;
-        if kind == 0 { (refused + failed + cut_short, ok + slow) } else { (slow, ok) }
+        bad_and_good(self.counts, kind)
     }
+
+    /// The same with dropped answers.
+    pub(crate) fn all_bad_and_good(&self, kind: usize) -> (f64, f64) {
+        let (bad, good) = bad_and_good(self.dropped, kind);
+        let (counted_bad, counted_good) = self.bad_and_good(kind);
+        (bad + counted_bad, good + counted_good)
+    }
+
+    /// Takes the answers out of the statistics.
+    pub(crate) fn drop_counts(&mut self) {
+        for (dropped, count) in self.dropped.iter_mut().zip(std::mem::take(&mut self.counts)) {
+            *dropped += count;
+        }
+    }
+}
+
+/// Bad and good answers for the test of failures (0) or of slow answers (1).
+pub(crate) fn bad_and_good(counts: [f64; 5], kind: usize) -> (f64, f64) {
+    let [ok, refused, failed, cut_short, slow] = counts;
+    if kind == 0 { (refused + failed + cut_short, ok + slow) } else { (slow, ok) }
 }
 
 /// One time slot with its answers by kind and domain.
--- a/crates/health/src/upstream.rs
+++ b/crates/health/src/upstream.rs
@@ -4,7 +4,8 @@
 
 use crate::baseline::{Answers, Rates};
 use crate::cusum::{
-    CAP, Cusum, FAULTY_CAP, Group, KINDS, MAX_DOMAINS, Ratio, Slot, log_likelihood_ratio,
+    CAP, Cusum, FAULTY_CAP, Group, KINDS, MAX_DOMAINS, Ratio, Slot, bad_and_good,
+    log_likelihood_ratio,
 };
 use crate::window::{MAX_SPAN, Spread, Window};
 
@@ -104,9 +105,7 @@
 impl Alarm {
     /// Score of the evidence against the rate at which the other upstreams fail now, in nats.
     pub(crate) fn score_against(&self, baseline: f64, fault_rates: &[f64]) -> f64 {
-        let [ok, refused, failed, cut_short, slow] = self.counts;
-        let (bad, good) =
-            if self.kind == 0 { (refused + failed + cut_short, ok + slow) } else { (slow, ok) };
+        let (bad, good) = bad_and_good(self.counts, self.kind);
         let scores = fault_rates.iter().map(|rate| {
             let ratio = log_likelihood_ratio(baseline, *rate);
             bad * ratio.bad + good * ratio.good + self.silent * ratio.silent + self.head_start
@@ -132,6 +131,9 @@
     /// Statistics at the end of the window.
     current: Vec<Cusum>,
     last_evidence: [Option<u64>; MAX_DOMAINS],
+    /// Slot in which an open alarm began, and the largest rate of bad answers of other upstreams
+    /// during the alarm.
+    held_against: Option<(u64, f64)>,
 }
 
 impl Upstream {
@@ -148,9 +150,26 @@
             base: Vec::new(),
             current: Vec::new(),
             last_evidence: [None; MAX_DOMAINS],
+            held_against: None,
         }
     }
 
+    /// True if the upstream is judged faulty by some group.
+    pub(crate) fn is_faulty(&self) -> bool {
+        matches!(self.status, Status::Faulty(_))
+    }
+
+    /// Remembers the rate at which other upstreams failed during an alarm, so that evidence from a
+    /// shared cause does not count as the upstream's own after the others recovered.
+    pub(crate) fn hold_against(&mut self, alarm: &Alarm, rate: f64) {
+        self.held_against = Some((alarm.since, rate.max(self.held_against(alarm))));
+    }
+
+    /// The remembered rate, 0 if there is none for this alarm.
+    pub(crate) fn held_against(&self, alarm: &Alarm) -> f64 {
+        self.held_against.filter(|(since, _)| *since == alarm.since).map_or(0.0, |(_, rate)| rate)
+    }
+
     /// Lets time pass until `now`.
     pub(crate) fn advance(&mut self, now: u64, domains: usize, tests: &Tests) {
         self.per_group = KINDS * tests.per_kind();
@@ -228,7 +247,7 @@
         if self.base.iter().all(|cusum| cusum.value <= 0.0) && self.window.is_good() {
             return;
         }
-        self.set_silence(now, excluded);
+        self.set_silence(now, now.saturating_sub(1), excluded);
         let cap = self.cap(tests);
         let first = self.window.first();
         for (index, slot) in (first..).zip(self.window.slots_mut()) {
@@ -238,12 +257,12 @@
 
     /// Largest value of a statistic, in nats.
     fn cap(&self, tests: &Tests) -> f64 {
-        let is_faulty = matches!(self.status, Status::Faulty(_));
-        tests.threshold * if is_faulty { FAULTY_CAP } else { CAP }
+        tests.threshold * if self.is_faulty() { FAULTY_CAP } else { CAP }
     }
 
-    /// Sets the expected answers of observers in slots that no report of theirs covers yet.
-    pub(crate) fn set_silence(&mut self, now: u64, excluded: impl Fn(usize) -> bool) {
+    /// Sets the expected answers of observers in slots up to `last` that no report of theirs covers
+    /// yet.
+    pub(crate) fn set_silence(&mut self, now: u64, last: u64, excluded: impl Fn(usize) -> bool) {
         let first = self.window.first();
         for cell in self.window.slots_mut().iter_mut().flatten() {
             cell.silent = 0.0;
@@ -258,7 +277,7 @@
             }
             // An answer before that would have been reported by now.
             let from = (seen.covered + 1).max(first).max(now.saturating_sub(MAX_SPAN));
-            let to = (seen.covered + MAX_SPAN).min(now.saturating_sub(1));
+            let to = (seen.covered + MAX_SPAN).min(last);
             for slot in from..=to {
                 let index = usize::try_from(slot - first).unwrap_or(usize::MAX);
                 let cells = self.window.slots_mut().get_mut(index);
--- a/crates/health/src/window.rs
+++ b/crates/health/src/window.rs
@@ -72,11 +72,11 @@
         }
     }
 
-    /// Drops the evidence of the domains for which `drop` returns true.
+    /// Takes the evidence of the domains for which `drop` returns true out of the statistics.
     pub(crate) fn clear(&mut self, drop: impl Fn(usize) -> bool) {
         for slot in &mut self.slots {
             for (_, cell) in slot.iter_mut().enumerate().filter(|(domain, _)| drop(*domain)) {
-                *cell = Cell::default();
+                cell.drop_counts();
             }
         }
     }
@@ -87,13 +87,13 @@
         cells.all(|cell| cell.counts[1..].iter().all(|count| *count <= 0.0))
     }
 
-    /// Answers of one kind in the slots from `since` on.
+    /// Answers of one kind in the slots from `since` on, dropped ones included.
     pub(crate) fn answers(&self, kind: usize, group: Group, since: u64) -> Answers {
         let skipped = usize::try_from(since.saturating_sub(self.first)).unwrap_or(usize::MAX);
         let cells = self.slots.iter().skip(skipped).flat_map(|slot| slot.iter().enumerate());
         let cells = cells.filter(|(domain, _)| group.contains(*domain));
         cells.fold(Answers::default(), |sum, (_, cell)| {
-            let (bad, good) = cell.bad_and_good(kind);
+            let (bad, good) = cell.all_bad_and_good(kind);
             Answers { bad: sum.bad + bad, good: sum.good + good, silent: sum.silent + cell.silent }
         })
     }
