Compare long alarms with the rates of the last 30 s

A 3% fault takes minutes in a small service. Alarms older than the window are now compared with rates over 30 s.

--- a/crates/health/src/baseline.rs
+++ b/crates/health/src/baseline.rs
@@ -11,6 +11,8 @@
 /// the median of a small service so noisy that a fault rate of 3% takes twice the samples. Shared
 /// changes that are faster are recognized by [`contemporary_rate`].
 const DECAY: f64 = 0.995_842;
+/// Factor by which the recent rates forget per slot: a time constant of 30 s.
+const RECENT_DECAY: f64 = 0.983_471;
 /// Weight of the prior rate, in answers.
 const PRIOR_ANSWERS: f64 = 50.0;
 
@@ -20,25 +22,38 @@
 
 /// Decaying counts of bad and judged answers of one upstream by kind.
 #[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct Rates([(f64, f64); KINDS]);
+pub(crate) struct Rates {
+    usual: [(f64, f64); KINDS],
+    recent: [(f64, f64); KINDS],
+}
 
 impl Rates {
     /// Adds bad and judged answers of one kind.
     pub(crate) fn add(&mut self, kind: usize, bad: f64, judged: f64) {
-        self.0[kind].0 += bad;
-        self.0[kind].1 += judged;
+        for window in [&mut self.usual[kind], &mut self.recent[kind]] {
+            window.0 += bad;
+            window.1 += judged;
+        }
     }
 
     /// Lets one slot of time pass.
     pub(crate) fn decay(&mut self) {
-        for (bad, judged) in &mut self.0 {
-            *bad *= DECAY;
-            *judged *= DECAY;
+        for (windows, decay) in [(&mut self.usual, DECAY), (&mut self.recent, RECENT_DECAY)] {
+            for (bad, judged) in windows {
+                *bad *= decay;
+                *judged *= decay;
+            }
         }
     }
 
+    /// Answers of the last 30 s.
+    pub(crate) fn recent(&self, kind: usize) -> Answers {
+        let (bad, judged) = self.recent[kind];
+        Answers { bad, good: judged - bad, silent: 0.0 }
+    }
+
     fn shrunk(&self, kind: usize) -> f64 {
-        let (bad, judged) = self.0[kind];
+        let (bad, judged) = self.usual[kind];
         (bad + FLOOR * PRIOR_ANSWERS) / (judged + PRIOR_ANSWERS)
     }
 }
--- a/crates/health/src/collector.rs
+++ b/crates/health/src/collector.rs
@@ -213,7 +213,9 @@
             match self.cause(slot, &id, &alarm) {
                 Cause::Own => self.declare_faulty(&id, &alarm),
                 Cause::Open(rate) => {
-                    if let Some(upstream) = self.upstreams.get_mut(&id) {
+                    if let Some(upstream) = self.upstreams.get_mut(&id)
+                        && !is_long(slot, &alarm)
+                    {
                         upstream.hold_against(&alarm, rate);
                     }
                 }
@@ -331,6 +333,7 @@
         }
         let (all, trimmed) = self.contemporary_rates(slot, id, alarm);
         let known = self.upstreams.get(id).map_or(0.0, |upstream| upstream.held_against(alarm));
+        let known = if is_long(slot, alarm) { 0.0 } else { known };
         let fault_rates = self.fault_rates();
         if alarm.score_against(all.max(known), &fault_rates) >= self.tests.threshold {
             Cause::Own
@@ -342,22 +345,28 @@
         }
     }
 
-    /// Largest rates of bad answers of the other upstreams over the slots of the alarm and over the
-    /// lookbacks: of all that are not known to be faulty, and without the worst ones.
+    /// Largest rates of bad answers of the other upstreams in the time of the alarm: of all that
+    /// are not known to be faulty, and without the worst ones.
     fn contemporary_rates(&self, slot: u64, id: &UpstreamId, alarm: &Alarm) -> (f64, f64) {
+        let usual = self.baselines[alarm.kind];
         let others = self.upstreams.iter().filter(|(other, _)| *other != id);
         let others: Vec<&Upstream> = others.map(|(_, other)| other).collect();
-        let usual = self.baselines[alarm.kind];
-        let lookbacks = LOOKBACK_SLOTS.map(|slots| slot.saturating_sub(slots).min(alarm.since));
+        let rates = |answers: &dyn Fn(&Upstream) -> Answers| {
+            let unknown = others.iter().filter(|other| !other.is_faulty());
+            let all: Vec<Answers> = unknown.map(|other| answers(other)).collect();
+            let every = others.iter().map(|other| answers(other)).collect();
+            (contemporary_rate(&all, usual), trimmed_rate(every, usual))
+        };
+        if is_long(slot, alarm) {
+            return rates(&|other| other.rates.recent(alarm.kind));
+        }
         let (mut all, mut trimmed) = (usual, usual);
+        let lookbacks = LOOKBACK_SLOTS.map(|slots| slot.saturating_sub(slots).min(alarm.since));
         for since in [alarm.since].into_iter().chain(lookbacks) {
             // One failure domain has few answers, so the other upstreams count as a whole as well.
             for group in [alarm.tested, Group::All] {
-                let answers = |other: &&Upstream| other.answers(alarm.kind, group, since);
-                let unknown = others.iter().filter(|other| !other.is_faulty());
-                let unknown: Vec<Answers> = unknown.map(answers).collect();
-                all = contemporary_rate(&unknown, usual).max(all);
-                trimmed = trimmed_rate(others.iter().map(answers).collect(), usual).max(trimmed);
+                let now = rates(&|other| other.answers(alarm.kind, group, since));
+                (all, trimmed) = (now.0.max(all), now.1.max(trimmed));
             }
         }
         (all, trimmed)
@@ -389,6 +398,12 @@
     Shared(usize, usize),
 }
 
+/// True if the evidence of an alarm is older than the window. It is then compared with rates over a
+/// longer time, in which single bad answers of the others weigh less.
+fn is_long(slot: u64, alarm: &Alarm) -> bool {
+    alarm.since + LOOKBACK_SLOTS[1] < slot
+}
+
 /// True if an alarm of a group changes the status.
 fn is_news(status: Status, group: Group) -> bool {
     match status {
