--- a/crates/health/src/collector.rs
+++ b/crates/health/src/collector.rs
@@ -16,6 +16,7 @@
 use crate::readmission::TRIAL_GOOD_ANSWERS;
 use crate::report::{Report, ReportEntry};
 use crate::upstream::{APPEARS_FAULTY, Alarm, Status, Tests, Upstream};
+use crate::window::MAX_SPAN;
 
 /// Upstreams kept for a service. Evidence about further ones is dropped.
 const MAX_UPSTREAMS: usize = 512;
@@ -25,6 +26,12 @@
 /// before the others have answers in that slot.
 const LOOKBACK_SLOTS: [u64; 2] = [6, 14];
 
+/// Share of the bad answers of an alarm that make up its latest burst.
+const BURST_SHARE: f64 = 0.6;
+/// Answers of other upstreams that an alarm waits for. If a cause is shared and most answers are bad,
+/// the chance that none of so many is bad is below 1%.
+const MIN_OTHER_ANSWERS: f64 = 5.0;
+
 /// Judges the upstreams of one service from the reports of all observers.
 ///
 /// Evidence is kept in slots of [`EXCHANGE_INTERVAL`] in the order in which it arose, because bad
@@ -335,7 +342,8 @@
         let known = self.upstreams.get(id).map_or(0.0, |upstream| upstream.held_against(alarm));
         let known = if is_long(slot, alarm) { 0.0 } else { known };
         let fault_rates = self.fault_rates();
-        if alarm.score_against(all.max(known), &fault_rates) >= self.tests.threshold {
+        let stands = alarm.score_against(all.max(known), &fault_rates) >= self.tests.threshold;
+        if stands && self.others_had_answers(slot, id, alarm) {
             Cause::Own
         } else if alarm.score_against(trimmed, &fault_rates) < APPEARS_FAULTY * self.tests.threshold
         {
@@ -345,6 +353,20 @@
         }
     }
 
+    /// True if the others had enough answers since most of the bad ones of the alarm arrived, so that
+    /// a shared cause would have shown. Not required once these are old.
+    fn others_had_answers(&self, slot: u64, id: &UpstreamId, alarm: &Alarm) -> bool {
+        let Some(upstream) = self.upstreams.get(id) else { return true };
+        let bad = |since| upstream.answers(alarm.kind, alarm.tested, since).bad;
+        let needed = BURST_SHARE * bad(alarm.since);
+        let burst = (0..MAX_SPAN).map(|age| slot - age).find(|since| bad(*since) >= needed);
+        let Some(burst) = burst else { return true };
+        let others = self.upstreams.iter().filter(|(other, _)| *other != id);
+        let answers = others.map(|(_, other)| other.answers(alarm.kind, Group::All, burst));
+        answers.map(|answers| answers.bad + answers.good + answers.silent).sum::<f64>()
+            >= MIN_OTHER_ANSWERS
+    }
+
     /// Largest rates of bad answers of the other upstreams in the time of the alarm: of all that
     /// are not known to be faulty, and without the worst ones.
     fn contemporary_rates(&self, slot: u64, id: &UpstreamId, alarm: &Alarm) -> (f64, f64) {
