--- a/crates/health/src/upstream.rs
+++ b/crates/health/src/upstream.rs
@@ -7,8 +7,10 @@
     CAP, Cusum, FAULTY_CAP, Group, KINDS, MAX_DOMAINS, Ratio, Slot, bad_and_good,
     log_likelihood_ratio,
 };
-use crate::window::{MAX_SPAN, Spread, Window};
+use crate::window::{MAX_SPAN, SLOTS, Spread, Window};
 
+/// Reports of one observer kept in the window: two per slot, twice as many as it sends.
+const MAX_RECENT: usize = 2 * SLOTS;
 /// Slots (60 s) after which an observer or a failure domain no longer counts as reporting.
 pub(crate) const REPORTING_SLOTS: u64 = 120;
 /// Slots (3 s) without evidence after which a fault is no longer taken as current. It is shorter
@@ -205,6 +207,9 @@
         self.window.add(domain, &spread, 1.0);
         let window_first = self.window.first();
         seen.recent.retain(|recent| recent.last >= window_first);
+        if seen.recent.len() >= MAX_RECENT {
+            seen.recent.remove(0);
+        }
         seen.recent.push(spread);
         self.last_evidence[domain] = Some(now);
         let failures = f64::from(counts.failures());
--- a/tests/all/health/collector.rs
+++ b/tests/all/health/collector.rs
@@ -20,8 +20,9 @@
 struct Case {
     name: &'static str,
     observers: usize,
-    /// Requests per slot, observer and upstream.
-    requests: u32,
+    /// Mean requests per slot, observer and upstream.
+    requests: f64,
+    seeds: u64,
     truth: Truth,
     seconds: u32,
     faulty: &'static [(&'static str, Option<&'static str>)],
@@ -34,7 +35,8 @@
         Self {
             name: "",
             observers: 9,
-            requests: 2,
+            requests: 2.0,
+            seeds: 1,
             truth: |_, _, _| HEALTHY,
             seconds: 40,
             faulty: &[],
@@ -45,9 +47,9 @@
 
 /// Runs a case and returns the upstreams that are judged faulty at its end. Faults start at 20 s.
 /// Evidence without a bad outcome waits for ten slots, as on an instance.
-fn run(case: &Case) -> (Vec<(String, Option<String>)>, Collector) {
+fn run(case: &Case, seed: u64) -> (Vec<(String, Option<String>)>, Collector) {
     let start = Instant::now();
-    let mut rng = SmallRng::seed_from_u64(7);
+    let mut rng = SmallRng::seed_from_u64(seed);
     let mut collector = Collector::new(start, Arc::from("archeio"), policy(1e7));
     let mut pending = vec![[Counts::default(); UPSTREAMS]; case.observers];
     for slot in 0..case.seconds * 2 {
@@ -57,13 +59,15 @@
             for (upstream, counts) in pending.iter_mut().enumerate() {
                 let (fails, slows) =
                     if slot < 40 { HEALTHY } else { (case.truth)(slot / 2, observer, upstream) };
-                for _ in 0..case.requests {
+                let requests = case.requests.floor() as u32
+                    + u32::from(rng.random::<f64>() < case.requests.fract());
+                for _ in 0..requests {
                     counts.failed += u32::from(rng.random::<f64>() < fails);
                     counts.slow += u32::from(rng.random::<f64>() < slows);
                     counts.ok += 1;
                 }
-                let waited = (slot as usize + observer).is_multiple_of(10);
-                if counts.failed + counts.slow > 0 || waited {
+                let is_due = counts.ok > 0 && (slot as usize + observer).is_multiple_of(10);
+                if counts.failed + counts.slow > 0 || is_due {
                     let id = format!("u{upstream}").into();
                     entries.push((id, Incarnation(1), std::mem::take(counts)));
                 }
@@ -102,8 +106,9 @@
         Case {
             name: "busy, ok counts arrive seconds after bad ones",
             observers: 40,
-            requests: 3,
+            requests: 0.5,
             seconds: 300,
+            seeds: 3,
             truth: |_, _, _| (0.01, 0.01),
             ..Case::default()
         },
@@ -180,19 +185,28 @@
             recorded: Some("shared cause"),
             ..Case::default()
         },
+        Case {
+            name: "a slowdown of all upstreams with few requests",
+            requests: 0.1,
+            seeds: 20,
+            truth: |t, _, _| if t < 60 { (0.02, 0.9) } else { HEALTHY },
+            seconds: 120,
+            ..Case::default()
+        },
     ];
-    for case in &cases {
-        let (faulty, collector) = run(case);
+    let runs = cases.iter().flat_map(|case| (0..case.seeds).map(move |seed| (case, seed)));
+    for (case, seed) in runs {
+        let (faulty, collector) = run(case, seed);
         let faulty: Vec<(&str, Option<&str>)> =
             faulty.iter().map(|(id, domain)| (&**id, domain.as_deref())).collect();
-        assert_eq!(faulty, case.faulty, "{}", case.name);
+        assert_eq!(faulty, case.faulty, "{}, seed {seed}", case.name);
         let recorded: Vec<_> =
             collector.decisions().iter().map(|decision| action_name(&decision.action)).collect();
         if let Some(expected) = case.recorded {
             assert!(recorded.contains(&expected), "{}: {recorded:?}", case.name);
         }
         if case.faulty.is_empty() {
-            assert_eq!(collector.seq(), 0, "{}: a verdict was given in between", case.name);
+            assert_eq!(collector.seq(), 0, "{}, seed {seed}: a verdict in between", case.name);
         }
     }
 }
