--- a/crates/health/src/collector.rs
+++ b/crates/health/src/collector.rs
@@ -219,13 +219,7 @@
         for (id, alarm) in alarms {
             match self.cause(slot, &id, &alarm) {
                 Cause::Own => self.declare_faulty(&id, &alarm),
-                Cause::Open(rate) => {
-                    if let Some(upstream) = self.upstreams.get_mut(&id)
-                        && !is_long(slot, &alarm)
-                    {
-                        upstream.hold_against(&alarm, rate);
-                    }
-                }
+                Cause::Open => {}
                 Cause::Shared(appear, total) => {
                     self.refuse(now, &id, &alarm, (appear, total));
                     // Later alarms rest on the dropped evidence as well.
@@ -339,17 +333,15 @@
             return Cause::Shared(appear, total);
         }
         let (all, trimmed) = self.contemporary_rates(slot, id, alarm);
-        let known = self.upstreams.get(id).map_or(0.0, |upstream| upstream.held_against(alarm));
-        let known = if is_long(slot, alarm) { 0.0 } else { known };
         let fault_rates = self.fault_rates();
-        let stands = alarm.score_against(all.max(known), &fault_rates) >= self.tests.threshold;
+        let stands = alarm.score_against(all, &fault_rates) >= self.tests.threshold;
         if stands && self.others_had_answers(slot, id, alarm) {
             Cause::Own
         } else if alarm.score_against(trimmed, &fault_rates) < APPEARS_FAULTY * self.tests.threshold
         {
             Cause::Shared(self.affected(id, alarm), total)
         } else {
-            Cause::Open(all)
+            Cause::Open
         }
     }
 
@@ -414,8 +406,8 @@
 enum Cause {
     /// The upstream itself.
     Own,
-    /// Not clear yet, because others fail at this rate at the same time.
-    Open(f64),
+    /// Not clear yet, more evidence will tell.
+    Open,
     /// A cause that is shared by so many upstreams out of so many.
     Shared(usize, usize),
 }
--- a/crates/health/src/upstream.rs
+++ b/crates/health/src/upstream.rs
@@ -133,9 +133,6 @@
     /// Statistics at the end of the window.
     current: Vec<Cusum>,
     last_evidence: [Option<u64>; MAX_DOMAINS],
-    /// Slot in which an open alarm began, and the largest rate of bad answers of other upstreams
-    /// during the alarm.
-    held_against: Option<(u64, f64)>,
 }
 
 impl Upstream {
@@ -152,7 +149,6 @@
             base: Vec::new(),
             current: Vec::new(),
             last_evidence: [None; MAX_DOMAINS],
-            held_against: None,
         }
     }
 
@@ -161,17 +157,6 @@
         matches!(self.status, Status::Faulty(_))
     }
 
-    /// Remembers the rate at which other upstreams failed during an alarm, so that evidence from a
-    /// shared cause does not count as the upstream's own after the others recovered.
-    pub(crate) fn hold_against(&mut self, alarm: &Alarm, rate: f64) {
-        self.held_against = Some((alarm.since, rate.max(self.held_against(alarm))));
-    }
-
-    /// The remembered rate, 0 if there is none for this alarm.
-    pub(crate) fn held_against(&self, alarm: &Alarm) -> f64 {
-        self.held_against.filter(|(since, _)| *since == alarm.since).map_or(0.0, |(_, rate)| rate)
-    }
-
     /// Lets time pass until `now`.
     pub(crate) fn advance(&mut self, now: u64, domains: usize, tests: &Tests) {
         self.per_group = KINDS * tests.per_kind();
--- a/tests/all/health/collector.rs
+++ b/tests/all/health/collector.rs
@@ -268,3 +268,48 @@
     let verdicts = collector.verdicts_since(0);
     assert_eq!(verdicts[0].evidence.ok, 6, "one good answer for each of six observers");
 }
+
+/// Reports of six observers with one outcome each for some upstreams.
+fn feed_some(collector: &mut Collector, now: Instant, counts: Counts, upstreams: &[usize]) {
+    for observer in 0..6 {
+        let entries = upstreams
+            .iter()
+            .map(|upstream| (Arc::from(format!("u{upstream}")), Incarnation(1), counts));
+        collector.report(now, &report(observer, 3, entries.collect()));
+    }
+    collector.tick(now);
+}
+
+/// Guards against an ejection in the first moment of a shared fault, when one upstream happens to
+/// have bad answers before the others have any.
+#[test]
+fn an_alarm_waits_for_answers_of_other_upstreams() {
+    let start = Instant::now();
+    let mut collector = Collector::new(start, Arc::from("archeio"), policy(1e7));
+    let ok = Counts { ok: 1, ..Counts::default() };
+    let failed = Counts { failed: 1, ..Counts::default() };
+    for slot in (0..100).step_by(10) {
+        feed_some(&mut collector, start + SLOT * slot, ok, &[0, 1, 2, 3, 4]);
+    }
+    feed_some(&mut collector, start + SLOT * 91, failed, &[0]);
+    assert_eq!(faulty(&collector), [], "others have 2.4 expected answers");
+    (92..95).for_each(|slot| collector.tick(start + SLOT * slot));
+    assert_eq!(faulty(&collector).len(), 1, "others answered in the meantime");
+}
+
+/// Guards against evidence of a shared fault that stays with an upstream with few requests after
+/// the others recovered.
+#[test]
+fn evidence_of_a_shared_cause_is_dropped() {
+    let start = Instant::now();
+    let mut collector = Collector::new(start, Arc::from("archeio"), policy(1e7));
+    let ok = Counts { ok: 20, ..Counts::default() };
+    let failed = Counts { failed: 2, ..Counts::default() };
+    (0..20).for_each(|slot| feed_some(&mut collector, start + SLOT * slot, ok, &[0, 1, 2, 3, 4]));
+    (20..22)
+        .for_each(|slot| feed_some(&mut collector, start + SLOT * slot, failed, &[0, 1, 2, 3, 4]));
+    for slot in 22..250 {
+        feed_some(&mut collector, start + SLOT * slot, ok, &[1, 2, 3, 4]);
+        assert_eq!(collector.seq(), 0, "slot {slot}");
+    }
+}
--- a/tests/all/health/planner.rs
+++ b/tests/all/health/planner.rs
@@ -153,7 +153,10 @@
 /// faults.
 #[test]
 fn the_floor_limits_ejections() {
-    use Standing::{Ejected, InService, KeptForFloor, Leaving};
+    const IN: (Standing, f64) = (Standing::InService, 1.0);
+    const OUT: (Standing, f64) = (Standing::Ejected, 0.0);
+    const GONE: (Standing, f64) = (Standing::Leaving, 0.0);
+    let kept = |weight| (Standing::KeptForFloor, weight);
     struct Case {
         name: &'static str,
         floor: u32,
@@ -169,13 +172,7 @@
             bad: &[("u1", 50), ("u2", 10)],
             leaving: &[],
             gone: &[],
-            expected: [
-                (InService, 1.0),
-                (Ejected, 0.0),
-                (Ejected, 0.0),
-                (InService, 1.0),
-                (InService, 1.0),
-            ],
+            expected: [IN, OUT, OUT, IN, IN],
         },
         Case {
             name: "least faulty is kept at the smallest weight",
@@ -183,13 +180,7 @@
             bad: &[("u1", 50), ("u2", 10)],
             leaving: &[],
             gone: &[],
-            expected: [
-                (InService, 1.0),
-                (Ejected, 0.0),
-                (KeptForFloor, 0.25),
-                (InService, 1.0),
-                (InService, 1.0),
-            ],
+            expected: [IN, OUT, kept(0.25), IN, IN],
         },
         Case {
             name: "ties by id",
@@ -197,13 +188,7 @@
             bad: &[("u4", 50), ("u2", 50)],
             leaving: &[],
             gone: &[],
-            expected: [
-                (InService, 1.0),
-                (InService, 1.0),
-                (KeptForFloor, 1.0),
-                (InService, 1.0),
-                (Ejected, 0.0),
-            ],
+            expected: [IN, IN, kept(1.0), IN, OUT],
         },
         Case {
             name: "upstreams that leave bring back the least faulty at once",
@@ -211,13 +196,7 @@
             bad: &[("u1", 50), ("u2", 10)],
             leaving: &["u0"],
             gone: &["u3"],
-            expected: [
-                (Leaving, 0.0),
-                (KeptForFloor, 0.5),
-                (KeptForFloor, 1.0),
-                (Leaving, 0.0),
-                (InService, 1.0),
-            ],
+            expected: [GONE, kept(0.5), kept(1.0), GONE, IN],
         },
         Case {
             name: "floor above what is there",
@@ -225,13 +204,7 @@
             bad: &[("u1", 50)],
             leaving: &["u0"],
             gone: &[],
-            expected: [
-                (Leaving, 0.0),
-                (KeptForFloor, 1.0),
-                (InService, 1.0),
-                (InService, 1.0),
-                (InService, 1.0),
-            ],
+            expected: [GONE, kept(1.0), IN, IN, IN],
         },
     ];
     for case in &cases {
