Sum the silence of observers once per slot

Each evaluation added the rate of an observer to up to eleven slots. It now records where the rate starts and ends and sums once. Times that go back no longer underflow.

--- a/crates/health/src/observers.rs
+++ b/crates/health/src/observers.rs
@@ -116,7 +116,7 @@
                     entry.excluded_at = Some(now);
                     found.push((index, InstanceId::clone(&entry.observer.instance)));
                 }
-                Some(at) if now - at >= EXCLUDED_SLOTS && faulty * 4 <= total => {
+                Some(at) if now.saturating_sub(at) >= EXCLUDED_SLOTS && faulty * 4 <= total => {
                     entry.excluded_at = None;
                 }
                 _ => {}
--- a/crates/health/src/upstream.rs
+++ b/crates/health/src/upstream.rs
@@ -214,7 +214,7 @@
         if self.seen.len() <= observer {
             self.seen.resize_with(observer + 1, || None);
         }
-        let earliest = now.saturating_sub(MAX_SPAN - 1).max(self.born);
+        let earliest = now.saturating_sub(MAX_SPAN - 1).max(self.born).min(now);
         let judged = f64::from(counts.judged());
         let seen = self.seen[observer].get_or_insert_with(|| Seen {
             domain,
@@ -254,26 +254,26 @@
     /// yet.
     pub(crate) fn set_silence(&mut self, now: u64, last: u64, excluded: impl Fn(usize) -> bool) {
         let first = self.window.first();
-        for cell in self.window.slots_mut().iter_mut().flatten() {
-            cell.silent = 0.0;
-        }
         // Requests stop with an ejection, so silence about a faulty upstream is no good sign.
-        let faulty = self.status;
-        let is_ejected = |domain| matches!(faulty, Status::Faulty(group) if group.contains(domain));
+        let status = self.status;
+        let is_ejected = |domain| matches!(status, Status::Faulty(group) if group.contains(domain));
+        // Changes of the expected answers from slot to slot, by domain.
+        let mut changes = [[0.0; MAX_DOMAINS]; SLOTS + 1];
         for (observer, seen) in self.seen.iter().enumerate() {
             let Some(seen) = seen else { continue };
-            if excluded(observer) || is_ejected(seen.domain) {
-                continue;
-            }
             // An answer before that would have been reported by now.
             let from = (seen.covered + 1).max(first).max(now.saturating_sub(MAX_SPAN));
             let to = (seen.covered + MAX_SPAN).min(last);
-            for slot in from..=to {
-                let index = usize::try_from(slot - first).unwrap_or(usize::MAX);
-                let cells = self.window.slots_mut().get_mut(index);
-                if let Some(cell) = cells.and_then(|cells| cells.get_mut(seen.domain)) {
-                    cell.silent += seen.rate;
-                }
+            if from <= to && !excluded(observer) && !is_ejected(seen.domain) {
+                changes[(from - first) as usize][seen.domain] += seen.rate;
+                changes[(to + 1 - first) as usize][seen.domain] -= seen.rate;
+            }
+        }
+        let mut silent = [0.0; MAX_DOMAINS];
+        for (cells, changes) in self.window.slots_mut().iter_mut().zip(changes) {
+            for ((sum, change), cell) in silent.iter_mut().zip(changes).zip(cells) {
+                *sum += change;
+                cell.silent = sum.max(0.0);
             }
         }
     }
