--- a/crates/health/src/collector.rs
+++ b/crates/health/src/collector.rs
@@ -8,7 +8,7 @@
     VerdictHealth,
 };
 
-use crate::baseline::{Answers, baseline, contemporary_rate};
+use crate::baseline::{Answers, baseline, contemporary_rate, trimmed_rate};
 use crate::cusum::{FAULT_RATES, Group, KINDS, log_likelihood_ratio};
 use crate::evidence::EXCHANGE_INTERVAL;
 use crate::explain::{Decision, Decisions};
@@ -16,10 +16,22 @@
 use crate::readmission::TRIAL_GOOD_ANSWERS;
 use crate::report::{Report, ReportEntry};
 use crate::upstream::{APPEARS_FAULTY, Alarm, Status, Tests, Upstream};
+use crate::window::MAX_SPAN;
 
 /// Upstreams kept for a service. Evidence about further ones is dropped.
 const MAX_UPSTREAMS: usize = 512;
 
+/// Slots (3 s, and the whole window) over which an alarm is compared with the other upstreams, next
+/// to those since its statistic was zero. A few bad answers that arrive in one slot raise an alarm
+/// before the others have answers in that slot.
+const LOOKBACK_SLOTS: [u64; 2] = [6, 14];
+
+/// Share of the bad answers of an alarm that make up its latest burst.
+const BURST_SHARE: f64 = 0.6;
+/// Answers of other upstreams that an alarm waits for. If a cause is shared and most answers are bad,
+/// the chance that none of so many is bad is below 1%.
+const MIN_OTHER_ANSWERS: f64 = 5.0;
+
 /// Judges the upstreams of one service from the reports of all observers.
 ///
 /// Evidence is kept in slots of [`EXCHANGE_INTERVAL`] in the order in which it arose, because bad
@@ -197,9 +209,11 @@
     fn judge(&mut self, now: Instant, slot: u64) {
         let alarms = self.alarms(slot);
         if !alarms.is_empty() {
+            // The comparison with other upstreams takes the present slot as complete. Otherwise it
+            // would hold only bad answers, because ok ones are not reported yet.
             let observers = &self.observers;
             for upstream in self.upstreams.values_mut() {
-                upstream.set_silence(slot, |observer| observers.is_excluded(observer));
+                upstream.set_silence(slot, slot, |observer| observers.is_excluded(observer));
             }
         }
         for (id, alarm) in alarms {
@@ -266,7 +280,7 @@
         );
         self.decisions.push_once(now, decision);
         for upstream in self.upstreams.values_mut() {
-            if !matches!(upstream.status, Status::Faulty(_)) {
+            if !upstream.is_faulty() {
                 upstream.restart(alarm.tested, 0.0);
             }
         }
@@ -304,9 +318,11 @@
         }
     }
 
-    /// Tells a fault of one upstream from one that it shares with others: more than half appear
-    /// faulty, or the evidence does not stand against the rate at which the others fail at the
-    /// same time.
+    /// Tells a fault of one upstream from one that it shares with others.
+    ///
+    /// The cause is shared if more than half appear faulty, or if the evidence does not stand
+    /// against the rate at which the better ones of the others fail at the same time. It is the
+    /// upstream's own if its evidence stands against the rate of all others.
     fn cause(&self, slot: u64, id: &UpstreamId, alarm: &Alarm) -> Cause {
         let group = alarm.tested;
         let reported = self.upstreams.values().filter(|upstream| upstream.is_reported(slot, group));
@@ -316,20 +332,66 @@
         if appear * 2 > total {
             return Cause::Shared(appear, total);
         }
-        let others = self.upstreams.iter().filter(|(other, _)| *other != id);
-        let answers = others.map(|(_, other)| other.answers(alarm.kind, group, alarm.since));
-        let answers: Vec<Answers> = answers.collect();
-        let affected = answers.iter().filter(|answers| answers.bad > 0.0).count() + 1;
-        let usual = self.baselines[alarm.kind];
-        let current = contemporary_rate(answers, usual).max(usual);
-        let score = alarm.score_against(current, &self.fault_rates());
-        if score >= self.tests.threshold {
+        let (all, trimmed) = self.contemporary_rates(slot, id, alarm);
+        let fault_rates = self.fault_rates();
+        let stands = alarm.score_against(all, &fault_rates) >= self.tests.threshold;
+        if stands && self.others_had_answers(slot, id, alarm) {
             Cause::Own
-        } else if score >= APPEARS_FAULTY * self.tests.threshold {
-            Cause::Open
+        } else if alarm.score_against(trimmed, &fault_rates) < APPEARS_FAULTY * self.tests.threshold
+        {
+            Cause::Shared(self.affected(id, alarm), total)
         } else {
-            Cause::Shared(affected, total)
+            Cause::Open
+        }
+    }
+
+    /// True if the others had enough answers since most of the bad ones of the alarm arrived, so that
+    /// a shared cause would have shown. Not required once these are old.
+    fn others_had_answers(&self, slot: u64, id: &UpstreamId, alarm: &Alarm) -> bool {
+        let Some(upstream) = self.upstreams.get(id) else { return true };
+        let bad = |since| upstream.answers(alarm.kind, alarm.tested, since).bad;
+        let needed = BURST_SHARE * bad(alarm.since);
+        let burst = (0..MAX_SPAN).map(|age| slot - age).find(|since| bad(*since) >= needed);
+        let Some(burst) = burst else { return true };
+        let others = self.upstreams.iter().filter(|(other, _)| *other != id);
+        let answers = others.map(|(_, other)| other.answers(alarm.kind, Group::All, burst));
+        answers.map(|answers| answers.bad + answers.good + answers.silent).sum::<f64>()
+            >= MIN_OTHER_ANSWERS
+    }
+
+    /// Largest rates of bad answers of the other upstreams in the time of the alarm: of all that
+    /// are not known to be faulty, and without the worst ones.
+    fn contemporary_rates(&self, slot: u64, id: &UpstreamId, alarm: &Alarm) -> (f64, f64) {
+        let usual = self.baselines[alarm.kind];
+        let others = self.upstreams.iter().filter(|(other, _)| *other != id);
+        let others: Vec<&Upstream> = others.map(|(_, other)| other).collect();
+        let rates = |answers: &dyn Fn(&Upstream) -> Answers| {
+            let unknown = others.iter().filter(|other| !other.is_faulty());
+            let all: Vec<Answers> = unknown.map(|other| answers(other)).collect();
+            let every = others.iter().map(|other| answers(other)).collect();
+            (contemporary_rate(&all, usual), trimmed_rate(every, usual))
+        };
+        if is_long(slot, alarm) {
+            return rates(&|other| other.rates.recent(alarm.kind));
+        }
+        let (mut all, mut trimmed) = (usual, usual);
+        let lookbacks = LOOKBACK_SLOTS.map(|slots| slot.saturating_sub(slots).min(alarm.since));
+        for since in [alarm.since].into_iter().chain(lookbacks) {
+            // One failure domain has few answers, so the other upstreams count as a whole as well.
+            for group in [alarm.tested, Group::All] {
+                let now = rates(&|other| other.answers(alarm.kind, group, since));
+                (all, trimmed) = (now.0.max(all), now.1.max(trimmed));
+            }
         }
+        (all, trimmed)
+    }
+
+    /// Upstreams with bad answers in the window, the one of the alarm included.
+    fn affected(&self, id: &UpstreamId, alarm: &Alarm) -> usize {
+        let affected = self.upstreams.iter().filter(|(other, upstream)| {
+            *other == id || upstream.answers(alarm.kind, alarm.tested, 0).bad > 0.0
+        });
+        affected.count()
     }
 
     /// Fault rates under test.
@@ -350,6 +412,12 @@
     Shared(usize, usize),
 }
 
+/// True if the evidence of an alarm is older than the window. It is then compared with rates over a
+/// longer time, in which single bad answers of the others weigh less.
+fn is_long(slot: u64, alarm: &Alarm) -> bool {
+    alarm.since + LOOKBACK_SLOTS[1] < slot
+}
+
 /// True if an alarm of a group changes the status.
 fn is_news(status: Status, group: Group) -> bool {
     match status {
--- a/crates/health/src/upstream.rs
+++ b/crates/health/src/upstream.rs
@@ -4,10 +4,13 @@
 
 use crate::baseline::{Answers, Rates};
 use crate::cusum::{
-    CAP, Cusum, FAULTY_CAP, Group, KINDS, MAX_DOMAINS, Ratio, Slot, log_likelihood_ratio,
+    CAP, Cusum, FAULTY_CAP, Group, KINDS, MAX_DOMAINS, Ratio, Slot, bad_and_good,
+    log_likelihood_ratio,
 };
-use crate::window::{MAX_SPAN, Spread, Window};
+use crate::window::{MAX_SPAN, SLOTS, Spread, Window};
 
+/// Reports of one observer kept in the window: two per slot, twice as many as it sends.
+const MAX_RECENT: usize = 2 * SLOTS;
 /// Slots (60 s) after which an observer or a failure domain no longer counts as reporting.
 pub(crate) const REPORTING_SLOTS: u64 = 120;
 /// Slots (3 s) without evidence after which a fault is no longer taken as current. It is shorter
@@ -104,9 +107,7 @@
 impl Alarm {
     /// Score of the evidence against the rate at which the other upstreams fail now, in nats.
     pub(crate) fn score_against(&self, baseline: f64, fault_rates: &[f64]) -> f64 {
-        let [ok, refused, failed, cut_short, slow] = self.counts;
-        let (bad, good) =
-            if self.kind == 0 { (refused + failed + cut_short, ok + slow) } else { (slow, ok) };
+        let (bad, good) = bad_and_good(self.counts, self.kind);
         let scores = fault_rates.iter().map(|rate| {
             let ratio = log_likelihood_ratio(baseline, *rate);
             bad * ratio.bad + good * ratio.good + self.silent * ratio.silent + self.head_start
@@ -151,6 +152,11 @@
         }
     }
 
+    /// True if the upstream is judged faulty by some group.
+    pub(crate) fn is_faulty(&self) -> bool {
+        matches!(self.status, Status::Faulty(_))
+    }
+
     /// Lets time pass until `now`.
     pub(crate) fn advance(&mut self, now: u64, domains: usize, tests: &Tests) {
         self.per_group = KINDS * tests.per_kind();
@@ -186,6 +192,9 @@
         self.window.add(domain, &spread, 1.0);
         let window_first = self.window.first();
         seen.recent.retain(|recent| recent.last >= window_first);
+        if seen.recent.len() >= MAX_RECENT {
+            seen.recent.remove(0);
+        }
         seen.recent.push(spread);
         self.last_evidence[domain] = Some(now);
         let failures = f64::from(counts.failures());
@@ -205,7 +214,7 @@
         if self.seen.len() <= observer {
             self.seen.resize_with(observer + 1, || None);
         }
-        let earliest = now.saturating_sub(MAX_SPAN - 1).max(self.born);
+        let earliest = now.saturating_sub(MAX_SPAN - 1).max(self.born).min(now);
         let judged = f64::from(counts.judged());
         let seen = self.seen[observer].get_or_insert_with(|| Seen {
             domain,
@@ -228,7 +237,7 @@
         if self.base.iter().all(|cusum| cusum.value <= 0.0) && self.window.is_good() {
             return;
         }
-        self.set_silence(now, excluded);
+        self.set_silence(now, now.saturating_sub(1), excluded);
         let cap = self.cap(tests);
         let first = self.window.first();
         for (index, slot) in (first..).zip(self.window.slots_mut()) {
@@ -238,33 +247,33 @@
 
     /// Largest value of a statistic, in nats.
     fn cap(&self, tests: &Tests) -> f64 {
-        let is_faulty = matches!(self.status, Status::Faulty(_));
-        tests.threshold * if is_faulty { FAULTY_CAP } else { CAP }
+        tests.threshold * if self.is_faulty() { FAULTY_CAP } else { CAP }
     }
 
-    /// Sets the expected answers of observers in slots that no report of theirs covers yet.
-    pub(crate) fn set_silence(&mut self, now: u64, excluded: impl Fn(usize) -> bool) {
+    /// Sets the expected answers of observers in slots up to `last` that no report of theirs covers
+    /// yet.
+    pub(crate) fn set_silence(&mut self, now: u64, last: u64, excluded: impl Fn(usize) -> bool) {
         let first = self.window.first();
-        for cell in self.window.slots_mut().iter_mut().flatten() {
-            cell.silent = 0.0;
-        }
         // Requests stop with an ejection, so silence about a faulty upstream is no good sign.
-        let faulty = self.status;
-        let is_ejected = |domain| matches!(faulty, Status::Faulty(group) if group.contains(domain));
+        let status = self.status;
+        let is_ejected = |domain| matches!(status, Status::Faulty(group) if group.contains(domain));
+        // Changes of the expected answers from slot to slot, by domain.
+        let mut changes = [[0.0; MAX_DOMAINS]; SLOTS + 1];
         for (observer, seen) in self.seen.iter().enumerate() {
             let Some(seen) = seen else { continue };
-            if excluded(observer) || is_ejected(seen.domain) {
-                continue;
-            }
             // An answer before that would have been reported by now.
             let from = (seen.covered + 1).max(first).max(now.saturating_sub(MAX_SPAN));
-            let to = (seen.covered + MAX_SPAN).min(now.saturating_sub(1));
-            for slot in from..=to {
-                let index = usize::try_from(slot - first).unwrap_or(usize::MAX);
-                let cells = self.window.slots_mut().get_mut(index);
-                if let Some(cell) = cells.and_then(|cells| cells.get_mut(seen.domain)) {
-                    cell.silent += seen.rate;
-                }
+            let to = (seen.covered + MAX_SPAN).min(last);
+            if from <= to && !excluded(observer) && !is_ejected(seen.domain) {
+                changes[(from - first) as usize][seen.domain] += seen.rate;
+                changes[(to + 1 - first) as usize][seen.domain] -= seen.rate;
+            }
+        }
+        let mut silent = [0.0; MAX_DOMAINS];
+        for (cells, changes) in self.window.slots_mut().iter_mut().zip(changes) {
+            for ((sum, change), cell) in silent.iter_mut().zip(changes).zip(cells) {
+                *sum += change;
+                cell.silent = sum.max(0.0);
             }
         }
     }
