--- a/crates/members/src/changes.rs
+++ b/crates/members/src/changes.rs
@@ -1,7 +1,7 @@
 //! What changes of members affect: the digest, the spread of statements, and the generation.
 
 use std::cmp::Ordering;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::time::Instant;
 
 use cactustrack_types::InstanceId;
@@ -9,6 +9,7 @@
 use crate::digest::Digest;
 use crate::entry::Known;
 use crate::identity::MemberEntry;
+use crate::membership::Others;
 
 /// Messages that carry a changed entry unasked. Eight messages reach nearly all of 800 members by
 /// epidemic spread; the digests repair the rest.
@@ -75,7 +76,7 @@
     }
 
     /// Forgets members that are no longer kept.
-    pub(crate) fn retain(&mut self, kept: &BTreeMap<InstanceId, Known>) {
+    pub(crate) fn retain(&mut self, kept: &Others) {
         self.spreading.retain(|id| kept.contains_key(id));
     }
 
--- a/crates/members/src/membership.rs
+++ b/crates/members/src/membership.rs
@@ -1,10 +1,11 @@
 //! The members of the fleet as one instance knows them.
 
-use std::collections::BTreeMap;
+use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
 use cactustrack_types::{Incarnation, InstanceId, Listing, ListingState, Role};
 use derive_more::Display;
+use rapidhash::fast::SeedableState;
 
 use crate::changes::{Changes, RUMOR_MESSAGES};
 use crate::digest::{BUCKET_COUNT, bucket_of};
@@ -64,13 +65,17 @@
     pub heard_from: bool,
 }
 
+/// The other members by id. The fixed seed makes runs repeatable; ids come from instances that
+/// hold the key, so they are not chosen to collide.
+pub(crate) type Others = HashMap<InstanceId, Known, SeedableState<'static>>;
+
 /// The members of the fleet, combined from the instance list, direct contacts and the statements
 /// of other members.
 #[derive(Clone, Debug)]
 pub struct Membership {
     own: MemberEntry,
     superseded_by: Option<Incarnation>,
-    others: BTreeMap<InstanceId, Known>,
+    others: Others,
     changes: Changes,
     refused: u64,
     /// Bucket from which the next list of differing entries starts.
@@ -85,7 +90,7 @@
         Self {
             own: MemberEntry { identity: own, status: MemberStatus::Live },
             superseded_by: None,
-            others: BTreeMap::new(),
+            others: Others::with_hasher(SeedableState::fixed()),
             changes,
             refused: 0,
             cursor: 0,
