Test that messages are bounded before they are unpacked

Cause: the former test also passed with a bound of 8 MB, because its input was too short to be decoded in any case. Change: it is replaced by one whose input decodes at the bound and is rejected beyond it; it fails if the bound is raised.

--- a/tests/all/peer.rs
+++ b/tests/all/peer.rs
@@ -453,16 +453,18 @@
     }
 }
 
-/// Guards against a small packed message that makes the receiver allocate what it claims to hold.
+/// Guards against a small packed message that makes the receiver allocate far more than a frame.
 #[test]
-fn claims_beyond_the_bound_are_rejected() {
-    // A table with one segment of 2^31 - 1 words, packed, and zero words without end.
-    let claim = [0xf0, 0xff, 0xff, 0xff, 0x7f];
-    let zeros = [0x00, 0xff].repeat(1000);
-    assert!(SyncRequest::decode(&[&claim[..], &zeros].concat()).is_err());
-    // 64 KiB of claims of 511 segments, each within the bound, but not their sum.
-    let words = 40_000u32.to_le_bytes();
-    let table: Vec<u8> = [&510u32.to_le_bytes()[..], &words.repeat(511)].concat();
-    let packed: Vec<u8> = table.chunks(8).flat_map(|word| [&[0xff], word, &[0]].concat()).collect();
-    assert!(SyncRequest::decode(&packed).is_err());
+fn messages_that_unpack_beyond_the_bound_are_rejected() {
+    // One segment of zero words, which decodes as a reply without content. A pair of bytes stands
+    // for 256 words.
+    let zeros = |runs: u32| {
+        let words = (256 * runs).to_le_bytes();
+        let table = [&[0xf0][..], &words].concat();
+        [table, [0x00, 0xff].repeat(runs as usize)].concat()
+    };
+    let bound = u32::try_from(MAX_FRAME_BYTES / 8 / 256).unwrap();
+    assert!(ReportReply::decode(&zeros(bound)).is_ok());
+    assert!(ReportReply::decode(&zeros(bound + 1)).is_err());
+    assert!(ReportReply::decode(&zeros(60_000)).is_err());
 }
