Tell a former life that it was replaced, and end handshakes with the server

Cause: a paused process whose id was taken over by a new life was not told so, because the new life is live and only other statuses were sent back. A handshake that completed after its server was dropped was still served. Change: the reply carries the later life; a dropped server serves no further connection.

--- a/crates/members/src/membership.rs
+++ b/crates/members/src/membership.rs
@@ -249,7 +249,7 @@
                 reply.buckets = self.changes.digest.buckets().to_vec();
             }
         }
-        self.add_statement_about(&from.id, &mut reply);
+        self.add_statement_about(from, &mut reply);
         reply
     }
 
@@ -454,14 +454,16 @@
         doubts.iter().take(MAX_DOUBTS).filter_map(reply).collect()
     }
 
-    /// Tells a member what is stated about it, so that it can contradict.
-    fn add_statement_about(&self, id: &str, reply: &mut MembersDelta) {
-        if let Some(known) = self.others.get(id)
-            && known.entry.status != MemberStatus::Live
-            && !reply.entries.iter().any(|entry| *entry.identity.id == *id)
-        {
+    /// Tells a member what is stated about it, so that it can contradict, and a former life that
+    /// it was replaced.
+    fn add_statement_about(&self, member: &Identity, reply: &mut MembersDelta) {
+        let Some(known) = self.others.get(&member.id) else { return };
+        let entry = &known.entry;
+        let replaced = entry.identity.incarnation > member.incarnation;
+        if entry.status != MemberStatus::Live || replaced {
+            reply.entries.retain(|other| other.identity.id != member.id);
             // First, because receivers ignore entries beyond the bound.
-            reply.entries.insert(0, known.entry.clone());
+            reply.entries.insert(0, entry.clone());
             reply.entries.truncate(MAX_DELTA_ENTRIES);
         }
     }
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -64,6 +64,7 @@
     config: ServerConfig,
     counters: Rc<PeerCounters>,
     open: Cell<usize>,
+    closed: Cell<bool>,
     links: RefCell<Vec<Weak<Link>>>,
 }
 
@@ -84,6 +85,7 @@
             config,
             counters,
             open: Cell::new(0),
+            closed: Cell::new(false),
             links: RefCell::default(),
         });
         let accept = spawn(accept_all(listener, shared.clone()));
@@ -103,6 +105,8 @@
 
 impl Drop for PeerServer {
     fn drop(&mut self) {
+        // A connection whose handshake is not complete has no link yet.
+        self.shared.closed.set(true);
         for link in self.shared.links.borrow().iter().filter_map(Weak::upgrade) {
             link.close();
         }
@@ -148,6 +152,9 @@
         Ok(session) => session,
         Err(fault) => return shared.counters.record_fault(fault),
     };
+    if shared.closed.get() {
+        return;
+    }
     let network = PeerNetwork::new(stream, session, Side::Server, shared.counters.clone());
     let link = network.link();
     {
--- a/tests/all/members.rs
+++ b/tests/all/members.rs
@@ -266,6 +266,12 @@
     members.call_failed("i001", Incarnation(1), now);
     members.heard(&identity(1, 1, 7), now);
     members.update_list(&[listing(1, 1, ListingState::Leaving)], now);
+    // The former life, paused and unaware, learns that it was replaced.
+    let mut former = Membership::new(identity(1, 1, 0));
+    let request = former.sync_request("i000");
+    let reply = members.on_sync_request(&former.own().clone(), &request, now);
+    former.on_sync_reply("i000", &members.own().clone(), &reply, now);
+    assert_eq!(former.superseded_by(), Some(Incarnation(2)));
     let later = now + Duration::from_secs(60);
     members.tick(later);
     let view = members.member("i001").unwrap();
