--- a/benches/control.rs
+++ b/benches/control.rs
@@ -101,7 +101,8 @@
     fleet.set_partitioned(true);
     fleet.measure(Duration::from_secs(10)).print(n, "first 10 s of a partition of the regions");
     fleet.skip(Duration::from_secs(3600));
-    fleet.accept_and_wait(Duration::from_secs(60));
+    let took = fleet.accept_and_wait(Duration::from_secs(60));
+    println!("{n} instances, acceptance in the partition until in force everywhere: {took:.2} s");
     fleet.set_partitioned(false);
     let (took, window) = fleet.wait_until_agreed(Duration::from_secs(120));
     println!("{n} instances, heal of the partition until all views agree: {took:.2} s");
