--- a/crates/members/src/membership.rs
+++ b/crates/members/src/membership.rs
@@ -1,10 +1,11 @@
 //! The members of the fleet as one instance knows them.
 
-use std::collections::BTreeMap;
+use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
 use cactustrack_types::{Incarnation, InstanceId, Listing, ListingState, Role};
 use derive_more::Display;
+use rapidhash::fast::SeedableState;
 
 use crate::changes::{Changes, RUMOR_MESSAGES};
 use crate::digest::{BUCKET_COUNT, bucket_of};
@@ -64,13 +65,17 @@
     pub heard_from: bool,
 }
 
+/// The other members by id. The fixed seed makes runs repeatable; ids come from instances that
+/// hold the key, so they are not chosen to collide.
+pub(crate) type Others = HashMap<InstanceId, Known, SeedableState<'static>>;
+
 /// The members of the fleet, combined from the instance list, direct contacts and the statements
 /// of other members.
 #[derive(Clone, Debug)]
 pub struct Membership {
     own: MemberEntry,
     superseded_by: Option<Incarnation>,
-    others: BTreeMap<InstanceId, Known>,
+    others: Others,
     changes: Changes,
     refused: u64,
     /// Bucket from which the next list of differing entries starts.
@@ -85,7 +90,7 @@
         Self {
             own: MemberEntry { identity: own, status: MemberStatus::Live },
             superseded_by: None,
-            others: BTreeMap::new(),
+            others: Others::with_hasher(SeedableState::fixed()),
             changes,
             refused: 0,
             cursor: 0,
@@ -249,7 +254,7 @@
                 reply.buckets = self.changes.digest.buckets().to_vec();
             }
         }
-        self.add_statement_about(&from.id, &mut reply);
+        self.add_statement_about(from, &mut reply);
         reply
     }
 
@@ -454,14 +459,16 @@
         doubts.iter().take(MAX_DOUBTS).filter_map(reply).collect()
     }
 
-    /// Tells a member what is stated about it, so that it can contradict.
-    fn add_statement_about(&self, id: &str, reply: &mut MembersDelta) {
-        if let Some(known) = self.others.get(id)
-            && known.entry.status != MemberStatus::Live
-            && !reply.entries.iter().any(|entry| *entry.identity.id == *id)
-        {
+    /// Tells a member what is stated about it, so that it can contradict, and a former life that
+    /// it was replaced.
+    fn add_statement_about(&self, member: &Identity, reply: &mut MembersDelta) {
+        let Some(known) = self.others.get(&member.id) else { return };
+        let entry = &known.entry;
+        let replaced = entry.identity.incarnation > member.incarnation;
+        if entry.status != MemberStatus::Live || replaced {
+            reply.entries.retain(|other| other.identity.id != member.id);
             // First, because receivers ignore entries beyond the bound.
-            reply.entries.insert(0, known.entry.clone());
+            reply.entries.insert(0, entry.clone());
             reply.entries.truncate(MAX_DELTA_ENTRIES);
         }
     }
