Let the state machine decide on non-idempotent requests

Cause: the proxy had its own copy of the at-most-once decisions, so the exhaustive test of the state machine did not cover what ran. Change: the proxy reports events to the state machine and carries out its steps.

--- a/crates/proxy/src/non_idempotent.rs
+++ b/crates/proxy/src/non_idempotent.rs
@@ -1,9 +1,13 @@
 //! Requests that must run at most once.
+//!
+//! What to do after each event is decided by `cactustrack_routing::idempotency`; this module
+//! carries it out.
 
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use cactustrack_observe::TraceContext;
+use cactustrack_routing::idempotency::{Attempt, ClaimResult, Event, Next, RecordAction, Step};
 use cactustrack_store::{Claim, ClaimOutcome, RecordState};
 use cactustrack_types::{Execution, Outcome, UpstreamId};
 use futures::channel::oneshot;
@@ -28,162 +32,242 @@
 ) -> Result<Response<OutBody>, Rejection> {
     let (tx, rx) = oneshot::channel();
     let running = proxy.start_task();
+    let request = NonIdempotent::new(proxy, routed, out, claim, trace);
     let task = async move {
         let _running = running;
-        let _ = tx.send(claim_and_dispatch(&proxy, &routed, out, claim, trace).await);
+        let _ = tx.send(request.run().await);
     };
     compio::runtime::spawn(task).detach();
     rx.await.unwrap_or_else(|_| Err(rejection_for(Cause::Broken, Execution::Unknown)))
 }
 
-async fn claim_and_dispatch(
-    proxy: &Rc<Proxy>,
-    routed: &Routed,
+/// A non-idempotent request and what was tried for it.
+struct NonIdempotent {
+    proxy: Rc<Proxy>,
+    routed: Routed,
     out: Outgoing,
     claim: Option<Claim>,
     trace: TraceContext,
-) -> Result<Response<OutBody>, Rejection> {
-    let result = match &claim {
-        Some(claim) => match record(proxy, routed, claim).await {
-            Ok(()) => dispatch(proxy, routed, out, trace).await,
-            Err(rejection) => Err((rejection, None)),
-        },
-        None => dispatch(proxy, routed, out, trace).await,
-    };
-    settle(proxy, routed, claim.as_ref(), result)
+    tried: Vec<UpstreamId>,
+    /// The answer to be forwarded.
+    answer: Option<Answer>,
+    /// What the last event was, for the caller.
+    cause: Option<Rejection>,
 }
 
-/// Result of a dispatch: the answer, or a rejection with what becomes of the claim.
-type Dispatched = Result<Answer, (Rejection, Option<Unclaimed>)>;
-
-/// The claim is freed, because the request was certainly not run.
-struct Unclaimed;
+impl NonIdempotent {
+    fn new(
+        proxy: Rc<Proxy>,
+        routed: Routed,
+        out: Outgoing,
+        claim: Option<Claim>,
+        trace: TraceContext,
+    ) -> Self {
+        let tried = Vec::new();
+        Self { proxy, routed, out, claim, trace, tried, answer: None, cause: None }
+    }
 
-async fn record(proxy: &Proxy, routed: &Routed, claim: &Claim) -> Result<(), Rejection> {
-    let claiming = compio::time::timeout(until(routed.deadline), proxy.records().claim(claim));
-    let outcome = match claiming.await {
-        Ok(Ok(outcome)) => outcome,
-        Ok(Err(error)) => return Err(unavailable(proxy, routed, &error.reason)),
-        Err(_) => {
-            proxy.records().release(claim);
-            return Err(unavailable(proxy, routed, "no answer before the deadline"));
+    async fn run(mut self) -> Result<Response<OutBody>, Rejection> {
+        let (mut attempt, mut step) = Attempt::new(self.claim.is_some());
+        loop {
+            self.act_on_record(step.record);
+            step = match step.next {
+                Next::Claim => {
+                    let event = self.record_claim().await;
+                    attempt.on(event)
+                }
+                Next::Connect | Next::TryAnother => self.send(&mut attempt).await,
+                Next::Forward => return self.forward(),
+                Next::Reject { status, execution, recorded } => {
+                    return Err(self.reject(status, execution, recorded));
+                }
+                // The machine waits for events that `send` has already reported.
+                Next::Dispatch | Next::Wait | Next::Ignore | Next::Abort => {
+                    return Err(rejection_for(Cause::Broken, Execution::Unknown));
+                }
+            };
         }
-    };
-    match outcome {
-        ClaimOutcome::Granted => Ok(()),
-        ClaimOutcome::Held(RecordState::Running) => Err(Rejection::new(
-            Reason::InProgress,
-            StatusCode::CONFLICT,
-            Execution::Unknown,
-            "an earlier request with this idempotency key may still be running",
-        )),
-        ClaimOutcome::Held(RecordState::Completed { status }) => Err(Rejection::new(
-            Reason::AlreadyCompleted,
-            StatusCode::CONFLICT,
-            Execution::Completed,
-            "an earlier request with this idempotency key was run; this one was not",
-        )
-        .with_recorded_status(status)),
-        ClaimOutcome::Mismatch => Err(Rejection::not_run(
-            Reason::KeyReused,
-            StatusCode::UNPROCESSABLE_ENTITY,
-            "the idempotency key belongs to another request",
-        )),
     }
-}
 
-/// The reason is logged and not shown to the caller, whom the inside of the fleet does not concern.
-fn unavailable(proxy: &Proxy, routed: &Routed, reason: &str) -> Rejection {
-    if let Some(left_out) = proxy.log_allowed("record unavailable") {
-        slog::warn!(proxy.log(), "proxy: idempotency record cannot be written";
-            "service" => &*routed.service, "reason" => reason, "left_out" => left_out);
+    fn act_on_record(&self, action: RecordAction) {
+        let Some(claim) = &self.claim else { return };
+        match action {
+            RecordAction::None => {}
+            RecordAction::Release => self.proxy.records().release(claim),
+            RecordAction::Complete(status) => self.proxy.records().complete(claim, status),
+        }
     }
-    let status = StatusCode::SERVICE_UNAVAILABLE;
-    let detail = "repeats cannot be recognised at the moment, so the request was not run";
-    Rejection::not_run(Reason::RecordUnavailable, status, detail)
-}
 
-/// Sends the request once. Another upstream is tried only while no connection could be opened,
-/// since nothing was sent then.
-async fn dispatch(
-    proxy: &Rc<Proxy>,
-    routed: &Routed,
-    mut out: Outgoing,
-    trace: TraceContext,
-) -> Dispatched {
-    let mut tried: Vec<UpstreamId> = Vec::new();
-    loop {
-        let target = match proxy.policy().pick(Instant::now(), routed, &tried) {
-            Ok(target) => target,
-            Err(rejection) => return Err((rejection, Some(Unclaimed))),
-        };
-        tried.push(target.upstream.clone());
-        proxy.metrics().attempts.with_label_values(&[&*routed.service, "first"]).inc();
-        let Some(req) = out.build(until(routed.deadline)) else {
-            return Err((rejection_for(Cause::Connect, Execution::NotRun), Some(Unclaimed)));
-        };
-        let (pool, reporting) = (proxy.pool(), proxy.reporting(trace));
-        match exchange(pool, reporting, target, req, Reuse::Never, routed.deadline).await {
-            Ok(answer) if answer.is_shed() => {
-                let retry_after = retry_after(&answer);
-                discard(answer, Outcome::Shed).await;
-                let status = StatusCode::SERVICE_UNAVAILABLE;
-                let rejection =
-                    Rejection::not_run(Reason::UpstreamBusy, status, "the upstream is busy");
-                return Err((rejection.with_retry_after(retry_after), Some(Unclaimed)));
+    async fn record_claim(&mut self) -> Event {
+        let Some(claim) = &self.claim else { return Event::Claim(ClaimResult::Granted) };
+        let claiming = self.proxy.records().claim(claim);
+        let claimed = compio::time::timeout(until(self.routed.deadline), claiming).await;
+        let outcome = match claimed {
+            Ok(Ok(outcome)) => outcome,
+            Ok(Err(error)) => {
+                self.log_unavailable(&error.reason);
+                return Event::Claim(ClaimResult::RecordError);
             }
-            Ok(answer) => return Ok(answer),
-            Err(Failure { sent: false, cause }) => {
-                // A streamed body was taken by the failed attempt and cannot be sent again.
-                if !out.can_send() || until(routed.deadline).is_zero() {
-                    return Err((rejection_for(cause, Execution::NotRun), Some(Unclaimed)));
-                }
+            Err(_) => {
+                self.log_unavailable("no answer before the deadline");
+                return Event::DeadlinePassed;
             }
-            Err(Failure { sent: true, cause }) => {
-                return Err((rejection_for(cause, Execution::Unknown), None));
+        };
+        Event::Claim(match outcome {
+            ClaimOutcome::Granted => ClaimResult::Granted,
+            ClaimOutcome::Held(RecordState::Running) => ClaimResult::HeldRunning,
+            ClaimOutcome::Held(RecordState::Completed { status }) => {
+                ClaimResult::HeldCompleted(status)
             }
+            ClaimOutcome::Mismatch => ClaimResult::Mismatch,
+        })
+    }
+
+    /// The reason is logged and not shown to the caller, whom the inside of the fleet does not
+    /// concern.
+    fn log_unavailable(&self, reason: &str) {
+        if let Some(left_out) = self.proxy.log_allowed("record unavailable") {
+            slog::warn!(self.proxy.log(), "proxy: idempotency record cannot be written";
+                "service" => &*self.routed.service, "reason" => reason, "left_out" => left_out);
         }
     }
-}
 
-/// Records how the request ended and answers the caller.
-fn settle(
-    proxy: &Rc<Proxy>,
-    routed: &Routed,
-    claim: Option<&Claim>,
-    result: Dispatched,
-) -> Result<Response<OutBody>, Rejection> {
-    let count = |result: &str| {
-        let counter = &proxy.metrics().non_idempotent;
-        counter.with_label_values(&[&*routed.service, result]).inc();
-    };
-    match result {
-        Ok(mut answer) => {
-            if let Some(claim) = claim {
-                proxy.records().complete(claim, answer.head.status.as_u16());
+    /// Makes one attempt on a new connection and reports its events.
+    async fn send(&mut self, attempt: &mut Attempt) -> Step {
+        let picked = self.proxy.policy().pick(Instant::now(), &self.routed, &self.tried);
+        let target = match picked {
+            Ok(target) => target,
+            Err(rejection) => {
+                self.cause = Some(rejection);
+                return attempt.on(Event::NoUpstream);
             }
-            count("completed");
-            if answer.is_failure() {
-                answer.outcome = Outcome::Failed;
+        };
+        self.tried.push(target.upstream.clone());
+        let attempts = &self.proxy.metrics().attempts;
+        attempts.with_label_values(&[&*self.routed.service, "first"]).inc();
+        let Some(req) = self.out.build(until(self.routed.deadline)) else {
+            return attempt.on(Event::ConnectFailed { another: false });
+        };
+        let (pool, reporting) = (self.proxy.pool(), self.proxy.reporting(self.trace));
+        match exchange(pool, reporting, target, req, Reuse::Never, self.routed.deadline).await {
+            Err(Failure { sent: false, cause }) => attempt.on(self.unsent(cause)),
+            Err(Failure { sent: true, cause }) => {
+                self.cause = Some(self.broken(cause));
+                let passed = cause == Cause::TimedOut;
+                let event = if passed { Event::DeadlinePassed } else { Event::Broken };
+                after_dispatch(attempt, event)
             }
-            if answer.is_unframed() {
-                answer.attempt.finish(Outcome::Failed);
-                return Err(rejection_for(Cause::Broken, Execution::Unknown));
+            Ok(answer) => {
+                let event = self.on_answer(answer).await;
+                after_dispatch(attempt, event)
             }
-            Ok(respond_plain(proxy, answer))
         }
-        Err((rejection, unclaimed)) => {
-            if let (Some(Unclaimed), Some(claim)) = (unclaimed, claim) {
-                proxy.records().release(claim);
-            }
-            count(&rejection.execution.to_string());
-            if rejection.execution == Execution::Unknown {
-                // Each of these concerns one caller's order, so none is left out.
-                slog::warn!(proxy.log(), "proxy: outcome of a non-idempotent request is unknown";
-                    "service" => &*routed.service, "reason" => %rejection.reason,
-                    "claim" => claim.map_or("none", |claim| &claim.claim_id));
-            }
-            Err(rejection)
+    }
+
+    /// Event for an attempt of which no byte was sent.
+    fn unsent(&mut self, cause: Cause) -> Event {
+        self.cause = Some(rejection_for(cause, Execution::NotRun));
+        if until(self.routed.deadline).is_zero() {
+            return Event::DeadlinePassed;
+        }
+        // A streamed body was taken by the failed attempt and cannot be sent again.
+        Event::ConnectFailed { another: self.out.can_send() }
+    }
+
+    fn broken(&self, cause: Cause) -> Rejection {
+        if self.out.caller_failed() {
+            let detail = "the request body was not completed";
+            let status = StatusCode::BAD_REQUEST;
+            return Rejection::new(Reason::Malformed, status, Execution::Unknown, detail);
+        }
+        rejection_for(cause, Execution::Unknown)
+    }
+
+    async fn on_answer(&mut self, mut answer: Answer) -> Event {
+        let status = answer.head.status.as_u16();
+        if answer.is_shed() {
+            let wait = retry_after(&answer);
+            discard(answer, Outcome::Shed).await;
+            self.cause = Some(busy(wait));
+            return Event::Shed { status };
+        }
+        if answer.is_failure() {
+            answer.outcome = Outcome::Failed;
+        }
+        self.answer = Some(answer);
+        Event::Answer { status }
+    }
+
+    fn forward(self) -> Result<Response<OutBody>, Rejection> {
+        self.count("completed");
+        let Some(answer) = self.answer else {
+            return Err(rejection_for(Cause::Broken, Execution::Unknown));
+        };
+        if answer.is_unframed() {
+            answer.attempt.finish(Outcome::Failed);
+            return Err(rejection_for(Cause::Broken, Execution::Unknown));
+        }
+        Ok(respond_plain(&self.proxy, answer))
+    }
+
+    fn reject(&self, status: u16, execution: Execution, recorded: Option<u16>) -> Rejection {
+        self.count(&execution.to_string());
+        let status = StatusCode::from_u16(status).unwrap_or(StatusCode::SERVICE_UNAVAILABLE);
+        let mut rejection = match (&self.cause, status, execution) {
+            (Some(cause), ..) => cause.clone(),
+            (None, status, execution) => before_dispatch(status, execution),
+        };
+        rejection.execution = execution;
+        rejection.recorded_status = recorded;
+        if execution == Execution::Unknown && !self.tried.is_empty() {
+            // Each of these concerns one caller's request, so none is left out.
+            slog::warn!(self.proxy.log(), "proxy: outcome of a non-idempotent request is unknown";
+                "service" => &*self.routed.service, "reason" => %rejection.reason,
+                "claim" => self.claim.as_ref().map_or("none", |claim| &claim.claim_id));
         }
+        rejection
+    }
+
+    fn count(&self, result: &str) {
+        let counter = &self.proxy.metrics().non_idempotent;
+        counter.with_label_values(&[&*self.routed.service, result]).inc();
     }
 }
+
+/// Reports that the request was sent, and then what came of it.
+fn after_dispatch(attempt: &mut Attempt, event: Event) -> Step {
+    attempt.on(Event::Connected);
+    attempt.on(Event::FirstByteHanded);
+    attempt.on(event)
+}
+
+fn busy(wait: Duration) -> Rejection {
+    let status = StatusCode::SERVICE_UNAVAILABLE;
+    let rejection = Rejection::not_run(Reason::UpstreamBusy, status, "the upstream is busy");
+    rejection.with_retry_after(wait)
+}
+
+/// The rejection of a request that ended with its claim.
+fn before_dispatch(status: StatusCode, execution: Execution) -> Rejection {
+    let (reason, detail) = match (status, execution) {
+        (StatusCode::CONFLICT, Execution::Completed) => (
+            Reason::AlreadyCompleted,
+            "an earlier request with this idempotency key was run; this one was not",
+        ),
+        (StatusCode::CONFLICT, _) => (
+            Reason::InProgress,
+            "an earlier request with this idempotency key may still be running",
+        ),
+        (StatusCode::UNPROCESSABLE_ENTITY, _) => {
+            (Reason::KeyReused, "the idempotency key belongs to another request")
+        }
+        (StatusCode::GATEWAY_TIMEOUT, _) => {
+            (Reason::DeadlineExceeded, "the deadline passed before the request was sent")
+        }
+        _ => (
+            Reason::RecordUnavailable,
+            "repeats cannot be recognised at the moment, so the request was not run",
+        ),
+    };
+    Rejection::new(reason, status, execution, detail)
+}
--- a/crates/routing/src/idempotency.rs
+++ b/crates/routing/src/idempotency.rs
@@ -181,7 +181,7 @@
             }
             ClaimResult::HeldRunning => self.reject(409, Execution::Unknown, None),
             ClaimResult::HeldCompleted(status) => {
-                self.reject(409, Execution::Unknown, Some(status))
+                self.reject(409, Execution::Completed, Some(status))
             }
             ClaimResult::Mismatch => self.reject(422, Execution::NotRun, None),
             ClaimResult::RecordError => self.reject_not_run(503),
@@ -195,7 +195,7 @@
                 Step::only(Next::Dispatch)
             }
             Event::ConnectFailed { another: true } => Step::only(Next::TryAnother),
-            Event::ConnectFailed { another: false } => self.reject_not_run(502),
+            Event::ConnectFailed { another: false } => self.reject_not_run(503),
             Event::NoUpstream => self.reject_not_run(503),
             Event::DeadlinePassed => self.reject_not_run(504),
             Event::CallerGone => self.abort_not_run(),
@@ -209,7 +209,7 @@
                 self.state = State::Sent;
                 Step::only(Next::Wait)
             }
-            Event::Broken | Event::ConnectFailed { .. } => self.reject_not_run(502),
+            Event::Broken | Event::ConnectFailed { .. } => self.reject_not_run(503),
             Event::DeadlinePassed => self.reject_not_run(504),
             Event::CallerGone => self.abort_not_run(),
             // An upstream may answer before it has read a byte of the request.
