--- a/tests/all/fleet/harness.rs
+++ b/tests/all/fleet/harness.rs
@@ -49,6 +49,8 @@
 pub(super) struct Fleet {
     pub(super) store: StoreThread,
     pub(super) list: InstanceList,
+    /// Takes the place of a trace collector.
+    traces: Upstreams,
     upstreams: BTreeMap<&'static str, Upstreams>,
     instances: Vec<Process>,
     cases: Vec<ServiceCase>,
@@ -95,8 +97,9 @@
         }
         let store = StoreServer::spawn_thread().expect("a store");
         let list = InstanceList::spawn(Vec::new());
+        let traces = Upstreams::spawn(&["traces".to_owned()], &Behaviour::default());
         let cases = cases.to_vec();
-        let fleet = Self { store, list, upstreams, instances: Vec::new(), cases, dir };
+        let fleet = Self { store, list, traces, upstreams, instances: Vec::new(), cases, dir };
         fleet.publish_list();
         fleet
     }
@@ -178,11 +181,13 @@
              [listen]\ncallers = \"127.0.0.1:0\"\nadmin = \"127.0.0.1:0\"\npeers = \"127.0.0.1:0\"\n\
              [store]\nendpoints = [\"{}\"]\nprefix = \"cactustrack/\"\n\
              [peers]\nbootstrap = [{}]\nkey = \"{KEY}\"\n[admin]\nkey = \"{KEY}\"\n\
-             [log]\nformat = \"json\"\nlevel = \"info\"\n[limits]\nshutdown_grace_ms = 200\n",
+             [log]\nformat = \"json\"\nlevel = \"info\"\n[limits]\nshutdown_grace_ms = 200\n\
+             [trace]\notlp_endpoint = \"http://{}/v1/traces\"\n",
             self.list.url(),
             DOMAINS[number % DOMAINS.len()],
             self.store.url(),
             bootstrap.join(", "),
+            self.traces.all[0].address,
         );
         let file = self.write(&format!("instance-{number}.toml"), &settings);
         self.instances.push(Process::start(&format!("instance-{number}"), &file));
@@ -229,6 +234,11 @@
         call.send(self.instances[instance].callers).expect("an answer")
     }
 
+    /// Requests that the trace collector got.
+    pub(super) fn exports(&self) -> Vec<String> {
+        self.traces.all[0].control.executed()
+    }
+
     /// Requests that were run on all upstreams of a service.
     pub(super) fn executed(&self, service: &str) -> Vec<String> {
         self.upstreams[service]
--- a/tests/all/fleet/path.rs
+++ b/tests/all/fleet/path.rs
@@ -2,7 +2,7 @@
 
 use cactustrack_test_support::caller::Call;
 
-use super::harness::{FILES, Fleet, ORDERS, SEARCH};
+use super::harness::{FILES, Fleet, KEY, ORDERS, SEARCH, wait_until};
 
 /// Guards against a break anywhere between the questionnaire and the answer to a caller.
 #[test]
@@ -27,4 +27,44 @@
 
     let log = fleet.instance(0).log();
     assert!(log.iter().any(|line| line["msg"] == "config: version in force"), "{log:?}");
+
+    wait_until("spans are exported", || {
+        fleet.exports().iter().any(|export| export.starts_with("POST /v1/traces"))
+    });
+    let metrics = fleet.admin(0, "/metrics").text();
+    let served =
+        "cactustrack_requests_total{class=\"idempotent\",code=\"200\",service=\"search\"} 1";
+    assert!(metrics.contains(served), "{metrics}");
+}
+
+/// Guards against an admin listener that shows state without the key, and against a key in logs
+/// or metrics.
+#[test]
+fn the_admin_listener_needs_the_key_and_never_shows_it() {
+    let mut fleet = Fleet::start(&[SEARCH], 1);
+    let admin = fleet.instance(0).admin;
+    struct Case(&'static str, Option<&'static str>, u16);
+    let cases = [
+        Case("/live", None, 200),
+        Case("/ready", None, 200),
+        Case("/metrics", None, 401),
+        Case("/status", None, 401),
+        Case("/explain/search", None, 401),
+        Case("/status", Some("Bearer wrong"), 401),
+        Case("/status", Some("Bearer "), 401),
+        Case("/status", Some("Bearer 0123456789abcdef0123456789abcdef"), 200),
+        Case("/explain/nothing", Some("Bearer 0123456789abcdef0123456789abcdef"), 404),
+    ];
+    for Case(path, authorization, status) in cases {
+        let call = Call::get("admin", path);
+        let call = match authorization {
+            Some(value) => call.with_header("authorization", value),
+            None => call,
+        };
+        let reply = call.send(admin).expect("an answer");
+        assert_eq!(reply.status.as_u16(), status, "{path} {authorization:?}");
+    }
+    let log = format!("{:?}", fleet.instance(0).log());
+    let shown = [log, fleet.admin(0, "/metrics").text(), fleet.admin(0, "/status").text()];
+    assert!(shown.iter().all(|text| !text.contains(KEY)), "the key is shown");
 }
