Pass short answers on without a task and in one write

The body of every answer came through a task and a channel, so it was never at hand when hyper wrote the head.

Change: an answer whose whole body has arrived with its head is passed on as it is, which also saves the task, the channels and a timer. Such an exchange ends before hyper has made its connection ready again, so the pool skips connections that are not ready yet and keeps them, where it closed them before.

--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -95,14 +95,17 @@
     /// Returns an idle connection that is still usable.
     pub(crate) fn take_idle(&self, target: &Target) -> Option<Connection> {
         let key = key_of(target);
-        loop {
-            let idle = self.entries.borrow_mut().get_mut(&key)?.idle.pop()?;
+        let mut entries = self.entries.borrow_mut();
+        let idle = &mut entries.get_mut(&key)?.idle;
+        // hyper makes a connection ready shortly after the end of an answer, and never if the
+        // request body was not taken. A connection that is not ready stays until it expires.
+        let usable = |idle: &Idle| {
             let fresh = idle.since.elapsed() < self.limits.max_idle_age;
-            if fresh && !idle.parts.tx.is_closed() && idle.parts.tx.is_ready() {
-                return Some(Connection::new(idle.parts, self.place(key), true));
-            }
-            drop(Connection::new(idle.parts, self.place(key.clone()), true));
-        }
+            fresh && !idle.parts.tx.is_closed() && idle.parts.tx.is_ready()
+        };
+        let idle = idle.iter().rposition(usable).map(|at| idle.remove(at))?;
+        drop(entries);
+        Some(Connection::new(idle.parts, self.place(key), true))
     }
 
     /// Opens a connection.
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -20,6 +20,9 @@
 /// Longest time without a byte from the upstream before a body counts as cut short.
 pub(crate) const STALL_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// What a body gave: a frame, its end, or the break of its connection.
+type Read = Option<Result<Frame<Bytes>, hyper::Error>>;
+
 type FrameTx = mpsc::Sender<Result<Frame<Bytes>, BodyAborted>>;
 
 /// Gives the rest of an answer that was cut short.
@@ -38,16 +41,27 @@
 
 /// Returns a body that yields the answer's frames. The body of a small answer that has already
 /// arrived needs no task.
-pub(crate) fn relay(proxy: &Rc<Proxy>, answer: Answer, resume: Option<Box<dyn Resume>>) -> OutBody {
+pub(crate) fn relay(
+    proxy: &Rc<Proxy>,
+    mut answer: Answer,
+    resume: Option<Box<dyn Resume>>,
+) -> OutBody {
     if answer.body.is_end_stream() {
         complete(answer);
         return OutBody::full(Bytes::new());
     }
+    let size = answer.body.size_hint();
+    let first = match answer.body.frame().now_or_never() {
+        Some(Some(Ok(frame))) if answer.body.is_end_stream() && frame.is_data() => {
+            complete(answer);
+            return OutBody::full(frame.into_data().unwrap_or_default());
+        }
+        first => first,
+    };
     // One frame in the channel and one in hyper's hands: a slow caller stops the reading.
     let (tx, rx) = mpsc::channel(0);
     let (alive_tx, alive_rx) = oneshot::channel();
-    let size = answer.body.size_hint();
-    let task = run(Rc::clone(proxy), answer, resume, tx, alive_rx);
+    let task = run(Rc::clone(proxy), answer, first, resume, tx, alive_rx);
     compio::runtime::spawn(task).detach();
     OutBody::relayed(rx, size, alive_tx)
 }
@@ -55,6 +69,7 @@
 async fn run(
     proxy: Rc<Proxy>,
     mut answer: Answer,
+    mut first: Option<Read>,
     resume: Option<Box<dyn Resume>>,
     mut tx: FrameTx,
     mut caller: oneshot::Receiver<()>,
@@ -62,7 +77,7 @@
     let service = answer.attempt.target().service.clone();
     let mut offset = 0;
     loop {
-        match pump(&mut answer.body, &mut tx, &mut caller, &mut offset).await {
+        match pump(&mut answer.body, first.take(), &mut tx, &mut caller, &mut offset).await {
             End::Complete => return complete(answer),
             End::CallerLeft => return,
             End::CutShort => {}
@@ -84,12 +99,15 @@
 
 async fn pump(
     body: &mut Incoming,
+    mut first: Option<Read>,
     tx: &mut FrameTx,
     caller: &mut oneshot::Receiver<()>,
     offset: &mut u64,
 ) -> End {
     loop {
-        let frame = {
+        let frame = if let Some(read) = first.take() {
+            Some(Ok(read))
+        } else {
             let reading = compio::time::timeout(STALL_TIMEOUT, body.frame());
             let reading = std::pin::pin!(reading);
             match select(reading, &mut *caller).await {
