Try another upstream for an upload whose connection was refused

Cause: a request body above 64 KiB was moved into the first attempt before its connection was open, so a refused connection was answered with 503 although no byte of the body had been taken and another upstream could run the request.

Change: a body that is dropped before its first byte was asked for goes back to the request. The new test sends an upload of 200,000 bytes behind a refused connection for both classes and compares what arrives.

--- a/crates/proxy/src/body.rs
+++ b/crates/proxy/src/body.rs
@@ -1,6 +1,6 @@
 //! Bodies towards callers and upstreams.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
@@ -93,7 +93,7 @@
 
 /// State of a request body that is passed on from the caller.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum Upload {
+pub(crate) enum Upload {
     /// The upstream decides the pace, or the body is complete.
     #[default]
     Flowing,
@@ -110,6 +110,9 @@
     }
 }
 
+/// A request body of a caller that no upstream has taken a byte of.
+pub(crate) type Untouched = Rc<RefCell<Option<Incoming>>>;
+
 /// Body of a request to an upstream.
 #[derive(Debug)]
 pub struct UpstreamBody(Source);
@@ -117,7 +120,7 @@
 #[derive(Debug)]
 enum Source {
     Full(Option<Bytes>),
-    Streamed { body: Incoming, upload: Rc<Cell<Upload>> },
+    Streamed { body: Option<Incoming>, upload: Rc<Cell<Upload>>, untouched: Untouched },
 }
 
 impl UpstreamBody {
@@ -126,10 +129,13 @@
         Self(Source::Full((!bytes.is_empty()).then_some(bytes)))
     }
 
-    /// Creates a body that is passed on from the caller. `upload` tells whether the caller holds it
-    /// up or broke it off, for which the upstream is not to blame.
-    pub fn streamed(body: Incoming, upload: Rc<Cell<Upload>>) -> Self {
-        Self(Source::Streamed { body, upload })
+    /// Creates a body that is passed on from the caller, or returns `None` if it was already taken.
+    /// It goes back to `untouched` when it is dropped before its first byte was asked for, so that
+    /// another upstream can get it. `upload` tells whether the caller holds it up or broke it off,
+    /// for which the upstream is not to blame.
+    pub(crate) fn streamed(untouched: &Untouched, upload: Rc<Cell<Upload>>) -> Option<Self> {
+        let body = Some(untouched.borrow_mut().take()?);
+        Some(Self(Source::Streamed { body, upload, untouched: Rc::clone(untouched) }))
     }
 
     /// State of the body, shared with the one that sends it.
@@ -151,7 +157,10 @@
     ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
         match &mut self.0 {
             Source::Full(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
-            Source::Streamed { body, upload } => {
+            Source::Streamed { body, upload, untouched } => {
+                // From now on the body cannot go back.
+                *untouched = Untouched::default();
+                let Some(body) = body else { return Poll::Ready(None) };
                 let polled = Pin::new(body).poll_frame(cx);
                 upload.set(match &polled {
                     Poll::Ready(Some(Err(_))) => Upload::Failed,
@@ -166,7 +175,7 @@
     fn is_end_stream(&self) -> bool {
         match &self.0 {
             Source::Full(bytes) => bytes.is_none(),
-            Source::Streamed { body, .. } => body.is_end_stream(),
+            Source::Streamed { body, .. } => body.as_ref().is_none_or(Body::is_end_stream),
         }
     }
 
@@ -175,7 +184,17 @@
             Source::Full(bytes) => {
                 SizeHint::with_exact(bytes.as_ref().map_or(0, |b| b.len() as u64))
             }
-            Source::Streamed { body, .. } => body.size_hint(),
+            Source::Streamed { body, .. } => {
+                body.as_ref().map_or_else(SizeHint::default, Body::size_hint)
+            }
+        }
+    }
+}
+
+impl Drop for UpstreamBody {
+    fn drop(&mut self) {
+        if let Source::Streamed { body, untouched, .. } = &mut self.0 {
+            *untouched.borrow_mut() = body.take();
         }
     }
 }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -18,7 +18,7 @@
 mod resume;
 mod server;
 
-pub use body::{OutBody, Upload, UpstreamBody};
+pub use body::{OutBody, UpstreamBody};
 pub use handler::{Proxy, ProxyParts};
 pub use policy::{Admission, Extra, Routed, Target, TrafficPolicy};
 pub use pool::{Pool, PoolLimits};
--- a/crates/proxy/src/non_idempotent.rs
+++ b/crates/proxy/src/non_idempotent.rs
@@ -119,7 +119,7 @@
             }
             Ok(answer) => return Ok(answer),
             Err(Failure { sent: false, cause }) => {
-                // A streamed body was taken by the failed attempt and cannot be sent again.
+                // A body that was begun to be passed on cannot be sent again.
                 if !out.can_send() || until(routed.deadline).is_zero() {
                     return Err((rejection_for(cause, Execution::NotRun), Some(Unclaimed)));
                 }
--- a/crates/proxy/src/request.rs
+++ b/crates/proxy/src/request.rs
@@ -1,6 +1,6 @@
 //! The caller's request in a form that can be sent to an upstream, several times if need be.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -11,14 +11,14 @@
 use hyper::body::{Body, Incoming};
 
 use crate::UpstreamBody;
-use crate::body::Upload;
+use crate::body::{Untouched, Upload};
 
 /// Request bodies up to this size are held in memory so that they can be sent again.
 const REPLAY_LIMIT_BYTES: u64 = 64 * 1024;
 
 enum Payload {
     Replayable(Bytes),
-    Once(Option<Incoming>),
+    Once(Untouched),
 }
 
 /// A request to be sent to upstreams.
@@ -48,14 +48,17 @@
             let collected = Limited::new(body, limit).collect().await.map_err(|_| BodyBroken)?;
             Payload::Replayable(collected.to_bytes())
         } else {
-            Payload::Once(Some(body))
+            Payload::Once(Rc::new(RefCell::new(Some(body))))
         };
         Ok(Self { method, uri, headers, payload, upload: Rc::default() })
     }
 
     /// Returns true if the request can be sent once more.
     pub(crate) fn can_send(&self) -> bool {
-        matches!(&self.payload, Payload::Replayable(_) | Payload::Once(Some(_)))
+        match &self.payload {
+            Payload::Replayable(_) => true,
+            Payload::Once(untouched) => untouched.borrow().is_some(),
+        }
     }
 
     /// Returns true if the caller broke off the request body.
@@ -77,7 +80,7 @@
     pub(crate) fn build(&mut self, remaining: Duration) -> Option<Request<UpstreamBody>> {
         let body = match &mut self.payload {
             Payload::Replayable(bytes) => UpstreamBody::full(bytes.clone()),
-            Payload::Once(body) => UpstreamBody::streamed(body.take()?, Rc::clone(&self.upload)),
+            Payload::Once(untouched) => UpstreamBody::streamed(untouched, Rc::clone(&self.upload))?,
         };
         let mut req = Request::new(body);
         *req.method_mut() = self.method.clone();
--- a/tests/all/proxy/at_most_once.rs
+++ b/tests/all/proxy/at_most_once.rs
@@ -1,6 +1,6 @@
 //! Non-idempotent requests run at most once, and rejections state whether they ran.
 
-use std::io::Write;
+use std::io::{Read, Write};
 use std::sync::{Mutex, mpsc};
 
 use cactustrack_store::RecordState;
@@ -44,6 +44,31 @@
     assert_eq!(rig.records.state("k1"), Some(RecordState::Completed { status: 200 }));
 }
 
+/// Guards against a large upload that is refused, cut or mixed up because the first connection for
+/// it could not be opened.
+#[test]
+fn a_streamed_upload_survives_a_refused_connection() {
+    let upload: Vec<u8> = (0..200_000).map(cactustrack_test_support::upstream::byte_at).collect();
+    for path in ["/n/upload", "/upload"] {
+        let (tx, rx) = mpsc::channel();
+        let tx = Mutex::new(tx);
+        let expected = upload.clone();
+        let upstream = RawUpstream::spawn(move |_, stream| {
+            read_head(stream).expect("a request");
+            let mut body = vec![0; expected.len()];
+            stream.read_exact(&mut body).expect("the whole body");
+            tx.lock().expect("a channel").send(body == expected).expect("a test");
+            let _ = stream.write_all(b"HTTP/1.1 201 Created\r\nContent-Length: 0\r\n\r\n");
+        });
+        let targets = [("up-0", refusing_address()), ("up-1", upstream.address)];
+        let rig = Setup::with(&targets).start();
+        let reply = rig.call(&Call::post("a", path).with_body(upload.clone()));
+        assert_eq!(reply.status, 201, "{path}: {}", reply.text());
+        assert!(rx.recv().expect("a body"), "{path}: the body differs");
+        assert_eq!(upstream.connections(), 1, "{path}");
+    }
+}
+
 /// Guards against `unknown` for a request that no upstream could have seen, and against a claim
 /// that then blocks the repeat.
 #[test]
