--- a/crates/proxy/src/non_idempotent.rs
+++ b/crates/proxy/src/non_idempotent.rs
@@ -170,7 +170,7 @@
         if until(self.routed.deadline).is_zero() {
             return Event::DeadlinePassed;
         }
-        // A streamed body was taken by the failed attempt and cannot be sent again.
+        // A body that was begun to be passed on cannot be sent again.
         Event::ConnectFailed { another: self.out.can_send() }
     }
 
