--- a/examples/quickstart/guarantees.rs
+++ b/examples/quickstart/guarantees.rs
@@ -53,7 +53,9 @@
     let counts = services.map(|(service, case)| {
         let used = run.fleet.controls(service).filter(|control| control.requests() > 0).count();
         let (id, upstreams, floor) = (&case.id, case.upstreams, case.floor_slots);
-        format!("{id} {used} of {upstreams} ({} slots, floor {floor})", used as u32 * case.slots)
+        let slots = used as u32 * case.slots;
+        let relation = if slots < floor { "below the floor of" } else { "floor" };
+        format!("{id} {used} of {upstreams} ({slots} slots, {relation} {floor})")
     });
     counts.collect::<Vec<_>>().join(", ")
 }
