Leave time for a retry when a reused connection goes silent, and count store calls

Calls for idempotency records were not counted, a repeat counted as an unknown outcome, and a second SIGTERM did not say what was in flight.

--- a/crates/observe/src/metrics.rs
+++ b/crates/observe/src/metrics.rs
@@ -55,7 +55,7 @@
     pub peer_bytes: IntCounterVec,
     /// Peer frames that were dropped, by reason.
     pub peer_frames_dropped: IntCounterVec,
-    /// Non-idempotent requests by service and result (completed, rejected, unknown).
+    /// Non-idempotent requests by service and result (completed, not_run, unknown, repeat).
     pub non_idempotent: IntCounterVec,
     /// Spans that were dropped because the queue was full or the collector away.
     pub spans_dropped: IntCounter,
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -18,8 +18,12 @@
 /// Which connections an exchange may use.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Reuse {
-    /// Any that is open and idle.
-    Idle,
+    /// Any that is open and idle. If it gives no answer for `silent_after`, it is given up, so
+    /// that there is time left to ask on another connection.
+    Idle {
+        /// Wait for the first byte on a connection that was used before.
+        silent_after: Duration,
+    },
     /// Only a new one, since an idle connection may have gone silent.
     Never,
 }
@@ -76,6 +80,8 @@
     Broken,
     /// The answer did not come in time.
     TimedOut,
+    /// A connection that was used before gave no answer for long, and may have gone silent.
+    Silent,
 }
 
 /// An exchange that gave no answer.
@@ -118,7 +124,7 @@
     let upload = req.body().upload();
     loop {
         let idle = match reuse {
-            Reuse::Idle => pool.take_idle(attempt.target()),
+            Reuse::Idle { .. } => pool.take_idle(attempt.target()),
             Reuse::Never => None,
         };
         let mut connection = match idle {
@@ -131,7 +137,11 @@
         attempt.on_connection(connection.reused);
         let Some(tx) = connection.tx() else { return Err(Failure::unsent(Cause::Connect)) };
         let sending = tx.try_send_request(req);
-        let reply = compio::time::timeout(until(deadline), sending).await;
+        let wait = match reuse {
+            Reuse::Idle { silent_after } if connection.reused => until(deadline).min(silent_after),
+            _ => until(deadline),
+        };
+        let reply = compio::time::timeout(wait, sending).await;
         match reply {
             Ok(Ok(res)) => {
                 let (head, body) = res.into_parts();
@@ -205,6 +215,7 @@
     } else if reused {
         pool.close_idle(attempt.target());
         attempt.finish(Outcome::Silent);
+        return Failure::sent(Cause::Silent);
     } else {
         // The policy weighs the elapsed time, since the caller may have asked for a short one.
         drop(attempt);
--- a/crates/proxy/src/non_idempotent.rs
+++ b/crates/proxy/src/non_idempotent.rs
@@ -211,7 +211,6 @@
     }
 
     fn reject(&self, status: u16, execution: Execution, recorded: Option<u16>) -> Rejection {
-        self.count(&execution.to_string());
         let status = StatusCode::from_u16(status).unwrap_or(StatusCode::SERVICE_UNAVAILABLE);
         let mut rejection = match (&self.cause, status, execution) {
             (Some(cause), ..) => cause.clone(),
@@ -219,6 +218,11 @@
         };
         rejection.execution = execution;
         rejection.recorded_status = recorded;
+        match rejection.reason {
+            // The outcome of the earlier request was counted when it was known.
+            Reason::InProgress | Reason::AlreadyCompleted => self.count("repeat"),
+            _ => self.count(&execution.to_string()),
+        }
         if execution == Execution::Unknown && !self.tried.is_empty() {
             // Each of these concerns one caller's request, so none is left out.
             slog::warn!(self.proxy.log(), "proxy: outcome of a non-idempotent request is unknown";
--- a/crates/proxy/src/resume.rs
+++ b/crates/proxy/src/resume.rs
@@ -80,7 +80,8 @@
             (proxy, target, request.out.build_range(HEAD_TIMEOUT, range), reporting)
         };
         let deadline = Instant::now() + HEAD_TIMEOUT;
-        let answer = exchange(proxy.pool(), reporting, target, req, Reuse::Idle, deadline);
+        let reuse = Reuse::Idle { silent_after: HEAD_TIMEOUT / 2 };
+        let answer = exchange(proxy.pool(), reporting, target, req, reuse, deadline);
         let Ok(answer) = answer.await else { return Some(None) };
         if answer.is_shed() || answer.is_failure() {
             let outcome = if answer.is_shed() { Outcome::Shed } else { Outcome::Failed };
--- a/src/daemon/configuration.rs
+++ b/src/daemon/configuration.rs
@@ -167,8 +167,6 @@
 
     async fn read_head(self: Rc<Self>) {
         let read = self.repository.read_head().await;
-        let result = if read.is_ok() { "ok" } else { "error" };
-        self.metrics.store_calls.with_label_values(&["read_head", result]).inc();
         let read = match read {
             Ok(Some(head)) => HeadRead::Found(config_head(&head)),
             Ok(None) => HeadRead::Absent,
@@ -213,10 +211,7 @@
     /// Waits until the head has a revision above `revision` or the wait is over. Returns false if
     /// the watch failed.
     async fn wait_for_change(&self, key: &str, revision: Revision) -> bool {
-        let watched = self.store.watch(key, revision + 1, WATCH_WAIT).await;
-        let result = if watched.is_ok() { "ok" } else { "error" };
-        self.metrics.store_calls.with_label_values(&["watch", result]).inc();
-        watched.is_ok()
+        self.store.watch(key, revision + 1, WATCH_WAIT).await.is_ok()
     }
 
     fn on_watch(self: &Rc<Self>, event: WatchEvent) {
@@ -226,8 +221,6 @@
 
     async fn fetch(self: Rc<Self>, head: ConfigHead) {
         let read = self.repository.read(head.version).await;
-        let result = if read.is_ok() { "ok" } else { "error" };
-        self.metrics.store_calls.with_label_values(&["read_parts", result]).inc();
         let now = Instant::now();
         let actions = match read {
             Ok(stored) if checksum(&stored.checksum) == head.checksum => {
--- a/src/daemon/instance.rs
+++ b/src/daemon/instance.rs
@@ -17,6 +17,7 @@
 use cactustrack_types::Incarnation;
 use eyre::{Result, WrapErr, eyre};
 use futures::channel::oneshot;
+use prometheus::IntGauge;
 use serde_json::json;
 use slog::Logger;
 
@@ -25,6 +26,7 @@
 use super::admin::Admin;
 use super::blackboard::{Blackboard, SharedBoard};
 use super::configuration::ConfigurationController;
+use super::counted_store::CountedStore;
 use super::exchange::Exchange;
 use super::health::{self, DecisionLog};
 use super::listing::{HttpInstanceList, InstanceList};
@@ -57,12 +59,17 @@
 
 /// Starts the graceful shutdown of an [`Instance`].
 #[derive(Debug)]
-pub struct StopHandle(oneshot::Sender<()>);
+pub struct StopHandle {
+    tx: oneshot::Sender<()>,
+    in_flight: IntGauge,
+}
 
 impl StopHandle {
-    /// Starts the shutdown.
-    pub fn stop(self) {
-        let _ = self.0.send(());
+    /// Starts the shutdown. Returns the number of requests in flight, which changes until the
+    /// instance has stopped.
+    pub fn stop(self) -> IntGauge {
+        let _ = self.tx.send(());
+        self.in_flight
     }
 }
 
@@ -143,11 +150,12 @@
             log,
         });
         shared.start();
+        let in_flight = shared.metrics.in_flight.clone();
         let (tx, stop) = oneshot::channel();
         let grace = settings.limits.shutdown_grace;
         let instance =
             Self { addresses, server, shutdown, stop, grace, shared, _peer_server: peer_server };
-        Ok((instance, StopHandle(tx)))
+        Ok((instance, StopHandle { tx, in_flight }))
     }
 
     /// Where the instance listens.
@@ -197,7 +205,7 @@
         let settings = &checked.settings;
         let membership = Membership::new(own_identity(settings, incarnation));
         let board = Rc::new(RefCell::new(Blackboard::new(membership)));
-        let store = open_store(settings)?;
+        let store = open_store(settings, metrics)?;
         let prefix = &settings.store.prefix;
         let config = RecordsConfig::default();
         let records = Rc::new(StoreIdempotencyRecords::new(Rc::clone(&store), prefix, config));
@@ -330,10 +338,10 @@
     }
 }
 
-fn open_store(settings: &Settings) -> Result<Rc<dyn Store>> {
+fn open_store(settings: &Settings, metrics: &Metrics) -> Result<Rc<dyn Store>> {
     let endpoints: Vec<String> = settings.store.endpoints.iter().map(ToString::to_string).collect();
     let store = EtcdStore::new(&endpoints).wrap_err("store.endpoints")?;
-    Ok(Rc::new(store))
+    Ok(Rc::new(CountedStore::new(Rc::new(store), metrics.store_calls.clone())))
 }
 
 async fn bind_callers(settings: &Settings, proxy: &Rc<Proxy>) -> Result<(Server, Shutdown)> {
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -3,6 +3,7 @@
 mod admin;
 mod blackboard;
 mod configuration;
+mod counted_store;
 mod exchange;
 mod health;
 mod instance;
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -49,12 +49,13 @@
 /// forced stop would interrupt; a further SIGINT forces it.
 async fn handle_signals(stop: StopHandle, log: Logger) -> Result<()> {
     next_signal().await?;
-    stop.stop();
+    let in_flight = stop.stop();
     loop {
         if next_signal().await? == SIGINT {
             return Err(eyre!("forced to stop by SIGINT; requests in flight were interrupted"));
         }
-        slog::warn!(log, "proxy: still finishing requests; SIGINT would interrupt them");
+        slog::warn!(log, "proxy: still finishing requests; SIGINT would interrupt them";
+            "requests_in_flight" => in_flight.get());
     }
 }
 
