--- a/benches/detection/site.rs
+++ b/benches/detection/site.rs
@@ -82,16 +82,18 @@
         SITES.iter().flat_map(|site| items.iter().map(move |item| (site, item))).collect();
     let next = AtomicUsize::new(0);
     let work = || {
-        let take = || jobs.get(next.fetch_add(1, Ordering::Relaxed));
-        let numbers = std::iter::from_fn(take);
-        numbers.map(|(site, item)| (site.name, run(site, item))).collect::<Vec<_>>()
+        let take = || {
+            let number = next.fetch_add(1, Ordering::Relaxed);
+            jobs.get(number).map(|(site, item)| (number, run(site, item)))
+        };
+        std::iter::from_fn(take).collect::<Vec<_>>()
     };
-    let mut results: Vec<(&str, Vec<String>)> = std::thread::scope(|scope| {
+    let mut results: Vec<(usize, Vec<String>)> = std::thread::scope(|scope| {
         let threads: Vec<_> = (0..THREADS).map(|_| scope.spawn(work)).collect();
         threads.into_iter().flat_map(|thread| thread.join().unwrap_or_default()).collect()
     });
     assert_eq!(results.len(), jobs.len(), "every run completes");
-    results.sort_by_key(|(name, _)| SITES.iter().position(|site| site.name == *name));
+    results.sort_by_key(|(number, _)| *number);
     for line in results.iter().flat_map(|(_, lines)| lines) {
         println!("{line}");
     }
--- a/crates/health/src/baseline.rs
+++ b/crates/health/src/baseline.rs
@@ -3,8 +3,9 @@
 use crate::cusum::KINDS;
 use crate::latency::median;
 
-/// Smallest baseline rate. Below it, single random failures would weigh too much.
-const FLOOR: f64 = 0.002;
+/// Smallest baseline rate. Services with few requests have no better estimate for minutes, and one
+/// that is too low shortens the time between false alarms by orders of magnitude.
+const FLOOR: f64 = 0.004;
 /// Largest baseline rate.
 const CEILING: f64 = 0.9;
 /// Factor by which the rates forget per slot of 500 ms: a time constant of 120 s. Shorter ones make
