Keep the evidence of other domains when a domain's fault ends

Ending a fault of one failure domain reset the statistic of all observers. Only the part of that domain is dropped now.

--- a/crates/health/src/cusum.rs
+++ b/crates/health/src/cusum.rs
@@ -119,10 +119,10 @@
     pub(crate) value: f64,
     /// Contribution of each failure domain in nats, also of domains outside the tested group.
     pub(crate) by_domain: [f64; MAX_DOMAINS],
-    /// Answers by kind, see [`Cell`].
-    pub(crate) counts: [f64; 5],
-    /// Expected answers of silent observers.
-    pub(crate) silent: f64,
+    /// Answers of each failure domain by kind, see [`Cell`].
+    pub(crate) counts: [[f64; 5]; MAX_DOMAINS],
+    /// Expected answers of silent observers of each failure domain.
+    pub(crate) silent: [f64; MAX_DOMAINS],
     /// Slot in which it last was zero.
     pub(crate) since: u64,
     /// Part of the value that is no evidence, in nats.
@@ -146,8 +146,8 @@
             self.by_domain[domain] += step;
             if group.contains(domain) {
                 self.value += step;
-                self.silent += cell.silent;
-                for (sum, count) in self.counts.iter_mut().zip(cell.counts) {
+                self.silent[domain] += cell.silent;
+                for (sum, count) in self.counts[domain].iter_mut().zip(cell.counts) {
                     *sum += count;
                 }
             }
@@ -157,6 +157,30 @@
         }
     }
 
+    /// Answers by kind.
+    pub(crate) fn counts(&self) -> [f64; 5] {
+        let mut sums = [0.0; 5];
+        for counts in &self.counts {
+            sums.iter_mut().zip(counts).for_each(|(sum, count)| *sum += count);
+        }
+        sums
+    }
+
+    /// Expected answers of silent observers.
+    pub(crate) fn silent(&self) -> f64 {
+        self.silent.iter().sum()
+    }
+
+    /// Takes out the evidence of one failure domain.
+    pub(crate) fn drop_domain(&mut self, domain: usize) {
+        self.value -= std::mem::take(&mut self.by_domain[domain]);
+        self.counts[domain] = [0.0; 5];
+        self.silent[domain] = 0.0;
+        if self.value <= 0.0 {
+            *self = Self::default();
+        }
+    }
+
     pub(crate) fn cap(&mut self, largest: f64) {
         self.value = self.value.min(largest);
     }
--- a/crates/health/src/upstream.rs
+++ b/crates/health/src/upstream.rs
@@ -320,10 +320,10 @@
                         tested: group,
                         kind: test / tests.per_kind(),
                         since: cusum.since,
-                        silent: cusum.silent,
+                        silent: cusum.silent(),
                         head_start: cusum.head_start,
                         value: cusum.value,
-                        counts: cusum.counts,
+                        counts: cusum.counts(),
                         observers,
                     })
                 },
@@ -410,8 +410,8 @@
             let group = Group::from_index(index / self.per_group);
             if restarted == Group::All || group == restarted {
                 *cusum = Cusum { value: head_start, head_start, since, ..Cusum::default() };
-            } else if group == Group::All {
-                *cusum = Cusum::default();
+            } else if let (Group::All, Group::Domain(domain)) = (group, restarted) {
+                cusum.drop_domain(domain);
             }
         }
         for seen in self.seen.iter_mut().flatten().filter(|seen| restarted.contains(seen.domain)) {
