Take an instance out of the load balancer when only its own link is bad

Cause: collectors already ignored the evidence of an observer to which most upstreams appear faulty, but the instance itself did not know and stayed ready, so callers kept getting its failures.

--- a/benches/control/evidence.rs
+++ b/benches/control/evidence.rs
@@ -177,6 +177,7 @@
             incarnation,
             services: Vec::new(),
             not_collected: Vec::new(),
+            excluded: Vec::new(),
         };
         let (report, reply) =
             (report.encode().expect("encodable"), reply.encode().expect("encodable"));
--- a/benches/control/wire.rs
+++ b/benches/control/wire.rs
@@ -44,6 +44,7 @@
             incarnation: Incarnation(1),
             services: vec![],
             not_collected: vec![],
+            excluded: vec![],
         }
     }
 
--- a/crates/health/src/collector.rs
+++ b/crates/health/src/collector.rs
@@ -120,6 +120,12 @@
         self.seq
     }
 
+    /// Returns true if the evidence of an observer is not used, because most upstreams appear faulty
+    /// to it and healthy to others.
+    pub fn excludes(&self, observer: &str) -> bool {
+        self.observers.excludes(observer)
+    }
+
     /// Recent refusals because of a shared cause and exclusions of observers.
     pub fn decisions(&self) -> &Decisions {
         &self.decisions
--- a/crates/health/src/observers.rs
+++ b/crates/health/src/observers.rs
@@ -86,6 +86,11 @@
         self.entries.get(index).and_then(Option::as_ref).is_some_and(|e| e.excluded_at.is_some())
     }
 
+    /// Returns true if the evidence of the named observer is not used.
+    pub(crate) fn excludes(&self, instance: &str) -> bool {
+        self.by_instance.get(instance).is_some_and(|&index| self.is_excluded(index))
+    }
+
     pub(crate) fn domains(&self) -> &[FailureDomain] {
         &self.domains
     }
--- a/crates/peer/schema/peer.capnp
+++ b/crates/peer/schema/peer.capnp
@@ -122,6 +122,9 @@
   services @2 :List(ServiceVerdicts);
   # Services in the report that this instance does not collect.
   notCollected @3 :List(Text);
+  # Services for which the evidence of the observer is not used, because most upstreams appear
+  # faulty to it and healthy to others.
+  excluded @4 :List(Text);
 }
 
 struct ConfigHead {
--- a/crates/peer/src/codec/report.rs
+++ b/crates/peer/src/codec/report.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use cactustrack_types::{Counts, Incarnation, Scope, ServiceId, Verdict, VerdictHealth};
-use capnp::{Error, Result};
+use capnp::{Error, Result, text_list};
 
 use super::{MAX_LIST_ITEMS, check_length, impl_message, list_length, read_text};
 use crate::messages::{KnownSeq, Report, ReportEntry, ReportReply, ServiceVerdicts};
@@ -144,13 +144,25 @@
         write_service(service, services.reborrow().get(i));
     }
     if !value.not_collected.is_empty() {
-        let mut names = to.init_not_collected(list_length(value.not_collected.len()));
-        for (i, service) in (0..names.len()).zip(&value.not_collected) {
-            names.set(i, service);
-        }
+        let length = list_length(value.not_collected.len());
+        write_names(&value.not_collected, to.reborrow().init_not_collected(length));
+    }
+    if !value.excluded.is_empty() {
+        write_names(&value.excluded, to.init_excluded(list_length(value.excluded.len())));
     }
 }
 
+fn write_names(names: &[ServiceId], mut to: text_list::Builder<'_>) {
+    for (i, name) in (0..to.len()).zip(names) {
+        to.set(i, name);
+    }
+}
+
+fn read_names(from: text_list::Reader<'_>) -> Result<Vec<ServiceId>> {
+    check_length(from.len(), MAX_SERVICES)?;
+    from.iter().map(|name| read_text(name?)).collect()
+}
+
 fn write_service(value: &ServiceVerdicts, mut to: service_verdicts::Builder<'_>) {
     to.set_service(&value.service);
     to.set_seq(value.seq);
@@ -179,8 +191,6 @@
 pub(crate) fn read_reply(from: report_reply::Reader<'_>) -> Result<ReportReply> {
     let services = from.get_services()?;
     check_length(services.len(), MAX_SERVICES)?;
-    let not_collected = from.get_not_collected()?;
-    check_length(not_collected.len(), MAX_SERVICES)?;
     let mut room = MAX_LIST_ITEMS;
     let mut read = Vec::new();
     for service in services {
@@ -196,10 +206,8 @@
         collector: read_text(from.get_collector()?)?,
         incarnation: Incarnation(from.get_incarnation()),
         services: read,
-        not_collected: not_collected
-            .iter()
-            .map(|service| read_text(service?))
-            .collect::<Result<_>>()?,
+        not_collected: read_names(from.get_not_collected()?)?,
+        excluded: read_names(from.get_excluded()?)?,
     })
 }
 
--- a/crates/peer/src/messages.rs
+++ b/crates/peer/src/messages.rs
@@ -72,6 +72,9 @@
     /// Services of the report that this instance does not collect, because its view of the
     /// members differs from that of the observer.
     pub not_collected: Vec<ServiceId>,
+    /// Services for which the evidence of the observer is not used, because most upstreams appear
+    /// faulty to it and healthy to others.
+    pub excluded: Vec<ServiceId>,
 }
 
 /// Exchange of membership and configuration.
--- a/src/daemon/blackboard.rs
+++ b/src/daemon/blackboard.rs
@@ -4,10 +4,10 @@
 //! await point.
 
 use std::cell::RefCell;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use cactustrack_health::{Collector, EjectionPlanner, Evidence, LatencyRule, Observer};
 use cactustrack_members::{ConfigStatus, Membership};
@@ -18,8 +18,8 @@
 use cactustrack_routing::route::RouteTable;
 use cactustrack_routing::subset::Assignment;
 use cactustrack_types::{
-    Configuration, Incarnation, Listing, ListingState, Role, Service, ServiceId, Share, UpstreamId,
-    UpstreamView, Version,
+    Configuration, Incarnation, InstanceId, Listing, ListingState, Role, Service, ServiceId, Share,
+    UpstreamId, UpstreamView, Version,
 };
 use futures::channel::oneshot;
 
@@ -31,6 +31,13 @@
 /// Smallest concurrency limit of a service, so that an overloaded service is still probed by work.
 const MIN_SERVICE_LIMIT: u32 = 4;
 
+/// Collectors of a service, of the three there are, that must exclude an instance before it takes
+/// itself out of the load balancer. One collector may itself be cut off.
+const MIN_EXCLUDING: usize = 2;
+
+/// Time within which one complete answer shows that an instance can serve.
+const SERVED_LATELY: Duration = Duration::from_secs(5);
+
 /// The blackboard, shared by the controllers of one instance.
 pub(crate) type SharedBoard = Rc<RefCell<Blackboard>>;
 
@@ -57,6 +64,9 @@
     pub(crate) local: Collector,
     /// Judges from the fleet's evidence while this instance is a collector of the service.
     pub(crate) fleet: Option<Collector>,
+    /// Other collectors that do not use this instance's evidence, because most upstreams appear
+    /// faulty to it alone. Written by the exchange.
+    pub(crate) excluded_by: BTreeSet<InstanceId>,
     pub(crate) shares: BTreeMap<UpstreamId, Share>,
     pub(crate) candidates: Vec<Candidate>,
     /// Subsets of all instances, for the members and upstreams in `assigned_*`.
@@ -79,6 +89,7 @@
             planner: EjectionPlanner::new(now, id.clone()),
             local: Collector::new(now, id, service.detection.clone()),
             fleet: None,
+            excluded_by: BTreeSet::new(),
             shares: BTreeMap::new(),
             candidates: Vec::new(),
             assignment: Assignment::default(),
@@ -139,6 +150,8 @@
     pub(crate) evidence: Evidence,
     pub(crate) boot_ids: BTreeMap<UpstreamId, String>,
     pub(crate) next_ticket: u64,
+    /// When an upstream last gave this instance a complete answer.
+    pub(crate) last_served: Option<Instant>,
     // Written by the shutdown.
     pub(crate) stopping: bool,
 }
@@ -163,6 +176,7 @@
             evidence: Evidence::new(),
             boot_ids: BTreeMap::new(),
             next_ticket: 0,
+            last_served: None,
             stopping: false,
         }
     }
@@ -237,6 +251,14 @@
         true
     }
 
+    /// Returns true if this instance cannot serve while others can: two collectors do not use its
+    /// evidence, and no upstream has answered it lately. Its own link or processor is then at fault.
+    pub(crate) fn is_isolated(&self, now: Instant) -> bool {
+        let excluded = |service: &ServiceBoard| service.excluded_by.len() >= MIN_EXCLUDING;
+        let lately = |at: Instant| now.saturating_duration_since(at) < SERVED_LATELY;
+        self.services.values().any(excluded) && !self.last_served.is_some_and(lately)
+    }
+
     /// Upstreams of one service.
     pub(crate) fn upstreams_of(&self, service: &str) -> Vec<UpstreamView> {
         let views = self.upstreams.values();
--- a/src/daemon/exchange.rs
+++ b/src/daemon/exchange.rs
@@ -336,11 +336,15 @@
         let incarnation = board.observer.incarnation;
         let same_life = report.collector == incarnation;
         let (mut services, mut not_collected) = (Vec::new(), Vec::new());
+        let mut excluded = Vec::new();
         for KnownSeq { service, seq } in &report.known_seqs {
             let Some(fleet) = collected(&mut board, service) else {
                 not_collected.push(service.clone());
                 continue;
             };
+            if fleet.excludes(&report.observer) {
+                excluded.push(service.clone());
+            }
             let verdicts = fleet.verdicts_since(if same_life { *seq } else { 0 });
             if !verdicts.is_empty() {
                 let (service, seq) = (service.clone(), fleet.seq());
@@ -348,7 +352,7 @@
             }
         }
         let collector = board.observer.instance.clone();
-        ReportReply { collector, incarnation, services, not_collected }
+        ReportReply { collector, incarnation, services, not_collected, excluded }
     }
 
     fn sync(&self, request: SyncRequest) -> SyncReply {
@@ -456,6 +460,11 @@
     }
     for id in followed.iter().filter(|id| !reply.not_collected.contains(id)) {
         let Some(service) = board.services.get_mut(id) else { continue };
+        if reply.excluded.contains(id) {
+            service.excluded_by.insert(reply.collector.clone());
+        } else {
+            service.excluded_by.remove(&reply.collector);
+        }
         // A service that the reply does not name has no changes, and its verdicts are confirmed.
         let changed = reply.services.iter().find(|verdicts| verdicts.service == *id);
         let verdicts = changed.map_or(&[][..], |changed| &changed.verdicts);
--- a/src/daemon/policy.rs
+++ b/src/daemon/policy.rs
@@ -161,6 +161,9 @@
             judged = service.latency.judge(now, &target.upstream, latency);
             service.hedge.on_latency(now, latency);
         }
+        if matches!(judged, Outcome::Ok | Outcome::Slow) {
+            board.last_served = Some(now);
+        }
         if outcome == Outcome::Shed {
             service.balancer.on_shed(now, &target.upstream, None);
         }
--- a/src/daemon/status.rs
+++ b/src/daemon/status.rs
@@ -1,6 +1,7 @@
 //! What the admin listener shows of the blackboard.
 
 use std::rc::Rc;
+use std::time::Instant;
 
 use cactustrack_members::ConfigStatus;
 use cactustrack_proxy::Pool;
@@ -35,6 +36,13 @@
         if board.list_known_since.is_none() {
             return Err("no upstreams: the instance list could not be read yet".to_owned());
         }
+        if let Some(later) = board.membership.superseded_by() {
+            return Err(format!("replaced: incarnation {later} runs under the same name"));
+        }
+        if board.is_isolated(Instant::now()) {
+            let reason = "isolated: upstreams that answer others do not answer this instance";
+            return Err(reason.to_owned());
+        }
         let serves_none = board.services.values().all(|service| service.candidates.is_empty());
         if serves_none && !board.services.is_empty() {
             return Err("no service has an upstream in service".to_owned());
@@ -98,6 +106,7 @@
         "waiting": service.overload.limit().waiting(),
         "limit": service.overload.limit().limit(),
         "is_collector": service.fleet.is_some(),
+        "evidence_unused_by": service.excluded_by.iter().map(|id| &**id).collect::<Vec<_>>(),
         "upstreams": upstreams,
     })
 }
--- a/tests/all/peer.rs
+++ b/tests/all/peer.rs
@@ -78,6 +78,7 @@
         incarnation: Incarnation(3),
         services,
         not_collected: vec!["muat".into()],
+        excluded: vec!["pulih".into()],
     }
 }
 
