--- a/tests/all/fleet/ejection.rs
+++ b/tests/all/fleet/ejection.rs
@@ -7,7 +7,9 @@
 
 use cactustrack::cli::Exit;
 use cactustrack_test_support::caller::Call;
-use cactustrack_types::ListingState;
+use cactustrack_test_support::instance_list::InstanceList;
+use cactustrack_test_support::link::Link;
+use cactustrack_types::{ListingState, Role};
 
 use super::harness::{Fleet, SEARCH, ServiceCase, wait_until};
 
@@ -191,3 +193,41 @@
     }
     drop(load);
 }
+
+/// Guards against an instance with a bad link that ejects healthy upstreams for the others, or that
+/// keeps attracting callers whom it cannot serve.
+#[test]
+fn an_instance_that_is_cut_off_has_no_voice_and_is_not_ready() {
+    let mut fleet = Fleet::start(&[SEARCH], 3);
+    // The instance sees each upstream behind a link of its own, which is cut later.
+    let mut entries = fleet.entries();
+    let links: Vec<Link> = entries
+        .iter_mut()
+        .filter(|entry| entry.role != Role::Instance)
+        .map(|entry| {
+            let link = Link::spawn(entry.address);
+            entry.address = link.address;
+            link
+        })
+        .collect();
+    let list = InstanceList::spawn(entries);
+    let cut_off = fleet.start_instance_with_list(&list.url());
+    fleet.wait_ready(cut_off);
+    let load = Load::start(&fleet, 4, 2);
+    wait_warm(&fleet, 4);
+    thread::sleep(Duration::from_secs(2));
+    for link in &links {
+        link.control.set(|state| state.is_down = true);
+    }
+    wait_until("the instance knows that it is cut off", || {
+        for instance in 0..3 {
+            let capacity = capacity(&fleet, instance);
+            assert!(capacity >= f64::from(SEARCH.upstreams), "capacity fell to {capacity}");
+        }
+        fleet.admin(cut_off, "/ready").text().contains("isolated")
+    });
+    for instance in 0..3 {
+        assert_eq!(fleet.admin(instance, "/ready").status, 200);
+    }
+    drop(load);
+}
--- a/tests/all/fleet/harness.rs
+++ b/tests/all/fleet/harness.rs
@@ -171,11 +171,16 @@
 
     /// Starts one more instance.
     pub(super) fn start_instance(&mut self) -> usize {
+        self.start_instance_with_list(&self.list.url())
+    }
+
+    /// Starts one more instance, which reads another instance list.
+    pub(super) fn start_instance_with_list(&mut self, list: &str) -> usize {
         let number = self.instances.len();
         let bootstrap: Vec<String> =
             self.instances.iter().map(|instance| format!("\"{}\"", instance.peers)).collect();
         let settings = format!(
-            "instance_list = {{ url = \"{}\" }}\n\
+            "instance_list = {{ url = \"{list}\" }}\n\
              [instance]\nid = \"instance-{number}\"\nregion = \"region-1\"\n\
              failure_domain = \"{}\"\n\
              [listen]\ncallers = \"127.0.0.1:0\"\nadmin = \"127.0.0.1:0\"\npeers = \"127.0.0.1:0\"\n\
@@ -183,7 +188,6 @@
              [peers]\nbootstrap = [{}]\nkey = \"{KEY}\"\n[admin]\nkey = \"{KEY}\"\n\
              [log]\nformat = \"json\"\nlevel = \"info\"\n[limits]\nshutdown_grace_ms = 200\n\
              [trace]\notlp_endpoint = \"http://{}/v1/traces\"\n",
-            self.list.url(),
             DOMAINS[number % DOMAINS.len()],
             self.store.url(),
             bootstrap.join(", "),
@@ -197,6 +201,11 @@
 
     /// Publishes upstreams and running instances in the instance list.
     pub(super) fn publish_list(&self) {
+        self.list.set(self.entries());
+    }
+
+    /// Entries of the instance list for upstreams and running instances.
+    pub(super) fn entries(&self) -> Vec<Listing> {
         let mut entries = Vec::new();
         for (service, upstreams) in &self.upstreams {
             for (number, upstream) in upstreams.all.iter().enumerate() {
@@ -207,7 +216,7 @@
         for (number, instance) in self.instances.iter().enumerate() {
             entries.push(listing(&instance.id, Role::Instance, instance.peers, number));
         }
-        self.list.set(entries);
+        entries
     }
 
     pub(super) fn instance(&mut self, number: usize) -> &mut Process {
