Index upstreams by service and spread the drawing of subsets over rounds

Cause: each round of 500 ms filtered all upstreams once for each service, 1.5 million comparisons at 6,600 upstreams and 230 services, and a changed member redrew all subsets in one go, about 0.24 s without serving a request. Change: an index by service, and at most 8 redraws in a round when only the members changed.

--- a/src/daemon/blackboard.rs
+++ b/src/daemon/blackboard.rs
@@ -144,6 +144,8 @@
     // Written by the membership controller.
     pub(crate) membership: Membership,
     pub(crate) upstreams: BTreeMap<UpstreamId, UpstreamView>,
+    /// Ids of the upstreams of each service.
+    by_service: BTreeMap<ServiceId, Vec<UpstreamId>>,
     /// When the instance list was first read. Upstreams listed then are not taken for cold.
     pub(crate) list_known_since: Option<Instant>,
     // Written by the request path.
@@ -172,6 +174,7 @@
             services: BTreeMap::new(),
             membership,
             upstreams: BTreeMap::new(),
+            by_service: BTreeMap::new(),
             list_known_since: None,
             evidence: Evidence::new(),
             boot_ids: BTreeMap::new(),
@@ -237,6 +240,10 @@
             upstreams.insert(view.id.clone(), view);
         }
         self.boot_ids.retain(|id, _| upstreams.contains_key(id));
+        self.by_service.clear();
+        for view in upstreams.values() {
+            self.by_service.entry(view.service.clone()).or_default().push(view.id.clone());
+        }
         self.upstreams = upstreams;
     }
 
@@ -261,7 +268,7 @@
 
     /// Upstreams of one service.
     pub(crate) fn upstreams_of(&self, service: &str) -> Vec<UpstreamView> {
-        let views = self.upstreams.values();
-        views.filter(|view| &*view.service == service).cloned().collect()
+        let ids = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
+        ids.iter().filter_map(|id| self.upstreams.get(id)).cloned().collect()
     }
 }
--- a/src/daemon/health.rs
+++ b/src/daemon/health.rs
@@ -37,16 +37,26 @@
     }
 }
 
+/// Subsets that are drawn anew in one round because members changed. For 800 instances and 29
+/// upstreams each takes about a millisecond, in which no request is served. Subsets of other
+/// services stay as they are until a later round.
+const MAX_DRAWS_PER_ROUND: usize = 8;
+
 /// Judges all services and computes their plans.
 pub(crate) fn replan(board: &mut Blackboard, now: Instant) {
     let services: Vec<ServiceId> = board.services.keys().cloned().collect();
+    let mut draws = MAX_DRAWS_PER_ROUND;
     for service in services {
-        replan_service(board, now, &service);
+        replan_within(board, now, &service, &mut draws);
     }
 }
 
 /// Judges one service and computes its plan.
 pub(crate) fn replan_service(board: &mut Blackboard, now: Instant, id: &ServiceId) {
+    replan_within(board, now, id, &mut 1);
+}
+
+fn replan_within(board: &mut Blackboard, now: Instant, id: &ServiceId, draws: &mut usize) {
     let views = board.upstreams_of(id);
     let observer = board.observer.clone();
     let Some(service) = board.services.get_mut(id) else { return };
@@ -58,7 +68,7 @@
     service.set_upstreams(views.len());
     service.balancer.retain(known);
     service.latency.retain(known);
-    update_assignment(service, &board.membership);
+    update_assignment(service, &board.membership, draws);
     set_candidates(service, &observer.instance, &views);
 }
 
@@ -79,15 +89,17 @@
     service.planner.exchange(now, &observer.instance, observer.incarnation, &verdicts);
 }
 
-/// Draws the subsets of all instances from the upstreams in service. They depend on members and
-/// upstreams only, and are computed when one of them changed: for 800 instances and 29 upstreams
-/// it takes about a millisecond for each service.
-fn update_assignment(service: &mut ServiceBoard, membership: &Membership) {
+/// Draws the subsets of all instances from the upstreams in service, if upstreams changed, or if
+/// members changed and `draws` allows it.
+fn update_assignment(service: &mut ServiceBoard, membership: &Membership, draws: &mut usize) {
     let in_service = service.shares.iter().filter(|(_, share)| share.weight > 0.0);
     let upstreams: Vec<UpstreamId> = in_service.map(|(id, _)| id.clone()).collect();
     let generation = Some(membership.generation());
-    if service.assigned_generation == generation && service.assigned == upstreams {
-        return;
+    if service.assigned == upstreams {
+        if service.assigned_generation == generation || *draws == 0 {
+            return;
+        }
+        *draws -= 1;
     }
     let members = membership.members().filter(|view| view.state.may_respond());
     let instances: Vec<InstanceId> = members.map(|view| view.identity.id.clone()).collect();
