--- a/benches/control.rs
+++ b/benches/control.rs
@@ -8,6 +8,8 @@
 mod evidence;
 #[path = "control/fleet.rs"]
 mod fleet;
+#[path = "control/planning.rs"]
+mod planning;
 #[path = "control/process.rs"]
 mod process;
 #[path = "control/wire.rs"]
@@ -34,6 +36,14 @@
     println!("rpc overhead per connection: {} bytes", cost.bytes_per_connection);
     println!("rpc processor time per call, both sides: {:.1} us", cost.cpu_us_per_call);
     println!("rpc processor time per connection, both sides: {:.1} us", cost.cpu_us_per_connection);
+    for services in [3, 58, 230] {
+        let upstreams = services * planning::UPSTREAMS_PER_SERVICE;
+        let percent = planning::measure(services) * 100.0;
+        println!(
+            "{services} services and {upstreams} upstreams, planning, processor time: \
+             {percent:.2} % of a core"
+        );
+    }
     println!("memory per open connection, both sides: {:.1} KB", cost.memory_bytes / 1024.0);
     // All fleets are started first: memory that a former fleet has freed would be used again.
     let started: Vec<_> = SHAPES.iter().map(|shape| start(shape, &cost)).collect();
--- /dev/null
+++ b/benches/control/planning.rs
@@ -0,0 +1,107 @@
+//! Cost of one real instance that knows many services and upstreams and serves no request.
+
+use std::fmt::Write as _;
+use std::fs;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::mpsc;
+use std::thread;
+use std::time::Duration;
+
+use cactustrack::cli::{self, Exit};
+use cactustrack::daemon::Instance;
+use cactustrack_test_support::instance_list::InstanceList;
+use cactustrack_test_support::store::StoreServer;
+use cactustrack_types::{Incarnation, Listing, ListingState, Role};
+use slog::{Discard, Logger, o};
+
+use crate::process;
+
+/// Time before and during the measurement, in real time.
+const SETTLE: Duration = Duration::from_secs(4);
+const MEASURED: Duration = Duration::from_secs(5);
+/// Upstreams of each service.
+pub(crate) const UPSTREAMS_PER_SERVICE: usize = 29;
+const KEY: &str = "0123456789abcdef0123456789abcdef";
+
+/// Measures processor time of the planning of `services` services, as a share of a core.
+pub(crate) fn measure(services: usize) -> f64 {
+    let dir = std::env::temp_dir().join(format!("cactustrack-plan-{}", std::process::id()));
+    fs::create_dir_all(&dir).expect("a directory");
+    let store = StoreServer::spawn_thread().expect("a store");
+    let list = InstanceList::spawn(listings(services));
+    accept(&dir, &store.url(), services);
+    let settings = dir.join("instance.toml");
+    fs::write(&settings, settings_text(&store.url(), &list.url())).expect("settings");
+    let (tx, rx) = mpsc::channel();
+    let thread = thread::spawn(move || {
+        let checked = cli::load_settings(&settings).expect("readable").expect("valid settings");
+        let runtime = compio::runtime::Runtime::new().expect("an event loop");
+        runtime.block_on(async {
+            let log = Logger::root(Discard, o!());
+            let (instance, stop) = Instance::start(&checked, log).await.expect("an instance");
+            let running = compio::runtime::spawn(instance.run());
+            compio::time::sleep(SETTLE).await;
+            let before = process::cpu_seconds();
+            compio::time::sleep(MEASURED).await;
+            let used = process::cpu_seconds() - before;
+            let _ = tx.send(used / MEASURED.as_secs_f64());
+            stop.stop();
+            let _ = running.await;
+        });
+    });
+    let share = rx.recv().expect("a measurement");
+    let _ = thread.join();
+    let _ = fs::remove_dir_all(&dir);
+    share
+}
+
+fn listings(services: usize) -> Vec<Listing> {
+    let all = (0..services * UPSTREAMS_PER_SERVICE).map(|number| {
+        let service = number / UPSTREAMS_PER_SERVICE;
+        let [_, a, b, c] = u32::try_from(number + 1).unwrap_or(1).to_be_bytes();
+        Listing {
+            id: format!("up-{number}").into(),
+            role: Role::Upstream { service: format!("service-{service}").into() },
+            // Nothing is sent to these addresses, since no request is served.
+            address: SocketAddr::from(([127, a, b, c], 9)),
+            failure_domain: format!("domain-{}", number % 6).into(),
+            region: "region-1".into(),
+            incarnation: Incarnation(1),
+            state: ListingState::Live,
+        }
+    });
+    all.collect()
+}
+
+fn accept(dir: &Path, store: &str, services: usize) {
+    let mut text = "team = \"bench\"\n".to_owned();
+    for service in 0..services {
+        write!(
+            text,
+            "\n[[services]]\nid = \"service-{service}\"\nhost = \"s{service}.test\"\nslots = 4\n\
+             connections = 400\nupstreams = {UPSTREAMS_PER_SERVICE}\nhealthy_capacity = 20\n\
+             hurts_more = \"balanced\"\ncold_start_ms = 1000\nservice_time_ms = 5\n\n\
+             [[services.routes]]\npath = \"/\"\nrepeatable = true\ntimeout_ms = 3000\n"
+        )
+        .expect("text");
+    }
+    let file = dir.join("questionnaire.toml");
+    fs::write(&file, text).expect("a questionnaire");
+    let file = file.display().to_string();
+    let arguments = ["cactustrack", "accept", &file, "--store", store, "--seen", "0"];
+    let arguments = [&arguments[..], &["--author", "bench", "--reason", "bench"]].concat();
+    let (mut out, mut err) = (Vec::new(), Vec::new());
+    let exit = cli::run(arguments.into_iter().map(Into::into), &mut out, &mut err);
+    assert_eq!(exit, Exit::Ok, "{}", String::from_utf8_lossy(&err));
+}
+
+fn settings_text(store: &str, list: &str) -> String {
+    format!(
+        "instance_list = {{ url = \"{list}\" }}\n\
+         [instance]\nid = \"bench\"\nregion = \"region-1\"\nfailure_domain = \"domain-1\"\n\
+         [listen]\ncallers = \"127.0.0.1:0\"\nadmin = \"127.0.0.1:0\"\npeers = \"127.0.0.1:0\"\n\
+         [store]\nendpoints = [\"{store}\"]\nprefix = \"cactustrack/\"\n\
+         [peers]\nkey = \"{KEY}\"\n[admin]\nkey = \"{KEY}\"\n[limits]\nshutdown_grace_ms = 0\n"
+    )
+}
