--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -125,8 +125,6 @@
     pub max_connections: usize,
     /// Time within which a caller must send a request head.
     pub head_timeout: Duration,
-    /// Time for which a caller's connection may stay idle between requests.
-    pub keep_alive: Duration,
     /// Time between turning unready and refusing new connections at a planned stop.
     pub shutdown_grace: Duration,
     /// Buffer per direction and connection, in bytes.
@@ -139,7 +137,6 @@
             max_head_bytes: 16_384,
             max_connections: 4096,
             head_timeout: Duration::from_millis(5000),
-            keep_alive: Duration::from_millis(60_000),
             shutdown_grace: Duration::from_millis(2000),
             buffer_bytes: 65_536,
         }
@@ -334,7 +331,6 @@
         max_head_bytes: size(&table.field("max_head_bytes"), 8192, default.max_head_bytes),
         max_connections: size(&table.field("max_connections"), 1, default.max_connections),
         head_timeout: duration(&table.field("head_timeout_ms"), default.head_timeout),
-        keep_alive: duration(&table.field("keep_alive_ms"), default.keep_alive),
         shutdown_grace: duration(&table.field("shutdown_grace_ms"), default.shutdown_grace),
         buffer_bytes: size(&table.field("buffer_bytes"), 8192, default.buffer_bytes),
     })
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -69,6 +69,11 @@
         self.reporting.policy.on_cancel(Instant::now(), &self.target, Duration::ZERO);
     }
 
+    /// Notes that the upstream shed the request for the indicated time.
+    pub(crate) fn on_shed(&self, retry_after: Duration) {
+        self.reporting.policy.on_shed(Instant::now(), &self.target, retry_after);
+    }
+
     /// Reports how the attempt ended.
     pub(crate) fn finish(mut self, outcome: Outcome) {
         let is_error = outcome != Outcome::Ok;
--- a/crates/proxy/src/policy.rs
+++ b/crates/proxy/src/policy.rs
@@ -104,4 +104,8 @@
     /// Notes that an attempt was given up, because the caller left or another attempt was faster.
     /// `elapsed` is the time that the upstream let pass, zero if it was not to blame for any.
     fn on_cancel(&self, now: Instant, target: &Target, elapsed: Duration);
+
+    /// Notes that an upstream shed a request for the indicated time. Called before
+    /// [`Self::on_finish`] for that request.
+    fn on_shed(&self, now: Instant, target: &Target, retry_after: Duration);
 }
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -16,6 +16,7 @@
 use crate::body::BodyAborted;
 use crate::exchange::Answer;
 use crate::handler::Proxy;
+use crate::repeatable::retry_after;
 
 /// Longest time without a byte from the upstream before a body counts as cut short.
 pub(crate) const STALL_TIMEOUT: Duration = Duration::from_secs(10);
@@ -145,6 +146,9 @@
 /// more than a new connection.
 pub(crate) async fn discard(answer: Answer, outcome: Outcome) {
     const DISCARD_LIMIT_BYTES: u64 = 16 * 1024;
+    if answer.is_shed() {
+        answer.attempt.on_shed(retry_after(&answer));
+    }
     let Answer { mut body, connection, attempt, .. } = answer;
     attempt.finish(outcome);
     let short = body.size_hint().upper().is_some_and(|upper| upper <= DISCARD_LIMIT_BYTES);
--- a/src/daemon/policy.rs
+++ b/src/daemon/policy.rs
@@ -164,13 +164,16 @@
         if matches!(judged, Outcome::Ok | Outcome::Slow) {
             board.last_served = Some(now);
         }
-        if outcome == Outcome::Shed {
-            service.balancer.on_shed(now, &target.upstream, None);
-        }
         service.balancer.on_finish(now, &target.upstream, judged, latency.unwrap_or_default());
         self.record(board, now, target, judged);
     }
 
+    fn on_shed(&self, now: Instant, target: &Target, retry_after: Duration) {
+        if let Some(service) = self.board.borrow_mut().services.get_mut(&target.service) {
+            service.balancer.on_shed(now, &target.upstream, Some(retry_after));
+        }
+    }
+
     fn on_cancel(&self, now: Instant, target: &Target, elapsed: Duration) {
         let mut board = self.board.borrow_mut();
         let board = &mut *board;
--- a/tests/all/config.rs
+++ b/tests/all/config.rs
@@ -78,7 +78,7 @@
          [admin]\nkey_file = \"/run/keys/admin\"\n[log]\nformat = \"json\"\nlevel = \"debug\"\n\
          [trace]\notlp_endpoint = \"http://10.0.0.4:4318/v1/traces\"\n[limits]\n\
          max_head_bytes = 0x4000\nmax_connections = 10\nhead_timeout_ms = 1\n\
-         keep_alive_ms = 2\nshutdown_grace_ms = 3\nbuffer_bytes = 8192\n"
+        shutdown_grace_ms = 3\nbuffer_bytes = 8192\n"
     );
     let settings = Settings::parse("s.toml", &text).unwrap();
     assert_eq!(settings.limits.shutdown_grace, Duration::from_millis(3));
--- a/tests/all/proxy/fakes.rs
+++ b/tests/all/proxy/fakes.rs
@@ -150,6 +150,8 @@
         self.journal.note(format!("finish {} {outcome}", target.upstream));
     }
 
+    fn on_shed(&self, _now: Instant, _target: &Target, _retry_after: Duration) {}
+
     fn on_cancel(&self, _now: Instant, target: &Target, elapsed: Duration) {
         let blamed = if elapsed.is_zero() { "without blame" } else { "after a wait" };
         self.journal.note(format!("cancel {} {blamed}", target.upstream));
