--- a/benches/control/planning.rs
+++ b/benches/control/planning.rs
@@ -102,6 +102,6 @@
          [instance]\nid = \"bench\"\nregion = \"region-1\"\nfailure_domain = \"domain-1\"\n\
          [listen]\ncallers = \"127.0.0.1:0\"\nadmin = \"127.0.0.1:0\"\npeers = \"127.0.0.1:0\"\n\
          [store]\nendpoints = [\"{store}\"]\nprefix = \"cactustrack/\"\n\
-         [peers]\nkey = \"{KEY}\"\n[admin]\nkey = \"{KEY}\"\n[limits]\nshutdown_grace_ms = 0\n"
+         [peers]\nkey = \"{KEY}\"\n[admin]\nkey = \"{KEY}\"\n[limits]\nshutdown_grace_ms = 1\n"
     )
 }
--- a/crates/test-support/src/instance_list.rs
+++ b/crates/test-support/src/instance_list.rs
@@ -12,7 +12,7 @@
 use cactustrack_types::Listing;
 use compio::net::TcpListener;
 use cyper_core::{CompioTimer, HyperStream};
-use http::{Request, Response, StatusCode};
+use http::{HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -29,12 +29,15 @@
 }
 
 impl State {
-    fn visible(&self) -> Option<Arc<Vec<Listing>>> {
+    /// The list that readers see, with its number.
+    fn visible(&self) -> Option<(usize, Arc<Vec<Listing>>)> {
         if self.outage {
             return None;
         }
-        let seen = self.versions.iter().rev().find(|(at, _)| at.elapsed() >= self.lag);
-        Some(seen.or(self.versions.front()).map(|(_, list)| Arc::clone(list)).unwrap_or_default())
+        let number = self.versions.iter().rposition(|(at, _)| at.elapsed() >= self.lag);
+        let number = number.unwrap_or_default();
+        let list = self.versions.get(number).map(|(_, list)| Arc::clone(list));
+        Some((number, list.unwrap_or_default()))
     }
 }
 
@@ -124,8 +127,8 @@
     loop {
         let Ok((stream, _)) = listener.accept().await else { continue };
         let state = Arc::clone(&state);
-        let service = service_fn(move |_: Request<Incoming>| {
-            let response = answer(&state);
+        let service = service_fn(move |req: Request<Incoming>| {
+            let response = answer(&state, req.headers().get(header::IF_NONE_MATCH));
             async move { Ok::<_, Infallible>(response) }
         });
         let connection = http1::Builder::new()
@@ -138,12 +141,20 @@
     }
 }
 
-fn answer(state: &Mutex<State>) -> Response<Full<Bytes>> {
-    let Some(list) = lock(state).visible() else {
+fn answer(state: &Mutex<State>, known: Option<&HeaderValue>) -> Response<Full<Bytes>> {
+    let Some((number, list)) = lock(state).visible() else {
         let mut response = Response::new(Full::default());
         *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
         return response;
     };
+    let tag = HeaderValue::from_str(&format!("\"{number}\"")).expect("ASCII");
+    if known == Some(&tag) {
+        let mut response = Response::new(Full::default());
+        *response.status_mut() = StatusCode::NOT_MODIFIED;
+        return response;
+    }
     let body = serde_json::to_vec(&*list).unwrap_or_default();
-    Response::new(Full::new(Bytes::from(body)))
+    let mut response = Response::new(Full::new(Bytes::from(body)));
+    response.headers_mut().insert(header::ETAG, tag);
+    response
 }
--- a/src/daemon/health.rs
+++ b/src/daemon/health.rs
@@ -8,7 +8,7 @@
 use cactustrack_observe::Metrics;
 use cactustrack_routing::balancer::Candidate;
 use cactustrack_routing::subset::Assignment;
-use cactustrack_types::{InstanceId, ServiceId, Standing, UpstreamId, UpstreamView};
+use cactustrack_types::{InstanceId, ServiceId, Share, Standing, UpstreamId, UpstreamView};
 use slog::Logger;
 
 use super::blackboard::{Blackboard, ServiceBoard};
@@ -129,12 +129,14 @@
 pub(crate) struct DecisionLog {
     /// Decisions that were already written, by service.
     written: BTreeMap<ServiceId, cactustrack_types::Millis>,
+    /// Shares that the metrics show, by service.
+    exported: BTreeMap<ServiceId, BTreeMap<UpstreamId, Share>>,
 }
 
 impl DecisionLog {
     /// Creates a log that has written nothing.
     pub(crate) fn new() -> Self {
-        Self { written: BTreeMap::new() }
+        Self { written: BTreeMap::new(), exported: BTreeMap::new() }
     }
 
     /// Writes what is new.
@@ -147,11 +149,28 @@
                 count(metrics, id, &decision.action);
                 self.written.insert(id.clone(), decision.at);
             }
-            export(metrics, id, service);
+            if self.exported.get(id) != Some(&service.shares) {
+                export(metrics, id, service);
+                let former = self.exported.insert(id.clone(), service.shares.clone());
+                remove_absent(metrics, id, &former.unwrap_or_default(), service);
+            }
         }
     }
 }
 
+/// Removes the weights of upstreams that no longer exist.
+fn remove_absent(
+    metrics: &Metrics,
+    id: &ServiceId,
+    former: &BTreeMap<UpstreamId, Share>,
+    service: &ServiceBoard,
+) {
+    for upstream in former.keys().filter(|upstream| !service.shares.contains_key(*upstream)) {
+        // A label that is not there needs no removal.
+        let _ = metrics.upstream_weight.remove_label_values(&[&**id, &**upstream]);
+    }
+}
+
 fn count(metrics: &Metrics, service: &ServiceId, action: &cactustrack_health::Action) {
     use cactustrack_health::Action;
     let counter = match action {
--- a/src/daemon/instance.rs
+++ b/src/daemon/instance.rs
@@ -272,7 +272,8 @@
         loop {
             if let Some(list) = &self.list {
                 match list.read().await {
-                    Ok(entries) => {
+                    Ok(None) => {}
+                    Ok(Some(entries)) => {
                         let now = Instant::now();
                         let mut board = self.board.borrow_mut();
                         board.membership.update_list(&entries, now);
--- a/src/daemon/listing.rs
+++ b/src/daemon/listing.rs
@@ -1,11 +1,13 @@
 //! Reads the platform's instance list.
 
+use std::cell::RefCell;
 use std::future::Future;
 use std::pin::Pin;
 use std::time::Duration;
 
 use cactustrack_types::Listing;
 use eyre::{Result, WrapErr, ensure};
+use http::{StatusCode, header};
 
 /// Longest list that is accepted: 6,600 upstreams and 800 instances at 400 bytes an entry are
 /// about 3 MB.
@@ -18,34 +20,48 @@
 
 /// The platform's list of upstreams and instances.
 pub(crate) trait InstanceList {
-    /// Reads the list, which may lag.
-    fn read(&self) -> LocalFuture<'_, Result<Vec<Listing>>>;
+    /// Reads the list, which may lag. Returns `None` if it is the same as at the last read.
+    fn read(&self) -> LocalFuture<'_, Result<Option<Vec<Listing>>>>;
 }
 
 /// The list as a JSON array behind a URL.
 pub(crate) struct HttpInstanceList {
     url: String,
+    /// Entity tag of the list at the last read. With 6,600 upstreams the list has more than a
+    /// megabyte, so an unchanged one is not sent again.
+    tag: RefCell<Option<String>>,
 }
 
 impl HttpInstanceList {
     /// Creates a reader of the list at `url`.
     pub(crate) fn new(url: String) -> Self {
-        Self { url }
+        Self { url, tag: RefCell::default() }
     }
 
-    async fn fetch(&self) -> Result<Vec<Listing>> {
+    async fn fetch(&self) -> Result<Option<Vec<Listing>>> {
         let client = cyper::Client::new().wrap_err("cannot create an HTTP client")?;
-        let response = client.get(&self.url)?.send().await.wrap_err("cannot reach the list")?;
+        let mut request = client.get(&self.url)?;
+        if let Some(tag) = &*self.tag.borrow() {
+            request = request.header("if-none-match", tag)?;
+        }
+        let response = request.send().await.wrap_err("cannot reach the list")?;
         let status = response.status();
+        if status == StatusCode::NOT_MODIFIED {
+            return Ok(None);
+        }
+        let tag = response.headers().get(header::ETAG).and_then(|tag| tag.to_str().ok());
+        let tag = tag.map(str::to_owned);
         ensure!(status.is_success(), "the instance list answered {status}");
         let body = response.bytes().await.wrap_err("the instance list was cut short")?;
         ensure!(body.len() <= MAX_LIST_BYTES, "the instance list has {} bytes", body.len());
-        serde_json::from_slice(&body).wrap_err("the instance list is not valid")
+        let list = serde_json::from_slice(&body).wrap_err("the instance list is not valid")?;
+        *self.tag.borrow_mut() = tag;
+        Ok(Some(list))
     }
 }
 
 impl InstanceList for HttpInstanceList {
-    fn read(&self) -> LocalFuture<'_, Result<Vec<Listing>>> {
+    fn read(&self) -> LocalFuture<'_, Result<Option<Vec<Listing>>>> {
         Box::pin(async {
             let reading = compio::time::timeout(READ_TIMEOUT, self.fetch());
             reading.await.wrap_err("the instance list gave no answer")?
