--- a/tests/all/proxy/matching.rs
+++ b/tests/all/proxy/matching.rs
@@ -129,7 +129,7 @@
     stream.write_all(b"GET /bytes/x HTTP/1.1\r\nHost: a\r\n\r\n").expect("a request");
     read_head(&mut stream).expect("the head of the answer");
     drop(stream);
-    rig.wait_noted("cancel up-0 after a wait");
+    rig.wait_noted("cancel up-0 without blame");
     rest_tx.send(()).expect("an upstream");
     for path in ["/", "/n", "/bytes/x"] {
         assert_eq!(rig.call(&Call::get("a", path)).text(), "fresh", "{path}");
