--- a/crates/config/src/generate.rs
+++ b/crates/config/src/generate.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use cactustrack_types::{
-    Account, CONFIGURATION_FORMAT, Configuration, DetectionPolicy, Millis, RequestClass, Route,
-    Service, Version,
+    Account, CONFIGURATION_FORMAT, Configuration, Delivery, DetectionPolicy, Millis, RequestClass,
+    Route, Service, Version,
 };
 use serde::Serialize;
 
@@ -209,6 +209,7 @@
         class,
         timeout: Millis::from(answers.timeout_ms.value),
         max_timeout: Millis::from(max.value),
+        delivery: Delivery::default(),
     }
 }
 
--- /dev/null
+++ b/crates/fleet/src/catalog.rs
@@ -0,0 +1,141 @@
+//! Upstreams as they are listed.
+//!
+//! While the list's keeper is away, entries of live upstreams lapse because their owners cannot
+//! renew them. Such an entry comes back shortly after the keeper does, so a removal that falls
+//! into that time is carried out only if the entry has not returned by then.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use cactustrack_types::{ServiceId, UpstreamId};
+
+use crate::discovery::ListedUpstream;
+
+/// Time after the return of the list's keeper within which lapsed entries are listed again.
+const RELIST_TIME: Duration = Duration::from_millis(2_200);
+
+/// Upstreams that requests may go to, and those that leave.
+#[derive(Debug, Default)]
+pub struct Catalog {
+    listed: HashMap<UpstreamId, ListedUpstream>,
+    /// Removals that wait for the entry to return.
+    doubtful: HashMap<UpstreamId, Instant>,
+    /// Upstreams at whose address another process answered.
+    misdirected: HashMap<UpstreamId, u64>,
+    outage: Outage,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+enum Outage {
+    #[default]
+    None,
+    Ongoing,
+    EndedAt(Instant),
+}
+
+impl Catalog {
+    /// Notes that the keeper of the list does not answer.
+    pub fn begin_outage(&mut self) {
+        self.outage = Outage::Ongoing;
+    }
+
+    /// Notes that the keeper of the list answers.
+    pub fn end_outage(&mut self, now: Instant) {
+        if matches!(self.outage, Outage::Ongoing) {
+            self.outage = Outage::EndedAt(now);
+        }
+    }
+
+    /// Adds or changes an entry. Returns true if the upstream was not known.
+    pub fn upsert(&mut self, upstream: ListedUpstream) -> bool {
+        self.doubtful.remove(&upstream.id);
+        let id = upstream.id.clone();
+        if self.misdirected.get(&id).is_some_and(|revision| *revision < upstream.revision) {
+            self.misdirected.remove(&id);
+        }
+        self.listed.insert(id, upstream).is_none()
+    }
+
+    /// Removes an entry, at once or after the time in which it may return.
+    pub fn remove(&mut self, now: Instant, id: &UpstreamId) {
+        match self.relist_until(now) {
+            Some(until) if self.listed.contains_key(id) => {
+                self.doubtful.entry(id.clone()).or_insert(until);
+            }
+            _ => self.drop_entry(id),
+        }
+    }
+
+    /// Takes a whole list. Entries that are missing are removed.
+    pub fn replace(&mut self, now: Instant, list: Vec<ListedUpstream>) {
+        let is_missing = |id: &&UpstreamId| !list.iter().any(|upstream| upstream.id == **id);
+        let missing: Vec<_> = self.listed.keys().filter(is_missing).cloned().collect();
+        for id in missing {
+            self.remove(now, &id);
+        }
+        for upstream in list {
+            self.upsert(upstream);
+        }
+    }
+
+    /// Notes that another process answers at the address of an upstream. It gets no work until its
+    /// entry changes.
+    pub fn set_misdirected(&mut self, id: &UpstreamId) {
+        let revision = self.listed.get(id).map_or(0, |upstream| upstream.revision);
+        self.misdirected.insert(id.clone(), revision);
+    }
+
+    /// Carries out the removals whose entries have not returned.
+    pub fn expire(&mut self, now: Instant) {
+        let gone = self.doubtful.iter().filter(|(_, until)| **until <= now);
+        let gone: Vec<_> = gone.map(|(id, _)| id.clone()).collect();
+        if matches!(self.outage, Outage::Ongoing) {
+            return;
+        }
+        for id in gone {
+            self.drop_entry(&id);
+        }
+    }
+
+    /// Returns an entry.
+    pub fn get(&self, id: &str) -> Option<&ListedUpstream> {
+        self.listed.get(id)
+    }
+
+    /// Upstreams of a service that may get new work.
+    pub fn usable<'a>(
+        &'a self,
+        service: &'a ServiceId,
+    ) -> impl Iterator<Item = &'a ListedUpstream> {
+        let is_usable = move |upstream: &&ListedUpstream| {
+            upstream.service == *service
+                && !upstream.leaving
+                && !self.misdirected.contains_key(&upstream.id)
+        };
+        self.listed.values().filter(is_usable)
+    }
+
+    /// Number of listed upstreams.
+    pub fn len(&self) -> usize {
+        self.listed.len()
+    }
+
+    /// Returns true if no upstream is listed.
+    pub fn is_empty(&self) -> bool {
+        self.listed.is_empty()
+    }
+
+    fn drop_entry(&mut self, id: &UpstreamId) {
+        self.listed.remove(id);
+        self.doubtful.remove(id);
+        self.misdirected.remove(id);
+    }
+
+    fn relist_until(&self, now: Instant) -> Option<Instant> {
+        match self.outage {
+            Outage::None => None,
+            Outage::Ongoing => Some(now + RELIST_TIME),
+            Outage::EndedAt(at) => Some(at + RELIST_TIME).filter(|until| *until > now),
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/lib.rs
@@ -0,0 +1,28 @@
+//! Decisions that instances take with a shared view of the fleet.
+//!
+//! Each instance sees few requests, so alone it can neither tell a faulty upstream nor how busy an
+//! upstream is. Instances therefore tell each other about every attempt as it starts and ends
+//! ([`message`]). From these notices each of them works out, without a coordinator:
+//!
+//! * how many requests each upstream has in flight from the whole fleet ([`load`]),
+//! * how likely each upstream is to be faulty ([`suspicion`]), leaving out what instances with
+//!   bad links say ([`observers`]),
+//! * how many attempts beyond the first one the fleet has made ([`budget`]).
+//!
+//! [`placement`] and [`admission`] decide on single requests with that view. [`catalog`] keeps the
+//! listed upstreams, and [`discovery`] is the border to whatever lists them.
+//!
+//! Nothing here performs I/O or reads a clock.
+
+pub mod admission;
+pub mod budget;
+pub mod catalog;
+pub mod discovery;
+pub mod load;
+pub mod message;
+pub mod observers;
+pub mod peers;
+pub mod placement;
+pub mod split;
+pub mod suspicion;
+pub mod view;
--- /dev/null
+++ b/crates/fleet/src/load.rs
@@ -0,0 +1,128 @@
+//! Requests in flight at each upstream, from the whole fleet.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use cactustrack_types::{InstanceId, UpstreamId};
+
+use crate::message::InFlight;
+
+/// Time after which the counts of an instance that is no longer heard are dropped. It is longer
+/// than a few lost heartbeats.
+const PEER_MEMORY: Duration = Duration::from_secs(4);
+
+/// Time for which an upstream that refused a request as busy counts as full.
+const FULL_MEMORY: Duration = Duration::from_millis(300);
+
+#[derive(Debug, Default)]
+struct PeerLoad {
+    counts: HashMap<UpstreamId, u16>,
+    heard: Option<Instant>,
+}
+
+/// Requests in flight at upstreams, by this instance and by the others.
+#[derive(Debug, Default)]
+pub struct FleetLoad {
+    own: HashMap<UpstreamId, u16>,
+    peers: HashMap<InstanceId, PeerLoad>,
+    totals: HashMap<UpstreamId, u32>,
+    full_until: HashMap<UpstreamId, Instant>,
+}
+
+impl FleetLoad {
+    /// Counts a request of this instance, and returns how many it has in flight there.
+    pub fn start(&mut self, upstream: &UpstreamId) -> u16 {
+        let own = self.own.entry(upstream.clone()).or_default();
+        *own = own.saturating_add(1);
+        let count = *own;
+        *self.totals.entry(upstream.clone()).or_default() += 1;
+        count
+    }
+
+    /// Ends a request of this instance, and returns how many it still has in flight there.
+    pub fn finish(&mut self, upstream: &UpstreamId) -> u16 {
+        let Some(own) = self.own.get_mut(upstream) else { return 0 };
+        *own = own.saturating_sub(1);
+        let count = *own;
+        if count == 0 {
+            self.own.remove(upstream);
+        }
+        self.subtract(upstream, 1);
+        count
+    }
+
+    /// Sets what another instance has in flight at an upstream.
+    pub fn set_peer(&mut self, now: Instant, peer: &InstanceId, upstream: &UpstreamId, count: u16) {
+        let load = self.peers.entry(peer.clone()).or_default();
+        load.heard = Some(now);
+        let before = match count {
+            0 => load.counts.remove(upstream),
+            _ => load.counts.insert(upstream.clone(), count),
+        };
+        *self.totals.entry(upstream.clone()).or_default() += u32::from(count);
+        self.subtract(upstream, u32::from(before.unwrap_or_default()));
+    }
+
+    /// Sets all that another instance has in flight.
+    pub fn replace_peer(&mut self, now: Instant, peer: &InstanceId, counts: &[InFlight]) {
+        self.forget_peer(peer);
+        let load = self.peers.entry(peer.clone()).or_default();
+        load.heard = Some(now);
+        for InFlight { upstream, count } in counts {
+            self.set_peer(now, peer, upstream, *count);
+        }
+    }
+
+    /// Drops the counts of an instance that left.
+    pub fn forget_peer(&mut self, peer: &InstanceId) {
+        let Some(load) = self.peers.remove(peer) else { return };
+        for (upstream, count) in load.counts {
+            self.subtract(&upstream, u32::from(count));
+        }
+    }
+
+    /// Drops the counts of instances that were not heard for long.
+    pub fn expire(&mut self, now: Instant) {
+        let is_stale = |load: &PeerLoad| {
+            load.heard.is_none_or(|heard| now.saturating_duration_since(heard) > PEER_MEMORY)
+        };
+        let stale: Vec<_> = self.peers.iter().filter(|(_, load)| is_stale(load)).collect();
+        let stale: Vec<InstanceId> = stale.into_iter().map(|(peer, _)| peer.clone()).collect();
+        for peer in stale {
+            self.forget_peer(&peer);
+        }
+        self.full_until.retain(|_, until| *until > now);
+    }
+
+    /// Notes that an upstream refused a request as busy.
+    pub fn set_full(&mut self, now: Instant, upstream: &UpstreamId) {
+        self.full_until.insert(upstream.clone(), now + FULL_MEMORY);
+    }
+
+    /// Returns true if the upstream refused a request as busy a moment ago.
+    pub fn is_full(&self, now: Instant, upstream: &str) -> bool {
+        self.full_until.get(upstream).is_some_and(|until| *until > now)
+    }
+
+    /// Requests in flight at an upstream from all instances.
+    pub fn in_flight(&self, upstream: &str) -> u32 {
+        self.totals.get(upstream).copied().unwrap_or_default()
+    }
+
+    /// What this instance has in flight.
+    pub fn own(&self) -> Vec<InFlight> {
+        let entry = |(upstream, count): (&UpstreamId, &u16)| InFlight {
+            upstream: upstream.clone(),
+            count: *count,
+        };
+        self.own.iter().map(entry).collect()
+    }
+
+    fn subtract(&mut self, upstream: &UpstreamId, count: u32) {
+        let Some(total) = self.totals.get_mut(upstream) else { return };
+        *total = total.saturating_sub(count);
+        if *total == 0 {
+            self.totals.remove(upstream);
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/message.rs
@@ -0,0 +1,128 @@
+//! Datagrams between instances.
+//!
+//! Every datagram states absolute counts for the upstreams that it names, so a lost or repeated one
+//! does no lasting harm: the next one sets the counts right.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use cactustrack_types::{Incarnation, InstanceId, Outcome, ServiceId, UpstreamId, Version};
+use derive_more::{Display, Error};
+use serde::{Deserialize, Serialize};
+
+/// Version of the encoding. Datagrams of another version are ignored.
+pub const FORMAT: u8 = 1;
+
+/// Largest datagram, in bytes. It stays below the usual MTU of 1,500 bytes.
+pub const MAX_DATAGRAM_BYTES: usize = 1_400;
+
+/// What an instance tells the others.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Datagram {
+    /// Format of the datagram, see [`FORMAT`].
+    pub format: u8,
+    /// Sender.
+    pub from: InstanceId,
+    /// Life of the sender.
+    pub life: Incarnation,
+    /// Number of the datagram in the life of the sender. Older ones than the newest are ignored.
+    pub sequence: u64,
+    /// Version of the configuration that the sender has in force, 0 if there is none.
+    pub version: Version,
+    /// What the datagram is for.
+    pub body: Body,
+}
+
+/// Content of a datagram.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Body {
+    /// Attempts that started or ended since the last datagram.
+    Notices(Vec<Notice>),
+    /// All requests that the sender has in flight, and some of the instances that it hears.
+    Heartbeat {
+        /// In flight by upstream. Upstreams that are not named have none.
+        in_flight: Vec<InFlight>,
+        /// Addresses of other instances.
+        peers: Vec<SocketAddr>,
+        /// True if the sender stops and should not be sent anything more.
+        leaving: bool,
+    },
+}
+
+/// Requests of one instance at one upstream.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct InFlight {
+    /// The upstream.
+    pub upstream: UpstreamId,
+    /// Requests in flight.
+    pub count: u16,
+}
+
+/// An attempt that started or ended.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Notice {
+    /// Service of the upstream.
+    pub service: ServiceId,
+    /// The upstream.
+    pub upstream: UpstreamId,
+    /// Requests that the sender has in flight there after the event.
+    pub in_flight: u16,
+    /// What happened.
+    pub event: Event,
+}
+
+/// What happened to an attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Event {
+    /// An attempt started.
+    Started {
+        /// True if the request was sent to another upstream before.
+        extra: bool,
+    },
+    /// An attempt ended.
+    Ended {
+        /// How it ended, if that says anything about the upstream.
+        outcome: Option<Outcome>,
+        /// Time to the head of the answer, in milliseconds.
+        latency_ms: u32,
+        /// True if the upstream had a slot free when the attempt started.
+        unqueued: bool,
+    },
+}
+
+/// Why a datagram is ignored.
+#[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
+pub enum DatagramError {
+    /// The bytes are no datagram.
+    #[display("the bytes are not a datagram of an instance")]
+    Malformed,
+    /// The sender uses another format.
+    #[display("the datagram has format {_0}")]
+    Format(#[error(not(source))] u8),
+}
+
+impl Datagram {
+    /// Encodes the datagram.
+    pub fn encode(&self) -> Vec<u8> {
+        // Encoding into a vector fails only for types whose length is unknown, and none is used.
+        postcard::to_stdvec(self).unwrap_or_default()
+    }
+
+    /// Decodes a datagram.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the bytes are malformed or of another format.
+    pub fn decode(bytes: &[u8]) -> Result<Self, DatagramError> {
+        let datagram: Self = postcard::from_bytes(bytes).map_err(|_| DatagramError::Malformed)?;
+        if datagram.format != FORMAT {
+            return Err(DatagramError::Format(datagram.format));
+        }
+        Ok(datagram)
+    }
+}
+
+/// Milliseconds of a duration as they are sent.
+pub fn to_ms(duration: Duration) -> u32 {
+    u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/crates/fleet/src/peers.rs
@@ -0,0 +1,106 @@
+//! Other instances that this one exchanges datagrams with.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use cactustrack_types::{Incarnation, InstanceId};
+
+use crate::message::Datagram;
+
+/// Time without a datagram after which an instance counts as gone.
+const SILENCE_LIMIT: Duration = Duration::from_secs(4);
+
+/// Time for which an address is tried before its instance was heard.
+const INTRODUCTION_TIME: Duration = Duration::from_secs(6);
+
+/// Addresses that are passed on in one heartbeat.
+const INTRODUCED_PEERS: usize = 4;
+
+struct Peer {
+    address: SocketAddr,
+    life: Incarnation,
+    sequence: u64,
+    heard: Instant,
+}
+
+/// Known instances, by name and by address.
+#[derive(Default)]
+pub struct Peers {
+    heard: HashMap<InstanceId, Peer>,
+    /// Addresses that were named by others, with the end of the time for which they are tried.
+    introduced: HashMap<SocketAddr, Instant>,
+    most_heard: usize,
+    turn: usize,
+}
+
+impl Peers {
+    /// Adds addresses that may belong to instances.
+    pub fn introduce(&mut self, now: Instant, addresses: impl IntoIterator<Item = SocketAddr>) {
+        for address in addresses {
+            let is_heard = self.heard.values().any(|peer| peer.address == address);
+            if !is_heard {
+                self.introduced.entry(address).or_insert(now + INTRODUCTION_TIME);
+            }
+        }
+    }
+
+    /// Notes a datagram. Returns false if it is older than one that was already taken, or from an
+    /// earlier life of its sender.
+    pub fn accept(&mut self, now: Instant, address: SocketAddr, datagram: &Datagram) -> bool {
+        self.introduced.remove(&address);
+        let Datagram { life, sequence, .. } = *datagram;
+        if let Some(peer) = self.heard.get(&datagram.from) {
+            if life < peer.life || (life == peer.life && sequence <= peer.sequence) {
+                return false;
+            }
+        }
+        self.heard.insert(datagram.from.clone(), Peer { address, life, sequence, heard: now });
+        self.most_heard = self.most_heard.max(self.heard.len());
+        true
+    }
+
+    /// Drops an instance that leaves.
+    pub fn remove(&mut self, name: &str) {
+        self.heard.remove(name);
+        self.most_heard = self.heard.len();
+    }
+
+    /// Drops instances that were not heard for long and returns their names.
+    pub fn expire(&mut self, now: Instant) -> Vec<InstanceId> {
+        self.introduced.retain(|_, until| *until > now);
+        let is_silent = |peer: &Peer| now.saturating_duration_since(peer.heard) > SILENCE_LIMIT;
+        let silent = self.heard.iter().filter(|(_, peer)| is_silent(peer));
+        let silent: Vec<InstanceId> = silent.map(|(name, _)| name.clone()).collect();
+        for name in &silent {
+            self.heard.remove(name);
+        }
+        silent
+    }
+
+    /// Where datagrams are sent to.
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        let heard = self.heard.values().map(|peer| peer.address);
+        heard.chain(self.introduced.keys().copied()).collect()
+    }
+
+    /// Some addresses of instances that are heard, others with each call.
+    pub fn introductions(&mut self) -> Vec<SocketAddr> {
+        let all: Vec<_> = self.heard.values().map(|peer| peer.address).collect();
+        if all.is_empty() {
+            return all;
+        }
+        self.turn = (self.turn + INTRODUCED_PEERS) % all.len();
+        all.iter().cycle().skip(self.turn).take(INTRODUCED_PEERS.min(all.len())).copied().collect()
+    }
+
+    /// Number of instances in the fleet that are heard, with this one.
+    pub fn instances(&self) -> usize {
+        self.heard.len() + 1
+    }
+
+    /// Returns true if this instance hears at least half of the instances that it ever heard.
+    pub fn is_connected(&self) -> bool {
+        self.heard.len() * 2 >= self.most_heard && self.most_heard > 0
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/view.rs
@@ -0,0 +1,239 @@
+//! What an instance knows of the fleet's requests and of the upstreams' health.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use cactustrack_types::{Incarnation, InstanceId, Outcome, ServiceId, UpstreamId};
+
+use crate::budget::{BudgetLimits, RetryBudget};
+use crate::load::FleetLoad;
+use crate::message::{Event, InFlight, Notice, to_ms};
+use crate::observers::Observers;
+use crate::suspicion::{Suspicion, long_run_mean};
+
+/// Service time that is assumed before the first answer.
+const INITIAL_SERVICE_TIME: Duration = Duration::from_millis(300);
+
+/// Weight of a new answer in the mean service time.
+const SERVICE_TIME_WEIGHT: f64 = 0.03;
+
+/// An answer is slow if it takes longer than this many times the mean.
+const SLOW_FACTOR: f64 = 3.5;
+
+/// Weight of failures that may lie on the path of the instance that reports them.
+const PATH_FAILURE_WEIGHT: f64 = 0.6;
+
+/// Part of the retry budget up to which attempts may be made that are not certain to be needed.
+const HEDGE_BUDGET_SHARE: f64 = 0.5;
+
+/// Attempts of this instance and of the others, and what follows from them.
+pub struct FleetView {
+    own: InstanceId,
+    load: FleetLoad,
+    fleet: HashMap<UpstreamId, Suspicion>,
+    /// What this instance saw itself. Its path to an upstream can be bad while others reach it.
+    seen: HashMap<UpstreamId, Suspicion>,
+    lives: HashMap<UpstreamId, Incarnation>,
+    observers: Observers,
+    budgets: HashMap<ServiceId, RetryBudget>,
+    service_times: HashMap<ServiceId, Duration>,
+}
+
+impl FleetView {
+    /// Creates the view of an instance that has heard nothing.
+    pub fn new(own: InstanceId) -> Self {
+        Self {
+            own,
+            load: FleetLoad::default(),
+            fleet: HashMap::new(),
+            seen: HashMap::new(),
+            lives: HashMap::new(),
+            observers: Observers::default(),
+            budgets: HashMap::new(),
+            service_times: HashMap::new(),
+        }
+    }
+
+    /// Requests in flight.
+    pub fn load(&self) -> &FleetLoad {
+        &self.load
+    }
+
+    /// Notes an attempt of this instance and returns what the others have to know.
+    pub fn start(
+        &mut self,
+        now: Instant,
+        service: &ServiceId,
+        upstream: &UpstreamId,
+        extra: bool,
+    ) -> Notice {
+        let in_flight = self.load.start(upstream);
+        self.budgets.entry(service.clone()).or_default().on_own(now, extra);
+        let event = Event::Started { extra };
+        Notice { service: service.clone(), upstream: upstream.clone(), in_flight, event }
+    }
+
+    /// Notes the end of an attempt of this instance and returns what the others have to know.
+    /// `outcome` is `None` if the end says nothing about the upstream.
+    pub fn finish(
+        &mut self,
+        now: Instant,
+        service: &ServiceId,
+        upstream: &UpstreamId,
+        ended: Ended,
+    ) -> Notice {
+        let in_flight = self.load.finish(upstream);
+        if let Some(outcome) = ended.outcome {
+            let seen = self.seen.entry(upstream.clone()).or_insert_with(|| Suspicion::new(now));
+            seen.observe(now, outcome, 1.0);
+            let own = self.own.clone();
+            self.observe(now, &own, upstream, outcome);
+        }
+        let event = Event::Ended {
+            outcome: ended.outcome,
+            latency_ms: to_ms(ended.latency),
+            unqueued: ended.unqueued,
+        };
+        self.learn_service_time(service, event);
+        Notice { service: service.clone(), upstream: upstream.clone(), in_flight, event }
+    }
+
+    /// Takes a notice of another instance into account.
+    pub fn on_notice(&mut self, now: Instant, from: &InstanceId, notice: &Notice) {
+        self.load.set_peer(now, from, &notice.upstream, notice.in_flight);
+        match notice.event {
+            Event::Started { extra } => {
+                let budget = self.budgets.entry(notice.service.clone()).or_default();
+                budget.on_fleet(now, extra);
+            }
+            Event::Ended { outcome, .. } => {
+                self.learn_service_time(&notice.service, notice.event);
+                if let Some(outcome) = outcome {
+                    self.observe(now, from, &notice.upstream, outcome);
+                }
+            }
+        }
+    }
+
+    /// Takes the counts of another instance into account.
+    pub fn on_heartbeat(&mut self, now: Instant, from: &InstanceId, in_flight: &[InFlight]) {
+        self.load.replace_peer(now, from, in_flight);
+    }
+
+    /// Drops what an instance that left had in flight.
+    pub fn forget_peer(&mut self, peer: &InstanceId) {
+        self.load.forget_peer(peer);
+    }
+
+    /// Drops what is out of date.
+    pub fn expire(&mut self, now: Instant) {
+        self.load.expire(now);
+        self.observers.expire(now);
+    }
+
+    /// Notes a life of an upstream. A new one shares nothing with the former.
+    pub fn set_life(&mut self, upstream: &UpstreamId, life: Incarnation) {
+        if self.lives.insert(upstream.clone(), life).is_some_and(|known| known != life) {
+            self.fleet.remove(upstream);
+            self.seen.remove(upstream);
+        }
+    }
+
+    /// Drops what is known of an upstream that is gone.
+    pub fn forget_upstream(&mut self, upstream: &UpstreamId) {
+        self.fleet.remove(upstream);
+        self.seen.remove(upstream);
+        self.lives.remove(upstream);
+    }
+
+    /// Probability that an upstream is faulty, as the fleet sees it and as this instance does.
+    pub fn fault(&self, now: Instant, upstream: &str) -> (f64, f64) {
+        let of = |known: &HashMap<UpstreamId, Suspicion>| {
+            known.get(upstream).map_or_else(long_run_mean, |known| known.probability(now))
+        };
+        (of(&self.fleet), of(&self.seen))
+    }
+
+    /// Returns true if the failures that this instance sees are more likely its own.
+    pub fn is_self_doubted(&self) -> bool {
+        self.observers.is_doubted(&self.own)
+    }
+
+    /// Mean time in which upstreams of a service answer when they have a slot free.
+    pub fn service_time(&self, service: &str) -> Duration {
+        self.service_times.get(service).copied().unwrap_or(INITIAL_SERVICE_TIME)
+    }
+
+    /// Outcome of a complete answer, by the time that it took.
+    pub fn judge(&self, service: &str, latency: Duration) -> Outcome {
+        let slow_after = self.service_time(service).mul_f64(SLOW_FACTOR);
+        if latency > slow_after { Outcome::Slow } else { Outcome::Ok }
+    }
+
+    /// Notes that an upstream refused a request as busy.
+    pub fn set_full(&mut self, now: Instant, upstream: &UpstreamId) {
+        self.load.set_full(now, upstream);
+    }
+
+    /// Returns true if the budget of a service has room for an attempt beyond the first one. A
+    /// hedge may use only a part of it, so that failed requests find room.
+    pub fn allows_extra(
+        &mut self,
+        now: Instant,
+        service: &ServiceId,
+        limits: BudgetLimits,
+        fleet: FleetSize,
+        is_hedge: bool,
+    ) -> bool {
+        let share = if is_hedge { HEDGE_BUDGET_SHARE } else { 1.0 };
+        let limits =
+            BudgetLimits { ratio: limits.ratio * share, slack: limits.slack * share, ..limits };
+        let budget = self.budgets.entry(service.clone()).or_default();
+        budget.allows(now, limits, fleet.instances, fleet.is_connected)
+    }
+
+    fn observe(
+        &mut self,
+        now: Instant,
+        from: &InstanceId,
+        upstream: &UpstreamId,
+        outcome: Outcome,
+    ) {
+        let mut weight = self.observers.weigh(now, from, upstream, outcome);
+        if matches!(outcome, Outcome::Refused | Outcome::Silent) {
+            weight *= PATH_FAILURE_WEIGHT;
+        }
+        let known = self.fleet.entry(upstream.clone()).or_insert_with(|| Suspicion::new(now));
+        known.observe(now, outcome, weight);
+    }
+
+    fn learn_service_time(&mut self, service: &ServiceId, event: Event) {
+        let Event::Ended { outcome: Some(Outcome::Ok), latency_ms, unqueued: true } = event else {
+            return;
+        };
+        let known = self.service_times.entry(service.clone()).or_insert(INITIAL_SERVICE_TIME);
+        let sample = f64::from(latency_ms) / 1_000.0;
+        let mean = known.as_secs_f64();
+        *known = Duration::from_secs_f64(mean + SERVICE_TIME_WEIGHT * (sample - mean));
+    }
+}
+
+/// How an attempt ended.
+#[derive(Clone, Copy, Debug)]
+pub struct Ended {
+    /// Its outcome, if that says anything about the upstream.
+    pub outcome: Option<Outcome>,
+    /// Time to the head of the answer.
+    pub latency: Duration,
+    /// True if the upstream had a slot free when the attempt started.
+    pub unqueued: bool,
+}
+
+/// How much of the fleet an instance hears.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FleetSize {
+    /// Instances, with this one.
+    pub instances: usize,
+    /// True if this instance hears most of them.
+    pub is_connected: bool,
+}
--- a/crates/observe/src/lib.rs
+++ b/crates/observe/src/lib.rs
@@ -6,6 +6,6 @@
 mod trace;
 
 pub use export::{ExportTarget, export_spans};
-pub use log::{RateLimit, new_logger};
+pub use log::{LogTarget, RateLimit, new_logger};
 pub use metrics::Metrics;
 pub use trace::{Span, SpanKind, SpanQueue, SpanTimer, TraceContext};
--- a/crates/observe/src/log.rs
+++ b/crates/observe/src/log.rs
@@ -9,19 +9,37 @@
 /// Lines that wait to be written. Further lines are dropped, and slog-async reports how many.
 const QUEUE_LINES: usize = 4096;
 
-/// Creates the logger of a process, which writes to standard error from a thread of its own so
-/// that a slow terminal does not stop the event loop.
-pub fn new_logger(format: LogFormat, level: LogLevel, instance: &str) -> Logger {
+/// Where a process writes its log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LogTarget {
+    /// Standard error.
+    Stderr,
+    /// Standard output.
+    Stdout,
+}
+
+impl LogTarget {
+    fn writer(self) -> Box<dyn io::Write + Send> {
+        match self {
+            Self::Stderr => Box::new(io::stderr()),
+            Self::Stdout => Box::new(io::stdout()),
+        }
+    }
+}
+
+/// Creates the logger of a process, which writes from a thread of its own so that a slow reader
+/// does not stop the event loop.
+pub fn new_logger(format: LogFormat, level: LogLevel, instance: &str, target: LogTarget) -> Logger {
     let level = severity(level);
     let context = o!("instance" => instance.to_owned());
     match format {
         LogFormat::Text => {
-            let decorator = slog_term::PlainDecorator::new(io::stderr());
+            let decorator = slog_term::PlainDecorator::new(target.writer());
             let drain = slog_term::FullFormat::new(decorator).use_utc_timestamp().build().fuse();
             Logger::root(non_blocking(drain, level), context)
         }
         LogFormat::Json => {
-            let drain = slog_json::Json::default(io::stderr()).fuse();
+            let drain = slog_json::Json::default(target.writer()).fuse();
             Logger::root(non_blocking(drain, level), context)
         }
     }
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -69,6 +69,11 @@
         self.reporting.policy.on_cancel(Instant::now(), &self.target, Duration::ZERO);
     }
 
+    /// Notes that another process listens at the address of the upstream.
+    pub(crate) fn on_misdirected(&self) {
+        self.reporting.policy.on_misdirected(Instant::now(), &self.target);
+    }
+
     /// Notes that the upstream shed the request for the indicated time.
     pub(crate) fn on_shed(&self, retry_after: Duration) {
         self.reporting.policy.on_shed(Instant::now(), &self.target, retry_after);
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -4,13 +4,13 @@
 
 use cactustrack_routing::headers::check_framing;
 use cactustrack_types::Outcome;
-use http::{HeaderName, HeaderValue, Request, StatusCode, header, response};
+use http::{HeaderName, HeaderValue, Request, header, response};
 use hyper::body::{Body, Incoming};
 
 use crate::attempt::{Attempt, Reporting};
 use crate::body::Upload;
 use crate::pool::{ConnectError, Connection};
-use crate::{Pool, Target, UpstreamBody};
+use crate::{AnswerKind, Pool, Proxy, Target, UpstreamBody};
 
 /// Header of the W3C trace context.
 pub(crate) const TRACEPARENT: HeaderName = HeaderName::from_static("traceparent");
@@ -24,8 +24,9 @@
         /// Wait for the first byte on a connection that was used before.
         silent_after: Duration,
     },
-    /// Only a new one, since an idle connection may have gone silent.
-    Never,
+    /// Only a new one, or one that was used within [`crate::PoolLimits::recent_age`], since an idle
+    /// connection may have gone silent.
+    Recent,
 }
 
 /// The head of an answer, with what is needed to read its body.
@@ -34,31 +35,21 @@
     pub(crate) body: Incoming,
     pub(crate) connection: Connection,
     pub(crate) attempt: Attempt,
+    /// What the answer means for the request.
+    pub(crate) kind: AnswerKind,
     /// Outcome that is reported once the body is complete.
     pub(crate) outcome: Outcome,
 }
 
 impl Answer {
-    /// Returns true if the upstream refused the request because it is busy.
+    /// Returns true if the upstream states that it has not run the request.
     pub(crate) fn is_shed(&self) -> bool {
-        let retry_after = self.head.headers.contains_key(header::RETRY_AFTER);
-        match self.head.status {
-            StatusCode::TOO_MANY_REQUESTS => true,
-            StatusCode::SERVICE_UNAVAILABLE => retry_after,
-            _ => false,
-        }
+        self.kind.is_not_run()
     }
 
     /// Returns true if the answer is the upstream's own fault.
     pub(crate) fn is_failure(&self) -> bool {
-        let fault = matches!(
-            self.head.status,
-            StatusCode::INTERNAL_SERVER_ERROR
-                | StatusCode::BAD_GATEWAY
-                | StatusCode::SERVICE_UNAVAILABLE
-                | StatusCode::GATEWAY_TIMEOUT
-        );
-        fault && !self.is_shed()
+        self.kind == AnswerKind::Failed
     }
 
     /// Returns true if the end of the body cannot be told from a broken connection.
@@ -110,22 +101,24 @@
 /// Fails if no connection can be opened, the connection breaks or the deadline passes. The failure
 /// says whether a byte of the request may have reached the upstream.
 pub(crate) async fn exchange(
-    pool: &Pool,
+    proxy: &Proxy,
     reporting: Reporting,
     target: Target,
     mut req: Request<UpstreamBody>,
     reuse: Reuse,
     deadline: Instant,
 ) -> Result<Answer, Failure> {
+    let (pool, dialect) = (proxy.pool(), proxy.dialect());
     let mut attempt = Attempt::new(reporting, target);
     if let Ok(value) = HeaderValue::from_str(&attempt.trace().header_value()) {
         req.headers_mut().insert(TRACEPARENT, value);
     }
     let upload = req.body().upload();
+    let asked = req.headers().clone();
     loop {
         let idle = match reuse {
             Reuse::Idle { .. } => pool.take_idle(attempt.target()),
-            Reuse::Never => None,
+            Reuse::Recent => pool.take_recent(attempt.target()),
         };
         let mut connection = match idle {
             Some(connection) => connection,
@@ -135,6 +128,7 @@
             },
         };
         attempt.on_connection(connection.reused);
+        dialect.prepare_attempt(req.headers_mut(), attempt.target(), until(deadline));
         let Some(tx) = connection.tx() else { return Err(Failure::unsent(Cause::Connect)) };
         let sending = tx.try_send_request(req);
         let wait = match reuse {
@@ -152,8 +146,16 @@
                     attempt.finish(Outcome::Failed);
                     return Err(Failure::sent(Cause::Broken));
                 }
+                let kind = dialect.classify(&asked, &head);
+                if kind == AnswerKind::Foreign {
+                    attempt.finish(Outcome::Failed);
+                    return Err(Failure::sent(Cause::Broken));
+                }
+                if kind == AnswerKind::Misdirected {
+                    attempt.on_misdirected();
+                }
                 let outcome = Outcome::Ok;
-                return Ok(Answer { head, body, connection, attempt, outcome });
+                return Ok(Answer { head, body, connection, attempt, kind, outcome });
             }
             Ok(Err(mut error)) => match error.take_message() {
                 // The connection closed while it was idle. Nothing was sent.
--- a/crates/proxy/src/handler.rs
+++ b/crates/proxy/src/handler.rs
@@ -23,7 +23,7 @@
 use crate::repeatable::Repeatable;
 use crate::request::Outgoing;
 use crate::resume::LargeResume;
-use crate::{OutBody, Pool, Routed, TrafficPolicy, non_idempotent};
+use crate::{Dialect, OutBody, Pool, Routed, TrafficPolicy, non_idempotent};
 
 const MAX_KEY_BYTES: usize = 255;
 
@@ -38,6 +38,8 @@
     pub policy: Rc<dyn TrafficPolicy>,
     /// Records of non-idempotent requests.
     pub records: Rc<dyn IdempotencyRecords>,
+    /// Header conventions of callers and upstreams.
+    pub dialect: Rc<dyn Dialect>,
     /// Connections to upstreams.
     pub pool: Pool,
     /// Metrics.
@@ -74,6 +76,10 @@
         &*self.parts.records
     }
 
+    pub(crate) fn dialect(&self) -> &dyn Dialect {
+        &*self.parts.dialect
+    }
+
     pub(crate) fn pool(&self) -> &Pool {
         &self.parts.pool
     }
@@ -177,7 +183,7 @@
         let claim = self.claim(routed, &head, &account)?;
         let admission = self.policy().admit(routed, &account).await?;
         let mut headers = head.headers;
-        headers::strip_request(&mut headers);
+        self.dialect().strip_request(&mut headers);
         // The instance answers the expectation itself when it reads the body.
         headers.remove(header::EXPECT);
         let uri = origin_form(&head.uri);
@@ -239,7 +245,7 @@
         self.metrics().rejections.with_label_values(&labels).inc();
         slog::debug!(self.log(), "proxy: request rejected";
             "service" => service, "reason" => reason, "execution" => %rejection.execution);
-        rejection.into_response()
+        rejection.into_response(self.dialect())
     }
 }
 
@@ -262,7 +268,7 @@
 ) -> Response<OutBody> {
     let status = answer.head.status;
     let mut headers = answer.head.headers.clone();
-    headers::strip_answer(&mut headers);
+    proxy.dialect().strip_answer(&mut headers);
     let mut response = Response::new(relay(proxy, answer, resume));
     *response.status_mut() = status;
     *response.headers_mut() = headers;
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod attempt;
 mod body;
+mod dialect;
 mod exchange;
 mod framing;
 mod handler;
@@ -17,10 +18,13 @@
 mod request;
 mod resume;
 mod server;
+mod silence;
 
 pub use body::{OutBody, UpstreamBody};
+pub use dialect::{AnswerKind, Dialect, OwnDialect};
 pub use handler::{Proxy, ProxyParts};
 pub use policy::{Admission, Extra, Routed, Target, TrafficPolicy};
 pub use pool::{Pool, PoolLimits};
 pub use reject::{Reason, Rejection};
 pub use server::{Server, ServerLimits, Shutdown};
+pub use silence::detect_silence;
--- a/crates/proxy/src/non_idempotent.rs
+++ b/crates/proxy/src/non_idempotent.rs
@@ -19,7 +19,7 @@
 use crate::relay::discard;
 use crate::repeatable::{rejection_for, retry_after};
 use crate::request::Outgoing;
-use crate::{OutBody, Routed};
+use crate::{Extra, OutBody, Routed};
 
 /// Runs the request in a task of its own, so that its outcome is recorded even if the caller
 /// leaves while it runs.
@@ -145,11 +145,12 @@
         self.tried.push(target.upstream.clone());
         let attempts = &self.proxy.metrics().attempts;
         attempts.with_label_values(&[&*self.routed.service, "first"]).inc();
-        let Some(req) = self.out.build(until(self.routed.deadline)) else {
+        let Some(req) = self.out.build() else {
             return attempt.on(Event::ConnectFailed { another: false });
         };
-        let (pool, reporting) = (self.proxy.pool(), self.proxy.reporting(self.trace));
-        match exchange(pool, reporting, target, req, Reuse::Never, self.routed.deadline).await {
+        let reporting = self.proxy.reporting(self.trace);
+        let deadline = self.routed.deadline;
+        match exchange(&self.proxy, reporting, target, req, Reuse::Recent, deadline).await {
             Err(Failure { sent: false, cause }) => attempt.on(self.unsent(cause)),
             Err(Failure { sent: true, cause }) => {
                 self.cause = Some(self.broken(cause));
@@ -189,7 +190,7 @@
             let wait = retry_after(&answer);
             discard(answer, Outcome::Shed).await;
             self.cause = Some(busy(wait));
-            return Event::Shed { status };
+            return if self.may_try_another() { Event::Declined } else { Event::Shed { status } };
         }
         if answer.is_failure() {
             answer.outcome = Outcome::Failed;
@@ -198,12 +199,19 @@
         Event::Answer { status }
     }
 
+    /// Returns true if a request that was declined may be sent to another upstream.
+    fn may_try_another(&self) -> bool {
+        let now = Instant::now();
+        let has_time = !until(self.routed.deadline).is_zero() && self.out.can_send();
+        has_time && self.proxy.policy().allow_extra(now, &self.routed, Extra::Declined)
+    }
+
     fn forward(self) -> Result<Response<OutBody>, Rejection> {
         self.count("completed");
         let Some(answer) = self.answer else {
             return Err(rejection_for(Cause::Broken, Execution::Unknown));
         };
-        if answer.is_unframed() {
+        if answer.is_unframed() && !self.proxy.dialect().accepts_unframed() {
             answer.attempt.finish(Outcome::Failed);
             return Err(rejection_for(Cause::Broken, Execution::Unknown));
         }
--- a/crates/proxy/src/policy.rs
+++ b/crates/proxy/src/policy.rs
@@ -20,6 +20,12 @@
     pub class: RequestClass,
     /// When the caller stops waiting. For large answers this is the time of the response head.
     pub deadline: Instant,
+    /// When an answer is no longer worth as much to the caller, if the route says so.
+    pub target: Option<Instant>,
+    /// Rank among the routes of the service. Zero is the most urgent one.
+    pub priority: u32,
+    /// Upstreams that the request may be sent to, unlimited if there is none.
+    pub max_attempts: Option<u32>,
 }
 
 /// An upstream chosen for one attempt.
@@ -35,6 +41,8 @@
     pub address: SocketAddr,
     /// Connections that this instance may have open to the upstream.
     pub max_connections: usize,
+    /// True if the request was sent to another upstream before.
+    pub is_extra: bool,
 }
 
 /// An attempt beyond the first one.
@@ -46,6 +54,9 @@
     Hedge,
     /// The answer was cut short.
     Resume,
+    /// The upstream has not run the request, which may therefore be sent once more even if it is
+    /// not idempotent.
+    Declined,
 }
 
 /// Held while an admitted request is in flight; dropping it frees the place.
@@ -105,6 +116,9 @@
     /// `elapsed` is the time that the upstream let pass, zero if it was not to blame for any.
     fn on_cancel(&self, now: Instant, target: &Target, elapsed: Duration);
 
+    /// Notes that another process answered at the address of an upstream.
+    fn on_misdirected(&self, _now: Instant, _target: &Target) {}
+
     /// Notes that an upstream shed a request for the indicated time. Called before
     /// [`Self::on_finish`] for that request.
     fn on_shed(&self, now: Instant, target: &Target, retry_after: Duration);
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -16,7 +16,7 @@
 use derive_more::{Display, Error};
 use hyper::client::conn::http1::{self, SendRequest};
 
-use crate::{Target, UpstreamBody};
+use crate::{Target, UpstreamBody, detect_silence};
 
 /// Limits of the pool.
 #[derive(Clone, Copy, Debug)]
@@ -24,6 +24,8 @@
     /// Age at which an idle connection is closed. Short, since a connection can go silent while
     /// it is idle.
     pub max_idle_age: Duration,
+    /// Idle time up to which a connection may carry a request that must not be sent twice.
+    pub recent_age: Duration,
     /// Time given to a new connection.
     pub connect_timeout: Duration,
     /// Bytes buffered for a connection and direction.
@@ -34,6 +36,7 @@
     fn default() -> Self {
         Self {
             max_idle_age: Duration::from_secs(15),
+            recent_age: Duration::ZERO,
             connect_timeout: Duration::from_secs(1),
             buffer_bytes: 64 * 1024,
         }
@@ -71,6 +74,15 @@
     since: Instant,
 }
 
+impl Idle {
+    /// hyper makes a connection ready shortly after the end of an answer, and never if the request
+    /// body was not taken. A connection that is not ready stays until it expires.
+    fn is_usable(&self, age: Duration) -> bool {
+        let is_young = self.since.elapsed() < age;
+        is_young && !self.parts.tx.is_closed() && self.parts.tx.is_ready()
+    }
+}
+
 struct ConnectionParts {
     tx: SendRequest<UpstreamBody>,
     // Dropping the handle cancels the task, which closes the socket.
@@ -94,16 +106,27 @@
 
     /// Returns an idle connection that is still usable.
     pub(crate) fn take_idle(&self, target: &Target) -> Option<Connection> {
+        self.take_younger(target, self.limits.max_idle_age)
+    }
+
+    /// Returns an idle connection that was used a moment ago.
+    pub(crate) fn take_recent(&self, target: &Target) -> Option<Connection> {
+        self.take_younger(target, self.limits.recent_age)
+    }
+
+    /// Returns true if an idle connection to an upstream could carry a request.
+    pub fn has_idle(&self, upstream: &UpstreamId, incarnation: Incarnation, recent: bool) -> bool {
+        let entries = self.entries.borrow();
+        let Some(entry) = entries.get(&(upstream.clone(), incarnation)) else { return false };
+        let age = if recent { self.limits.recent_age } else { self.limits.max_idle_age };
+        entry.idle.iter().any(|idle| idle.is_usable(age))
+    }
+
+    fn take_younger(&self, target: &Target, age: Duration) -> Option<Connection> {
         let key = key_of(target);
         let mut entries = self.entries.borrow_mut();
         let idle = &mut entries.get_mut(&key)?.idle;
-        // hyper makes a connection ready shortly after the end of an answer, and never if the
-        // request body was not taken. A connection that is not ready stays until it expires.
-        let usable = |idle: &Idle| {
-            let fresh = idle.since.elapsed() < self.limits.max_idle_age;
-            fresh && !idle.parts.tx.is_closed() && idle.parts.tx.is_ready()
-        };
-        let idle = idle.iter().rposition(usable).map(|at| idle.remove(at))?;
+        let idle = idle.iter().rposition(|idle| idle.is_usable(age)).map(|at| idle.remove(at))?;
         drop(entries);
         Some(Connection::new(idle.parts, self.place(key), true))
     }
@@ -182,6 +205,7 @@
         let stream = TcpStream::connect(target.address).await.map_err(|_| ConnectError::Refused)?;
         // Small requests must not wait for the acknowledgement of earlier ones.
         let _ = stream.set_nodelay(true);
+        detect_silence(&stream).map_err(|_| ConnectError::Refused)?;
         let (tx, connection) = http1::Builder::new()
             .max_buf_size(self.limits.buffer_bytes.max(8192))
             .handshake::<_, UpstreamBody>(HyperStream::new_plain(stream))
--- a/crates/proxy/src/reject.rs
+++ b/crates/proxy/src/reject.rs
@@ -3,13 +3,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use cactustrack_routing::headers::EXECUTION;
 use cactustrack_types::Execution;
 use derive_more::{Display, Error};
 use http::{HeaderValue, Response, StatusCode, header};
 use serde_json::{Map, Value};
 
-use crate::OutBody;
+use crate::{Dialect, OutBody};
 
 /// Why a request was rejected. The display form is the last part of the problem type.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash)]
@@ -115,26 +114,17 @@
     }
 
     /// Creates the answer to the caller.
-    pub fn into_response(self) -> Response<OutBody> {
+    pub fn into_response(self, dialect: &dyn Dialect) -> Response<OutBody> {
         let mut response = Response::new(OutBody::full(self.problem()));
         *response.status_mut() = self.status;
         let headers = response.headers_mut();
         let problem_json = HeaderValue::from_static("application/problem+json");
         headers.insert(header::CONTENT_TYPE, problem_json);
-        let execution = match self.execution {
-            Execution::NotRun => "not_run",
-            Execution::Unknown => "unknown",
-            Execution::Completed => "completed",
-        };
-        headers.insert(EXECUTION, HeaderValue::from_static(execution));
+        dialect.describe_rejection(headers, self.execution, self.retry_after);
         if self.reason == Reason::Malformed {
             // Where a malformed request ends is not certain, so nothing after it is read.
             headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
-        if let Some(retry_after) = self.retry_after {
-            let seconds = retry_after.as_secs_f64().ceil().max(1.0) as u64;
-            headers.insert(header::RETRY_AFTER, HeaderValue::from(seconds));
-        }
         response
     }
 
--- a/crates/proxy/src/repeatable.rs
+++ b/crates/proxy/src/repeatable.rs
@@ -34,6 +34,8 @@
     pub(crate) trace: TraceContext,
     /// True if an upstream may have acted on the request.
     sent: bool,
+    /// Attempts of which a byte may have reached an upstream and that were not declined.
+    attempts: u32,
 }
 
 /// What one round of attempts gave.
@@ -52,7 +54,7 @@
         out: Outgoing,
         trace: TraceContext,
     ) -> Self {
-        Self { proxy, routed, out, tried: Vec::new(), trace, sent: false }
+        Self { proxy, routed, out, tried: Vec::new(), trace, sent: false, attempts: 0 }
     }
 
     /// Sends the request to upstreams until one gives a usable answer, the budget or the time is
@@ -98,7 +100,7 @@
 
     /// Returns the upstream for another attempt, if the request, the time and the budget allow one.
     fn next(&mut self, retry_free: bool) -> Option<Target> {
-        if !self.out.can_send() || until(self.routed.deadline).is_zero() {
+        if !self.out.can_send() || until(self.routed.deadline).is_zero() || self.is_used_up() {
             return None;
         }
         let target = self.pick().ok()?;
@@ -110,14 +112,20 @@
         allowed.then_some(target)
     }
 
+    /// Returns true if the request was sent to as many upstreams as its route allows.
+    fn is_used_up(&self) -> bool {
+        self.routed.max_attempts.is_some_and(|most| self.attempts >= most)
+    }
+
     async fn round(&mut self, target: Target) -> Round {
         match self.attempt_with_hedge(target).await {
             Ok(answer) if answer.is_shed() => {
                 let retry_after = retry_after(&answer);
                 discard(answer, Outcome::Shed).await;
+                self.attempts = self.attempts.saturating_sub(1);
                 Round::Shed(retry_after)
             }
-            Ok(answer) if answer.is_unframed() => {
+            Ok(answer) if answer.is_unframed() && !self.proxy.dialect().accepts_unframed() => {
                 self.sent = true;
                 answer.attempt.finish(Outcome::Failed);
                 Round::Failed(Cause::Broken)
@@ -130,6 +138,9 @@
             Ok(answer) => Round::Usable(answer),
             Err(failure) => {
                 self.sent |= failure.sent;
+                if !failure.sent {
+                    self.attempts = self.attempts.saturating_sub(1);
+                }
                 Round::Failed(failure.cause)
             }
         }
@@ -139,13 +150,14 @@
         &mut self,
         target: Target,
     ) -> Option<LocalBoxFuture<'static, Result<Answer, Failure>>> {
-        let req = self.out.build(until(self.routed.deadline))?;
+        let req = self.out.build()?;
+        self.attempts += 1;
         let proxy = Rc::clone(&self.proxy);
         let deadline = self.routed.deadline;
         let reporting = proxy.reporting(self.trace);
         let reuse = Reuse::Idle { silent_after: self.silent_after() };
         let sending =
-            async move { exchange(proxy.pool(), reporting, target, req, reuse, deadline).await };
+            async move { exchange(&proxy, reporting, target, req, reuse, deadline).await };
         Some(sending.boxed_local())
     }
 
@@ -177,6 +189,9 @@
     }
 
     fn hedge(&mut self) -> Option<LocalBoxFuture<'static, Result<Answer, Failure>>> {
+        if self.is_used_up() {
+            return None;
+        }
         let target = self.pick().ok()?;
         if !self.proxy.policy().allow_extra(Instant::now(), &self.routed, Extra::Hedge) {
             self.tried.pop();
--- a/crates/proxy/src/request.rs
+++ b/crates/proxy/src/request.rs
@@ -2,11 +2,9 @@
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
-use std::time::Duration;
 
 use bytes::Bytes;
-use cactustrack_routing::headers::TIMEOUT_MS;
-use http::{HeaderMap, HeaderValue, Method, Request, Uri};
+use http::{HeaderMap, Method, Request, Uri};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Incoming};
 
@@ -77,7 +75,7 @@
     }
 
     /// Builds the request for one attempt, or returns `None` if the body was already passed on.
-    pub(crate) fn build(&mut self, remaining: Duration) -> Option<Request<UpstreamBody>> {
+    pub(crate) fn build(&mut self) -> Option<Request<UpstreamBody>> {
         let body = match &mut self.payload {
             Payload::Replayable(bytes) => UpstreamBody::full(bytes.clone()),
             Payload::Once(untouched) => UpstreamBody::streamed(untouched, Rc::clone(&self.upload))?,
@@ -86,16 +84,11 @@
         *req.method_mut() = self.method.clone();
         *req.uri_mut() = self.uri.clone();
         *req.headers_mut() = self.headers.clone();
-        set_timeout(&mut req, remaining);
         Some(req)
     }
 
     /// Builds a request for a part of an answer, which the headers in `range` name.
-    pub(crate) fn build_range(
-        &self,
-        remaining: Duration,
-        range: &HeaderMap,
-    ) -> Request<UpstreamBody> {
+    pub(crate) fn build_range(&self, range: &HeaderMap) -> Request<UpstreamBody> {
         let mut req = Request::new(UpstreamBody::full(Bytes::new()));
         *req.method_mut() = self.method.clone();
         *req.uri_mut() = self.uri.clone();
@@ -103,16 +96,10 @@
         for (name, value) in range {
             req.headers_mut().insert(name, value.clone());
         }
-        set_timeout(&mut req, remaining);
         req
     }
 }
 
-fn set_timeout(req: &mut Request<UpstreamBody>, remaining: Duration) {
-    let ms = u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX);
-    req.headers_mut().insert(TIMEOUT_MS, HeaderValue::from(ms));
-}
-
 /// The caller broke off the request body.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct BodyBroken;
--- a/crates/proxy/src/resume.rs
+++ b/crates/proxy/src/resume.rs
@@ -77,11 +77,11 @@
             let service = &*request.routed.service;
             proxy.metrics().attempts.with_label_values(&[service, "resume"]).inc();
             let reporting = proxy.reporting(request.trace);
-            (proxy, target, request.out.build_range(HEAD_TIMEOUT, range), reporting)
+            (proxy, target, request.out.build_range(range), reporting)
         };
         let deadline = Instant::now() + HEAD_TIMEOUT;
         let reuse = Reuse::Idle { silent_after: HEAD_TIMEOUT / 2 };
-        let answer = exchange(proxy.pool(), reporting, target, req, reuse, deadline);
+        let answer = exchange(&proxy, reporting, target, req, reuse, deadline);
         let Ok(answer) = answer.await else { return Some(None) };
         if answer.is_shed() || answer.is_failure() {
             let outcome = if answer.is_shed() { Outcome::Shed } else { Outcome::Failed };
--- a/crates/routing/src/idempotency.rs
+++ b/crates/routing/src/idempotency.rs
@@ -39,6 +39,8 @@
         /// HTTP status of the answer.
         status: u16,
     },
+    /// The upstream states that it has not run the request, and another one may be asked.
+    Declined,
     /// The head of any other final answer arrived.
     Answer {
         /// HTTP status of the answer.
@@ -221,6 +223,10 @@
     fn on_sent(&mut self, event: Event) -> Step {
         match event {
             Event::Shed { .. } => self.reject_not_run(503),
+            Event::Declined => {
+                self.state = State::Connecting;
+                Step::only(Next::TryAnother)
+            }
             Event::Answer { status } => {
                 self.state = State::Answered;
                 Step::new(self.if_claimed(RecordAction::Complete(status)), Next::Forward)
--- a/crates/routing/src/route.rs
+++ b/crates/routing/src/route.rs
@@ -1,9 +1,10 @@
 //! Maps host and path to a service and a request class.
 
 use std::collections::HashMap;
+use std::sync::Arc;
 use std::time::Duration;
 
-use cactustrack_types::{Configuration, RequestClass, Route, ServiceId};
+use cactustrack_types::{Configuration, Delivery, RequestClass, Route, ServiceId};
 use derive_more::{Display, Error};
 use http::header::HOST;
 use http::uri::Authority;
@@ -24,6 +25,8 @@
     pub timeout: Duration,
     /// Longest time that a caller may ask for.
     pub max_timeout: Duration,
+    /// Rules beyond the service and the class.
+    pub delivery: Arc<Delivery>,
 }
 
 impl From<&Route> for RouteMatch {
@@ -33,6 +36,7 @@
             class: route.class,
             timeout: route.timeout.0,
             max_timeout: route.max_timeout.0,
+            delivery: Arc::new(route.delivery.clone()),
         }
     }
 }
@@ -107,7 +111,11 @@
         self.lengths[skipped..]
             .iter()
             .filter(|&&len| len == bytes.len() || bytes[len] == b'/')
-            .find_map(|&len| self.by_prefix.get(&path[..len]))
+            .find_map(|&len| {
+                let route = self.by_prefix.get(&path[..len])?;
+                let is_below = len < bytes.len();
+                (is_below || !route.delivery.subtree_only).then_some(route)
+            })
     }
 }
 
--- a/crates/store/src/idempotency.rs
+++ b/crates/store/src/idempotency.rs
@@ -65,3 +65,21 @@
     /// background until it is recorded.
     fn release(&self, claim: &Claim);
 }
+
+/// Records nothing, for platforms on which each attempt of a caller has an id of its own and no
+/// repeat has to be recognised.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct NoRecords;
+
+impl IdempotencyRecords for NoRecords {
+    fn claim<'a>(
+        &'a self,
+        _claim: &'a Claim,
+    ) -> LocalFuture<'a, Result<ClaimOutcome, RecordError>> {
+        Box::pin(async { Ok(ClaimOutcome::Granted) })
+    }
+
+    fn complete(&self, _claim: &Claim, _status: u16) {}
+
+    fn release(&self, _claim: &Claim) {}
+}
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -11,7 +11,9 @@
 
 pub use envelope::{VALUE_FORMAT, ValueError, decode_value, encode_value};
 pub use etcd::{DEFAULT_CALL_TIMEOUT, DEFAULT_MAX_REPLY_BYTES, EtcdStore};
-pub use idempotency::{Claim, ClaimOutcome, IdempotencyRecords, RecordError, RecordState};
+pub use idempotency::{
+    Claim, ClaimOutcome, IdempotencyRecords, NoRecords, RecordError, RecordState,
+};
 pub use kv::{
     Compare, KeyValue, LeaseId, LocalFuture, Operation, OperationReply, Revision, Store,
     StoreError, Txn, TxnReply, WatchEvent,
--- a/crates/types/src/configuration.rs
+++ b/crates/types/src/configuration.rs
@@ -78,6 +78,41 @@
     pub timeout: Millis,
     /// Longest time that a caller may ask for.
     pub max_timeout: Millis,
+    /// Rules beyond the service and the class, which most routes leave at their defaults.
+    #[serde(default, skip_serializing_if = "Delivery::is_default")]
+    pub delivery: Delivery,
+}
+
+/// How the requests of a route are delivered beyond its service and class.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Delivery {
+    /// Services that share the requests. Empty if the service of the route takes all of them.
+    pub split: Vec<SplitPart>,
+    /// Upstreams that one request may be sent to, unlimited if there is none.
+    pub max_attempts: Option<u32>,
+    /// Time within which an answer is worth most to the caller.
+    pub latency_target: Option<Millis>,
+    /// Rank among the routes of a service. Zero is the most urgent one.
+    pub priority: u32,
+    /// True if the route covers only paths below its prefix and not the prefix without its final
+    /// slash.
+    pub subtree_only: bool,
+}
+
+impl Delivery {
+    fn is_default(&self) -> bool {
+        *self == Self::default()
+    }
+}
+
+/// A service that takes a share of the requests of a route.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SplitPart {
+    /// The service.
+    pub service: ServiceId,
+    /// Share relative to the other parts.
+    pub weight: u32,
 }
 
 /// A client account.
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -14,7 +14,8 @@
 mod verdict;
 
 pub use configuration::{
-    Account, CONFIGURATION_FORMAT, Configuration, DetectionPolicy, RequestClass, Route, Service,
+    Account, CONFIGURATION_FORMAT, Configuration, Delivery, DetectionPolicy, RequestClass, Route,
+    Service, SplitPart,
 };
 pub use evidence::{Counts, Outcome};
 pub use execution::Execution;
--- a/src/bin/cactustrackd.rs
+++ b/src/bin/cactustrackd.rs
@@ -12,6 +12,9 @@
     match matches.subcommand() {
         Some(("check", arguments)) => check(&file(arguments), arguments.get_flag("json")),
         Some(("run", arguments)) => run(&file(arguments)),
+        Some(("platform", arguments)) => {
+            run_on_platform(&file(arguments), arguments.get_flag("check"))
+        }
         _ => ExitCode::from(EXIT_FAILED),
     }
 }
@@ -33,6 +36,7 @@
             "SIGTERM starts a graceful shutdown, which waits for all requests in flight. A second \
              SIGTERM says what is still running. SIGINT after that interrupts it.",
         ))
+        .subcommand(platform_command())
         .subcommand(
             Command::new("check").about("Reports all faults of a settings file").arg(file()).arg(
                 Arg::new("json")
@@ -43,6 +47,25 @@
         )
 }
 
+fn platform_command() -> Command {
+    let file = Arg::new("file")
+        .value_name("FILE")
+        .help("Settings file that the platform writes")
+        .value_parser(value_parser!(PathBuf));
+    let file = match cactustrack_platform::settings_path() {
+        Some(path) => file.default_value(path.into_os_string()),
+        None => file.required(true),
+    };
+    let check = Arg::new("check")
+        .long("check")
+        .action(ArgAction::SetTrue)
+        .help("Only reports whether the settings file can be used");
+    Command::new("platform")
+        .about("Runs the instance with the settings, store and lists of the users' platform")
+        .arg(file)
+        .arg(check)
+}
+
 fn file(arguments: &ArgMatches) -> PathBuf {
     arguments.get_one::<PathBuf>("file").cloned().unwrap_or_default()
 }
@@ -52,6 +75,18 @@
     cactustrack::cli::check_settings(file, json, &mut out, &mut err).into()
 }
 
+fn run_on_platform(file: &Path, only_check: bool) -> ExitCode {
+    let result = if only_check {
+        cactustrack::node::check(file).map(|settings| println!("{settings:#?}"))
+    } else {
+        cactustrack::node::run(file)
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => fail(&error),
+    }
+}
+
 fn run(file: &Path) -> ExitCode {
     match cactustrack::daemon::run(file) {
         Ok(()) => ExitCode::SUCCESS,
--- a/src/daemon/admin.rs
+++ b/src/daemon/admin.rs
@@ -39,21 +39,35 @@
 struct State {
     source: Rc<dyn AdminSource>,
     metrics: Metrics,
-    /// Value of the `Authorization` header that status, metrics and explanations need.
-    authorization: Option<String>,
+    access: Access,
+    /// Path at which readiness is asked for.
+    ready_path: &'static str,
 }
 
+/// Who may read metrics, status and explanations.
+pub(crate) enum Access {
+    /// Nobody.
+    Closed,
+    /// Whoever reaches the listener.
+    Open,
+    /// Whoever sends this value in the `Authorization` header.
+    Authorized(String),
+}
+
+/// Path at which readiness is asked for unless another one is set.
+pub(crate) const READY_PATH: &str = "/ready";
+
 impl Admin {
-    /// Binds the listener. Without a key, only liveness and readiness are served.
+    /// Binds the listener. Liveness and readiness are served to everyone.
     pub(crate) async fn bind(
         address: SocketAddr,
         source: Rc<dyn AdminSource>,
         metrics: Metrics,
-        key: Option<&str>,
+        access: Access,
+        ready_path: &'static str,
     ) -> io::Result<Self> {
         let listener = TcpListener::bind(address).await?;
-        let authorization = key.map(|key| format!("Bearer {key}"));
-        Ok(Self { listener, state: Rc::new(State { source, metrics, authorization }) })
+        Ok(Self { listener, state: Rc::new(State { source, metrics, access, ready_path }) })
     }
 
     /// Address of the listener.
@@ -89,7 +103,7 @@
         }
         match path {
             "/live" => return text(StatusCode::OK, "live\n"),
-            "/ready" => return self.ready(),
+            path if path == self.ready_path => return self.ready(),
             _ => {}
         }
         if !self.is_authorized(headers) {
@@ -110,7 +124,11 @@
     }
 
     fn is_authorized(&self, headers: &HeaderMap) -> bool {
-        let Some(expected) = &self.authorization else { return false };
+        let expected = match &self.access {
+            Access::Closed => return false,
+            Access::Open => return true,
+            Access::Authorized(expected) => expected,
+        };
         let given = headers.get(header::AUTHORIZATION).map_or(&[][..], HeaderValue::as_bytes);
         constant_time_eq(given, expected.as_bytes())
     }
--- a/src/daemon/instance.rs
+++ b/src/daemon/instance.rs
@@ -12,7 +12,9 @@
 use cactustrack_peer::{
     PeerCounters, PeerHandler, PeerKey, PeerPool, PeerServer, PoolConfig, ServerConfig,
 };
-use cactustrack_proxy::{Pool, PoolLimits, Proxy, ProxyParts, Server, ServerLimits, Shutdown};
+use cactustrack_proxy::{
+    OwnDialect, Pool, PoolLimits, Proxy, ProxyParts, Server, ServerLimits, Shutdown,
+};
 use cactustrack_store::{EtcdStore, RecordsConfig, Store, StoreIdempotencyRecords};
 use cactustrack_types::Incarnation;
 use eyre::{Result, WrapErr, eyre};
@@ -23,7 +25,7 @@
 
 use crate::cli::Checked;
 
-use super::admin::Admin;
+use super::admin::{Access, Admin, READY_PATH};
 use super::blackboard::{Blackboard, SharedBoard};
 use super::configuration::ConfigurationController;
 use super::counted_store::CountedStore;
@@ -118,6 +120,7 @@
             instance: settings.instance.id.clone(),
             policy: BoardPolicy::new(Rc::clone(&control.board), metrics.clone(), log.clone()),
             records: Rc::clone(&control.records) as Rc<_>,
+            dialect: Rc::new(OwnDialect),
             pool: pool.clone(),
             metrics: metrics.clone(),
             spans: start_export(settings, &metrics),
@@ -367,8 +370,11 @@
     let records = record_status(Rc::clone(&control.records));
     let source = BoardStatus::new(Rc::clone(&control.board), pool.clone(), records);
     let address = checked.settings.listen.admin;
-    let key = checked.admin_key.as_ref().map(cactustrack_config::Secret::expose);
-    Admin::bind(address, Rc::new(source), metrics.clone(), key)
+    let access = match &checked.admin_key {
+        Some(key) => Access::Authorized(format!("Bearer {}", key.expose())),
+        None => Access::Closed,
+    };
+    Admin::bind(address, Rc::new(source), metrics.clone(), access, READY_PATH)
         .await
         .wrap_err_with(|| format!("cannot listen on {address} for operators"))
 }
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -1,6 +1,6 @@
 //! One instance: controllers around the blackboard, and the network at the edge.
 
-mod admin;
+pub(crate) mod admin;
 mod blackboard;
 mod configuration;
 mod counted_store;
--- a/src/daemon/policy.rs
+++ b/src/daemon/policy.rs
@@ -68,7 +68,14 @@
         let deadline = Deadline::from_headers(now, headers, &route).map_err(|error| {
             Rejection::not_run(Reason::Malformed, StatusCode::BAD_REQUEST, error.to_string())
         })?;
-        Ok(Routed { service: route.service, class: route.class, deadline: deadline.at })
+        Ok(Routed {
+            service: route.service,
+            class: route.class,
+            deadline: deadline.at,
+            target: None,
+            priority: 0,
+            max_attempts: None,
+        })
     }
 
     fn admit<'a>(
@@ -104,10 +111,14 @@
             incarnation: view.incarnation,
             address: view.address,
             max_connections: usize::try_from(max_connections).unwrap_or(usize::MAX),
+            is_extra: !exclude.is_empty(),
         })
     }
 
-    fn allow_extra(&self, _now: Instant, routed: &Routed, _extra: Extra) -> bool {
+    fn allow_extra(&self, _now: Instant, routed: &Routed, extra: Extra) -> bool {
+        if extra == Extra::Declined {
+            return false;
+        }
         let mut board = self.board.borrow_mut();
         board.services.get_mut(&routed.service).is_some_and(|service| service.budget.try_take())
     }
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -2,7 +2,7 @@
 
 use std::path::Path;
 
-use cactustrack_observe::new_logger;
+use cactustrack_observe::{LogTarget, new_logger};
 use eyre::{Result, WrapErr, eyre};
 use futures::future::{Either, select};
 use slog::Logger;
@@ -21,7 +21,12 @@
 pub fn run(file: &Path) -> Result<()> {
     let checked = load_settings(file)?.map_err(|findings| eyre!("{findings}"))?;
     let settings = &checked.settings;
-    let log = new_logger(settings.log.format, settings.log.level, &settings.instance.id);
+    let log = new_logger(
+        settings.log.format,
+        settings.log.level,
+        &settings.instance.id,
+        LogTarget::Stderr,
+    );
     for warning in &settings.warnings {
         slog::warn!(log, "config: {}", warning);
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,3 +2,4 @@
 
 pub mod cli;
 pub mod daemon;
+pub mod node;
--- /dev/null
+++ b/src/node/policy.rs
@@ -0,0 +1,284 @@
+//! The request path's decisions over the state of the instance.
+
+use std::pin::Pin;
+use std::time::{Duration, Instant};
+
+use cactustrack_fleet::admission::{self, Candidate};
+use cactustrack_fleet::budget::BudgetLimits;
+use cactustrack_fleet::discovery::ListedUpstream;
+use cactustrack_fleet::placement::Prospect;
+use cactustrack_fleet::split;
+use cactustrack_fleet::view::Ended;
+use cactustrack_platform::PlatformDialect;
+use cactustrack_proxy::{Admission, Extra, Pool, Reason, Rejection, Routed, Target, TrafficPolicy};
+use cactustrack_routing::route::RouteError;
+use cactustrack_types::{FailureDomain, Outcome, RequestClass, ServiceId, UpstreamId};
+use futures::FutureExt;
+use http::{HeaderMap, StatusCode};
+
+use super::exchange::NoticeSink;
+use super::state::{SharedState, State};
+
+/// Wait that is named to a caller while the instance knows no configuration or no upstream.
+const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(500);
+
+/// A request is sent once more beside the first attempt after this many mean service times.
+const HEDGE_FACTOR: f64 = 2.2;
+
+/// Shortest wait before a hedge.
+const MIN_HEDGE_DELAY: Duration = Duration::from_millis(150);
+
+/// Largest share of a service's slots in use at which requests are hedged. A hedge takes room that
+/// other requests need when the service is busy.
+const MAX_HEDGE_LOAD: f64 = 0.55;
+
+/// An attempt that was given up counts as silent, and not as slow, after this many mean service
+/// times.
+const SILENT_FACTOR: f64 = 6.0;
+
+/// An attempt that was given up earlier says nothing about the upstream.
+const SLOW_FACTOR: f64 = 3.5;
+
+/// Decides with the state of the instance.
+pub(crate) struct NodePolicy {
+    pub(crate) state: SharedState,
+    pub(crate) notices: Box<dyn NoticeSink>,
+    pub(crate) pool: Pool,
+    pub(crate) failure_domain: FailureDomain,
+    pub(crate) budget: BudgetLimits,
+    /// Connections that the process may have open to upstreams.
+    pub(crate) max_connections: usize,
+}
+
+impl TrafficPolicy for NodePolicy {
+    fn route(
+        &self,
+        now: Instant,
+        host: &str,
+        path: &str,
+        headers: &HeaderMap,
+    ) -> Result<Routed, Rejection> {
+        let state = self.state.borrow();
+        let in_force = state.in_force.as_ref().ok_or_else(not_configured)?;
+        let route = in_force.routes.find(host, path).map_err(route_rejection)?;
+        let requested = PlatformDialect::requested_timeout(headers);
+        let timeout = requested.unwrap_or(route.timeout).min(route.max_timeout);
+        let service = split::choose(&route.delivery.split, rand::random()).cloned();
+        Ok(Routed {
+            service: service.unwrap_or(route.service),
+            class: route.class,
+            deadline: now + timeout,
+            target: route.delivery.latency_target.map(|target| now + target.0),
+            priority: route.delivery.priority,
+            max_attempts: route.delivery.max_attempts,
+        })
+    }
+
+    fn admit<'a>(
+        &'a self,
+        _routed: &'a Routed,
+        _account: &'a str,
+    ) -> Pin<Box<dyn Future<Output = Result<Admission, Rejection>> + 'a>> {
+        // Work waits only at upstreams, so a request is taken or rejected when it is placed.
+        async { Ok(Box::new(()) as Admission) }.boxed_local()
+    }
+
+    fn pick(
+        &self,
+        now: Instant,
+        routed: &Routed,
+        exclude: &[UpstreamId],
+    ) -> Result<Target, Rejection> {
+        let state = self.state.borrow();
+        let service_time = state.view.service_time(&routed.service);
+        let target_left = target_left(now, routed);
+        let usable = state.catalog.usable(&routed.service);
+        let usable: Vec<_> = usable.filter(|upstream| !exclude.contains(&upstream.id)).collect();
+        let mut best: Option<(f64, &ListedUpstream)> = None;
+        let mut shortest_wait = Duration::MAX;
+        for upstream in usable {
+            let prospect = self.prospect(&state, now, routed, upstream);
+            let wait = prospect.wait(service_time);
+            shortest_wait = shortest_wait.min(wait);
+            let loss = prospect.loss(routed.class, service_time, target_left, rand::random());
+            if best.is_none_or(|(least, _)| loss < least) {
+                best = Some((loss, upstream));
+            }
+        }
+        let Some((_, upstream)) = best else { return Err(no_upstream()) };
+        self.check_wait(&state, now, routed, shortest_wait)?;
+        Ok(Target {
+            service: routed.service.clone(),
+            upstream: upstream.id.clone(),
+            incarnation: upstream.incarnation,
+            address: upstream.address,
+            max_connections: self.max_connections,
+            is_extra: !exclude.is_empty(),
+        })
+    }
+
+    fn allow_extra(&self, now: Instant, routed: &Routed, extra: Extra) -> bool {
+        let mut state = self.state.borrow_mut();
+        let fleet = state.fleet_size();
+        let is_hedge = extra == Extra::Hedge;
+        if is_hedge && self.load_share(&state, &routed.service) > MAX_HEDGE_LOAD {
+            return false;
+        }
+        state.view.allows_extra(now, &routed.service, self.budget, fleet, is_hedge)
+    }
+
+    fn hedge_delay(&self, routed: &Routed) -> Option<Duration> {
+        if !routed.class.is_repeatable() {
+            return None;
+        }
+        let usual = self.state.borrow().view.service_time(&routed.service);
+        Some(usual.mul_f64(HEDGE_FACTOR).max(MIN_HEDGE_DELAY))
+    }
+
+    fn on_start(&self, now: Instant, target: &Target) {
+        let (service, upstream) = (&target.service, &target.upstream);
+        let mut state = self.state.borrow_mut();
+        let notice = state.view.start(now, service, upstream, target.is_extra);
+        drop(state);
+        self.notices.push(notice);
+    }
+
+    fn on_response_head(&self, _now: Instant, _target: &Target, _headers: &HeaderMap) {}
+
+    fn on_finish(
+        &self,
+        now: Instant,
+        target: &Target,
+        outcome: Outcome,
+        latency: Option<Duration>,
+    ) {
+        let judged = match (outcome, latency) {
+            (Outcome::Ok, Some(latency)) => {
+                self.state.borrow().view.judge(&target.service, latency)
+            }
+            _ => outcome,
+        };
+        self.finish(now, target, Some(judged), latency.unwrap_or_default());
+    }
+
+    fn on_cancel(&self, now: Instant, target: &Target, elapsed: Duration) {
+        let usual = self.state.borrow().view.service_time(&target.service);
+        let outcome = if elapsed > usual.mul_f64(SILENT_FACTOR) {
+            Some(Outcome::Silent)
+        } else if elapsed > usual.mul_f64(SLOW_FACTOR) {
+            Some(Outcome::Slow)
+        } else {
+            None
+        };
+        self.finish(now, target, outcome, elapsed);
+    }
+
+    fn on_misdirected(&self, _now: Instant, target: &Target) {
+        self.state.borrow_mut().catalog.set_misdirected(&target.upstream);
+    }
+
+    fn on_shed(&self, now: Instant, target: &Target, _retry_after: Duration) {
+        self.state.borrow_mut().view.set_full(now, &target.upstream);
+    }
+}
+
+impl NodePolicy {
+    fn prospect(
+        &self,
+        state: &State,
+        now: Instant,
+        routed: &Routed,
+        upstream: &ListedUpstream,
+    ) -> Prospect {
+        let (fault, own_fault) = state.view.fault(now, &upstream.id);
+        let needs_recent = routed.class == RequestClass::NonIdempotent;
+        Prospect {
+            in_flight: state.view.load().in_flight(&upstream.id),
+            slots: upstream.slots,
+            fault,
+            own_fault,
+            is_cold: upstream.cold_until.is_some_and(|until| until > now),
+            has_connection: self.pool.has_idle(&upstream.id, upstream.incarnation, needs_recent),
+            is_near: upstream.failure_domain == self.failure_domain,
+            is_full: state.view.load().is_full(now, &upstream.id),
+        }
+    }
+
+    fn check_wait(
+        &self,
+        state: &State,
+        now: Instant,
+        routed: &Routed,
+        wait: Duration,
+    ) -> Result<(), Rejection> {
+        let remaining = routed.deadline.saturating_duration_since(now);
+        let in_force = state.in_force.as_ref();
+        let ranks = in_force.map_or(0, |f| f.ranks_above(&routed.service, routed.priority));
+        let limit = admission::wait_limit(&Candidate {
+            remaining,
+            target_left: target_left(now, routed),
+            service_time: state.view.service_time(&routed.service),
+            ranks_below_first: ranks,
+        });
+        if wait <= limit {
+            return Ok(());
+        }
+        let retry_after = admission::retry_after(wait - limit, remaining, rand::random());
+        Err(overloaded(retry_after))
+    }
+
+    /// Share of the slots of a service that are in use by the whole fleet.
+    fn load_share(&self, state: &State, service: &ServiceId) -> f64 {
+        let (mut in_flight, mut slots) = (0, 0);
+        for upstream in state.catalog.usable(service) {
+            in_flight += state.view.load().in_flight(&upstream.id);
+            slots += upstream.slots;
+        }
+        f64::from(in_flight) / f64::from(slots.max(1))
+    }
+
+    fn finish(&self, now: Instant, target: &Target, outcome: Option<Outcome>, latency: Duration) {
+        let notice = {
+            let mut state = self.state.borrow_mut();
+            let slots = state.catalog.get(&target.upstream).map_or(0, |upstream| upstream.slots);
+            let unqueued = state.view.load().in_flight(&target.upstream) <= slots;
+            let ended = Ended { outcome, latency, unqueued };
+            state.view.finish(now, &target.service, &target.upstream, ended)
+        };
+        self.notices.push(notice);
+    }
+}
+
+fn target_left(now: Instant, routed: &Routed) -> Duration {
+    routed.target.unwrap_or(routed.deadline).saturating_duration_since(now)
+}
+
+fn not_configured() -> Rejection {
+    let detail = "the instance has no configuration for this request yet";
+    Rejection::not_run(Reason::NotConfigured, StatusCode::SERVICE_UNAVAILABLE, detail)
+        .with_retry_after(NOT_READY_RETRY_AFTER)
+}
+
+fn no_upstream() -> Rejection {
+    let detail = "no upstream of the service can take the request";
+    Rejection::not_run(Reason::NoUpstream, StatusCode::SERVICE_UNAVAILABLE, detail)
+        .with_retry_after(NOT_READY_RETRY_AFTER)
+}
+
+fn overloaded(retry_after: Duration) -> Rejection {
+    let detail = "the upstreams of the service have no room in time";
+    Rejection::not_run(Reason::Overloaded, StatusCode::SERVICE_UNAVAILABLE, detail)
+        .with_retry_after(retry_after)
+}
+
+fn route_rejection(error: RouteError) -> Rejection {
+    let status = StatusCode::from_u16(error.status()).unwrap_or(StatusCode::BAD_REQUEST);
+    let reason = match error {
+        RouteError::NoRoute => Reason::NoRoute,
+        RouteError::MissingHost | RouteError::DuplicateHost | RouteError::InvalidHost => {
+            Reason::Malformed
+        }
+        _ => Reason::UnacceptablePath,
+    };
+    Rejection::not_run(reason, status, error.to_string())
+}
--- /dev/null
+++ b/src/node/run.rs
@@ -0,0 +1,87 @@
+//! Runs an instance as a process: settings, log, event loop and signals.
+
+use std::path::Path;
+
+use cactustrack_config::{LogFormat, LogLevel};
+use cactustrack_observe::{LogTarget, new_logger};
+use cactustrack_platform::Settings;
+use eyre::{Result, WrapErr};
+use futures::future::{Either, select};
+use slog::Logger;
+
+use super::{Instance, StopHandle};
+
+const SIGHUP: i32 = 1;
+const SIGTERM: i32 = 15;
+
+/// Reads a settings file of the platform and reports whether an instance could start with it.
+///
+/// # Errors
+///
+/// Fails if the file cannot be read or has an error.
+pub fn check(file: &Path) -> Result<Settings> {
+    let name = file.display();
+    let text = std::fs::read_to_string(file).wrap_err_with(|| format!("cannot read {name}"))?;
+    Settings::parse(&text).wrap_err_with(|| format!("{name}"))
+}
+
+/// Runs an instance with the settings of a file until it has stopped.
+///
+/// # Errors
+///
+/// Fails if the settings have errors or the instance cannot start.
+pub fn run(file: &Path) -> Result<()> {
+    let settings = check(file)?;
+    let target = LogTarget::Stdout;
+    let log = new_logger(LogFormat::Json, LogLevel::Info, &settings.instance, target);
+    let runtime = compio::runtime::Runtime::new().wrap_err("cannot create the event loop")?;
+    runtime.block_on(serve(&settings, file, log))
+}
+
+async fn serve(settings: &Settings, file: &Path, log: Logger) -> Result<()> {
+    let (instance, stop) = Instance::start(settings, log.clone()).await?;
+    let listen = settings.listen;
+    slog::info!(log, "proxy: listening"; "callers" => %listen.callers,
+        "admin" => %listen.admin, "peers" => %listen.peers,
+        "failure_domain" => &*settings.failure_domain);
+    let signals = compio::runtime::spawn(handle_signals(stop, file.to_owned(), log));
+    let running = std::pin::pin!(instance.run());
+    match select(running, signals).await {
+        Either::Left(_) => Ok(()),
+        Either::Right((ended, running)) => {
+            if let Ok(Err(error)) = ended {
+                return Err(error);
+            }
+            running.await;
+            Ok(())
+        }
+    }
+}
+
+/// Starts the graceful shutdown at SIGTERM. SIGHUP only checks the settings file: addresses and
+/// bounds hold for the life of the process, and the configuration of routes comes from the store.
+async fn handle_signals(stop: StopHandle, file: std::path::PathBuf, log: Logger) -> Result<()> {
+    loop {
+        match next_signal().await? {
+            SIGHUP => match check(&file) {
+                Ok(_) => slog::info!(log, "config: settings checked"),
+                Err(error) => slog::warn!(log, "config: settings have errors";
+                    "error" => format!("{error:#}")),
+            },
+            _ => {
+                stop.stop();
+                return Ok(());
+            }
+        }
+    }
+}
+
+async fn next_signal() -> Result<i32> {
+    let terminate = std::pin::pin!(compio::signal::unix::signal(SIGTERM));
+    let hang_up = std::pin::pin!(compio::signal::unix::signal(SIGHUP));
+    match select(terminate, hang_up).await {
+        Either::Left((received, _)) => received.map(|()| SIGTERM),
+        Either::Right((received, _)) => received.map(|()| SIGHUP),
+    }
+    .wrap_err("cannot wait for signals")
+}
--- /dev/null
+++ b/src/node/status.rs
@@ -0,0 +1,46 @@
+//! What the admin listener shows.
+
+use std::time::Instant;
+
+use serde_json::{Value, json};
+
+use super::state::SharedState;
+use crate::daemon::admin::AdminSource;
+
+/// Readiness and state of an instance.
+pub(crate) struct NodeStatus(pub(crate) SharedState);
+
+impl AdminSource for NodeStatus {
+    fn readiness(&self) -> Result<(), String> {
+        self.0.borrow().readiness().map_err(str::to_owned)
+    }
+
+    fn status(&self) -> Value {
+        let state = self.0.borrow();
+        json!({
+            "ready": state.readiness().is_ok(),
+            "configuration_version": state.in_force.as_ref().map(|in_force| in_force.version),
+            "upstreams": state.catalog.len(),
+            "instances_heard": state.peers.instances(),
+            "stopping": state.stopping,
+        })
+    }
+
+    fn explain(&self, service: &str, upstream: Option<&str>) -> Option<Value> {
+        let state = self.0.borrow();
+        let now = Instant::now();
+        let service = service.into();
+        let rows = state.catalog.usable(&service);
+        let rows = rows.filter(|row| upstream.is_none_or(|name| name == &*row.id)).map(|row| {
+            let (fleet, own) = state.view.fault(now, &row.id);
+            json!({
+                "upstream": row.id,
+                "in_flight": state.view.load().in_flight(&row.id),
+                "fault_probability": fleet,
+                "fault_probability_seen_here": own,
+            })
+        });
+        let rows: Vec<_> = rows.collect();
+        (!rows.is_empty()).then_some(Value::Array(rows))
+    }
+}
--- a/tests/all/proxy/fakes.rs
+++ b/tests/all/proxy/fakes.rs
@@ -63,6 +63,7 @@
         class,
         timeout: Millis(timeout),
         max_timeout: Millis(Duration::from_secs(60)),
+        delivery: cactustrack_types::Delivery::default(),
     };
     RouteTable::new(&Configuration {
         format: 1,
@@ -119,6 +120,7 @@
             incarnation: Incarnation(1),
             address: *address,
             max_connections: self.max_connections,
+            is_extra: !exclude.is_empty(),
         })
     }
 
--- a/tests/all/proxy/rig.rs
+++ b/tests/all/proxy/rig.rs
@@ -102,7 +102,8 @@
         let log = Logger::root(Discard, o!());
         let (policy, records) = (Rc::new(policy), Rc::new(records));
         let instance = "instance-0".into();
-        Proxy::new(ProxyParts { instance, policy, records, pool, metrics, spans, log }, 1)
+        let dialect = Rc::new(cactustrack_proxy::OwnDialect);
+        Proxy::new(ProxyParts { instance, policy, records, dialect, pool, metrics, spans, log }, 1)
     }
 }
 
