Notice a silent store within two seconds, and drop lapsed upstreams on time

Change: (1) entries in doubt end at their instant, 1.6 s after the return is noticed; (2) the renewal of the registration, each second, is the sign of life that ends and restarts watches; (3) the policy decides when an attempt on a reused connection is given up, and on the platform it is not.

--- a/crates/fleet/src/catalog.rs
+++ b/crates/fleet/src/catalog.rs
@@ -11,8 +11,9 @@
 
 use crate::discovery::ListedUpstream;
 
-/// Time after the return of the list's keeper within which lapsed entries are listed again.
-const RELIST_TIME: Duration = Duration::from_millis(2_200);
+/// Time after the return of the list's keeper within which lapsed entries are listed again. Live
+/// upstreams are back within about two seconds, of which some pass before the return is noticed.
+const RELIST_TIME: Duration = Duration::from_millis(1_600);
 
 /// Upstreams that requests may go to, and those that leave.
 #[derive(Debug, Default)]
@@ -89,9 +90,6 @@
     pub fn expire(&mut self, now: Instant) {
         let gone = self.doubtful.iter().filter(|(_, until)| **until <= now);
         let gone: Vec<_> = gone.map(|(id, _)| id.clone()).collect();
-        if matches!(self.outage, Outage::Ongoing) {
-            return;
-        }
         for id in gone {
             self.drop_entry(&id);
         }
@@ -105,11 +103,14 @@
     /// Upstreams of a service that may get new work.
     pub fn usable<'a>(
         &'a self,
+        now: Instant,
         service: &'a ServiceId,
     ) -> impl Iterator<Item = &'a ListedUpstream> {
         let is_usable = move |upstream: &&ListedUpstream| {
+            let is_gone = self.doubtful.get(&upstream.id).is_some_and(|until| *until <= now);
             upstream.service == *service
                 && !upstream.leaving
+                && !is_gone
                 && !self.misdirected.contains_key(&upstream.id)
         };
         self.listed.values().filter(is_usable)
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -21,8 +21,8 @@
     /// Any that is open and idle. If it gives no answer for `silent_after`, it is given up, so
     /// that there is time left to ask on another connection.
     Idle {
-        /// Wait for the first byte on a connection that was used before.
-        silent_after: Duration,
+        /// Wait for the first byte on a connection that was used before, if it is ever given up.
+        silent_after: Option<Duration>,
     },
     /// Only a new one, or one that was used within [`crate::PoolLimits::recent_age`], since an idle
     /// connection may have gone silent.
@@ -132,7 +132,9 @@
         let Some(tx) = connection.tx() else { return Err(Failure::unsent(Cause::Connect)) };
         let sending = tx.try_send_request(req);
         let wait = match reuse {
-            Reuse::Idle { silent_after } if connection.reused => until(deadline).min(silent_after),
+            Reuse::Idle { silent_after: Some(wait) } if connection.reused => {
+                until(deadline).min(wait)
+            }
             _ => until(deadline),
         };
         let reply = compio::time::timeout(wait, sending).await;
--- a/crates/proxy/src/policy.rs
+++ b/crates/proxy/src/policy.rs
@@ -10,6 +10,13 @@
 use http::HeaderMap;
 
 use crate::Rejection;
+use crate::exchange::until;
+
+/// A connection counts as silent after this many times the 95th percentile of the latency.
+const SILENT_FACTOR: u32 = 4;
+
+/// Shortest wait before a connection counts as silent.
+const MIN_SILENT_WAIT: Duration = Duration::from_millis(250);
 
 /// A request whose route is known.
 #[derive(Clone, Debug)]
@@ -103,6 +110,16 @@
     /// Returns how long to wait for an answer before a second upstream is asked, if at all.
     fn hedge_delay(&self, routed: &Routed) -> Option<Duration>;
 
+    /// Returns how long an attempt may wait for the first byte on a connection that was used
+    /// before, until it is given up in favour of another one. `None` if it is not given up.
+    fn silent_after(&self, _now: Instant, routed: &Routed) -> Option<Duration> {
+        let half = until(routed.deadline) / 2;
+        match self.hedge_delay(routed) {
+            Some(usual) => Some((usual * SILENT_FACTOR).max(MIN_SILENT_WAIT).min(half)),
+            None => Some(half),
+        }
+    }
+
     /// Notes that an attempt starts.
     fn on_start(&self, now: Instant, target: &Target);
 
--- a/crates/proxy/src/repeatable.rs
+++ b/crates/proxy/src/repeatable.rs
@@ -19,12 +19,6 @@
 /// Wait that is named to the caller if a busy upstream names none.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_secs(1);
 
-/// A connection counts as silent after this many times the 95th percentile of the latency.
-const SILENT_FACTOR: u32 = 4;
-
-/// Shortest wait before a connection counts as silent.
-const MIN_SILENT_WAIT: Duration = Duration::from_millis(250);
-
 /// A repeatable request and what was tried for it.
 pub(crate) struct Repeatable {
     pub(crate) proxy: Rc<Proxy>,
@@ -155,23 +149,14 @@
         let proxy = Rc::clone(&self.proxy);
         let deadline = self.routed.deadline;
         let reporting = proxy.reporting(self.trace);
-        let reuse = Reuse::Idle { silent_after: self.silent_after() };
+        let reuse = Reuse::Idle {
+            silent_after: self.proxy.policy().silent_after(Instant::now(), &self.routed),
+        };
         let sending =
             async move { exchange(&proxy, reporting, target, req, reuse, deadline).await };
         Some(sending.boxed_local())
     }
 
-    /// Wait for the first byte on a connection that was used before. It is several times the usual
-    /// latency, since the retry that follows is charged to the budget, and leaves at least half of
-    /// the time for the retry.
-    fn silent_after(&self) -> Duration {
-        let half = until(self.routed.deadline) / 2;
-        match self.proxy.policy().hedge_delay(&self.routed) {
-            Some(usual) => (usual * SILENT_FACTOR).max(MIN_SILENT_WAIT).min(half),
-            None => half,
-        }
-    }
-
     async fn attempt_with_hedge(&mut self, target: Target) -> Result<Answer, Failure> {
         let Some(first) = self.start(target) else {
             return Err(Failure { cause: Cause::Broken, sent: true });
--- a/src/node/instance.rs
+++ b/src/node/instance.rs
@@ -16,6 +16,7 @@
 use slog::Logger;
 
 use super::exchange::Exchange;
+use super::link::StoreLink;
 use super::policy::NodePolicy;
 use super::state::{SharedState, State};
 use super::status::NodeStatus;
@@ -43,7 +44,7 @@
 const STOP_NOTICE_TIME: Duration = Duration::from_millis(2_800);
 
 /// Time before the end of the grace period at which the process ends in any case.
-const STOP_MARGIN: Duration = Duration::from_millis(150);
+const STOP_MARGIN: Duration = Duration::from_millis(500);
 
 /// Interval of the checks for expired connections.
 const POOL_INTERVAL: Duration = Duration::from_secs(1);
@@ -222,6 +223,7 @@
     let sync = Rc::new(Sync {
         discovery: Rc::clone(discovery),
         state: Rc::clone(state),
+        link: StoreLink::new(),
         metrics: metrics.clone(),
         log: log.clone(),
     });
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -6,6 +6,7 @@
 
 mod exchange;
 mod instance;
+mod link;
 mod policy;
 mod run;
 mod state;
--- a/src/node/policy.rs
+++ b/src/node/policy.rs
@@ -92,7 +92,7 @@
         let state = self.state.borrow();
         let service_time = state.view.service_time(&routed.service);
         let target_left = target_left(now, routed);
-        let usable = state.catalog.usable(&routed.service);
+        let usable = state.catalog.usable(now, &routed.service);
         let usable: Vec<_> = usable.filter(|upstream| !exclude.contains(&upstream.id)).collect();
         let mut best: Option<(f64, &ListedUpstream)> = None;
         let mut shortest_wait = Duration::MAX;
@@ -121,7 +121,7 @@
         let mut state = self.state.borrow_mut();
         let fleet = state.fleet_size();
         let is_hedge = extra == Extra::Hedge;
-        if is_hedge && self.load_share(&state, &routed.service) > MAX_HEDGE_LOAD {
+        if is_hedge && self.load_share(&state, now, &routed.service) > MAX_HEDGE_LOAD {
             return false;
         }
         state.view.allows_extra(now, &routed.service, self.budget, fleet, is_hedge)
@@ -135,6 +135,12 @@
         Some(usual.mul_f64(HEDGE_FACTOR).max(MIN_HEDGE_DELAY))
     }
 
+    /// A hedge asks another upstream meanwhile, and the keep-alive of the connection finds out
+    /// whether it is silent. Giving the attempt up would break off work that an upstream does.
+    fn silent_after(&self, _now: Instant, _routed: &Routed) -> Option<Duration> {
+        None
+    }
+
     fn on_start(&self, now: Instant, target: &Target) {
         let (service, upstream) = (&target.service, &target.upstream);
         let mut state = self.state.borrow_mut();
@@ -228,9 +234,9 @@
     }
 
     /// Share of the slots of a service that are in use by the whole fleet.
-    fn load_share(&self, state: &State, service: &ServiceId) -> f64 {
+    fn load_share(&self, state: &State, now: Instant, service: &ServiceId) -> f64 {
         let (mut in_flight, mut slots) = (0, 0);
-        for upstream in state.catalog.usable(service) {
+        for upstream in state.catalog.usable(now, service) {
             in_flight += state.view.load().in_flight(&upstream.id);
             slots += upstream.slots;
         }
--- a/src/node/status.rs
+++ b/src/node/status.rs
@@ -30,7 +30,7 @@
         let state = self.0.borrow();
         let now = Instant::now();
         let service = service.into();
-        let rows = state.catalog.usable(&service);
+        let rows = state.catalog.usable(now, &service);
         let rows = rows.filter(|row| upstream.is_none_or(|name| name == &*row.id)).map(|row| {
             let (fleet, own) = state.view.fault(now, &row.id);
             json!({
--- a/src/node/sync.rs
+++ b/src/node/sync.rs
@@ -1,37 +1,45 @@
 //! Follows the configuration and the list of upstreams, and keeps the instance registered.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use cactustrack_fleet::discovery::{Discovery, DiscoveryError, Revision, Topic, Watched};
 use cactustrack_observe::Metrics;
+use futures::future::{Either, select};
 use slog::Logger;
 
+use super::link::StoreLink;
 use super::state::SharedState;
 
-/// Longest wait of a watch. The keep-alive of the connection notices a silent one earlier.
-const WATCH_WAIT: Duration = Duration::from_secs(20);
+/// Longest wait of a watch.
+const WATCH_WAIT: Duration = Duration::from_secs(25);
+
+/// Wait of the first watch after an outage, which only fetches what was missed.
+const CATCH_UP_WAIT: Duration = Duration::from_millis(1);
 
 /// Pause between two watches, in which changes collect so that they cost one call.
 const WATCH_PAUSE: Duration = Duration::from_millis(120);
 
-/// Pause after a call that failed, doubled up to the largest one.
-const FIRST_RETRY_PAUSE: Duration = Duration::from_millis(200);
-const MAX_RETRY_PAUSE: Duration = Duration::from_secs(1);
-
 /// Life of the registration without renewal.
 const REGISTRATION_TTL: Duration = Duration::from_secs(15);
 
-/// Interval of renewals.
-const RENEWAL_INTERVAL: Duration = Duration::from_secs(5);
+/// Interval of renewals. A waiting watch does not show that the store has stopped answering, so
+/// the renewal, which costs a tenth of a call, is the sign of life.
+const RENEWAL_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Renewals between two reads of the registered instances.
-const RENEWALS_PER_READ: u32 = 3;
+const RENEWALS_PER_READ: u32 = 15;
+
+/// Pause after a call that failed, doubled up to the largest one.
+const FIRST_RETRY_PAUSE: Duration = Duration::from_millis(150);
+const MAX_RETRY_PAUSE: Duration = Duration::from_millis(600);
 
 /// Keeps the state up to date with discovery.
 pub(crate) struct Sync {
     pub(crate) discovery: Rc<dyn Discovery>,
     pub(crate) state: SharedState,
+    pub(crate) link: StoreLink,
     pub(crate) metrics: Metrics,
     pub(crate) log: Logger,
 }
@@ -51,32 +59,64 @@
     }
 }
 
+/// Where a topic is followed from.
+#[derive(Clone, Copy)]
+enum Position {
+    /// The topic must be read anew.
+    Unknown,
+    /// Changes after the revision are missing, and may have been missed for long.
+    Behind(Revision),
+    /// All changes up to the revision are applied.
+    Current(Revision),
+}
+
+impl Position {
+    fn after_outage(self) -> Self {
+        match self {
+            Self::Current(revision) => Self::Behind(revision),
+            other => other,
+        }
+    }
+}
+
 impl Sync {
     /// Follows a topic until the process ends.
     pub(crate) async fn follow(self: Rc<Self>, topic: Topic) {
-        let mut is_lost = false;
         let mut backoff = Backoff::new();
-        let mut position = None;
+        let mut position = Position::Unknown;
         loop {
-            let result = match position {
-                None => self.read(topic).await.map(Some),
-                Some(revision) => self.watch(topic, revision).await,
-            };
-            match result {
-                Ok(next) => {
+            self.link.wait_until_up().await;
+            let step = std::pin::pin!(self.step(topic, position));
+            let down = std::pin::pin!(self.link.wait_until_down());
+            match select(step, down).await {
+                Either::Left((Ok(next), _)) => {
                     position = next;
                     backoff = Backoff::new();
-                    self.on_answer(topic, &mut is_lost);
                 }
-                Err(error) => {
-                    self.on_error(topic, &error, &mut is_lost);
+                Either::Left((Err(error), _)) => {
+                    slog::debug!(self.log, "store: no answer"; "topic" => %topic,
+                        "error" => %error);
+                    self.begin_outage(topic);
+                    position = position.after_outage();
                     backoff.pause().await;
                 }
+                Either::Right(_) => {
+                    self.begin_outage(topic);
+                    position = position.after_outage();
+                }
             }
         }
     }
 
-    async fn read(&self, topic: Topic) -> Result<Revision, DiscoveryError> {
+    async fn step(&self, topic: Topic, position: Position) -> Result<Position, DiscoveryError> {
+        match position {
+            Position::Unknown => self.read(topic).await,
+            Position::Behind(revision) => self.watch(topic, revision, CATCH_UP_WAIT).await,
+            Position::Current(revision) => self.watch(topic, revision, WATCH_WAIT).await,
+        }
+    }
+
+    async fn read(&self, topic: Topic) -> Result<Position, DiscoveryError> {
         let read = self.discovery.read(topic).await;
         self.count("read", read.is_ok());
         let snapshot = read?;
@@ -90,20 +130,22 @@
                 }
             }
         }
-        Ok(snapshot.revision)
+        drop(state);
+        self.end_outage(topic);
+        Ok(Position::Current(snapshot.revision))
     }
 
-    /// Returns the revision to continue from, or `None` if the topic must be read anew.
     async fn watch(
         &self,
         topic: Topic,
         after: Revision,
-    ) -> Result<Option<Revision>, DiscoveryError> {
-        let watched = self.discovery.watch(topic, after, WATCH_WAIT).await;
+        wait: Duration,
+    ) -> Result<Position, DiscoveryError> {
+        let watched = self.discovery.watch(topic, after, wait).await;
         self.count("watch", watched.is_ok());
         let Watched::Changes(snapshot) = watched? else {
             slog::info!(self.log, "members: history is gone, reading anew"; "topic" => %topic);
-            return Ok(None);
+            return Ok(Position::Unknown);
         };
         let is_changed = !snapshot.changes.is_empty();
         {
@@ -112,32 +154,28 @@
                 state.apply(Instant::now(), change);
             }
         }
+        self.end_outage(topic);
         if is_changed {
             compio::time::sleep(WATCH_PAUSE).await;
         }
-        Ok(Some(snapshot.revision.max(after)))
+        Ok(Position::Current(snapshot.revision.max(after)))
     }
 
-    fn on_answer(&self, topic: Topic, is_lost: &mut bool) {
+    fn begin_outage(&self, topic: Topic) {
         if topic == Topic::Upstreams {
-            self.state.borrow_mut().catalog.end_outage(Instant::now());
-        }
-        if std::mem::take(is_lost) {
-            slog::info!(self.log, "store: answers again"; "topic" => %topic);
+            self.state.borrow_mut().catalog.begin_outage();
         }
     }
 
-    fn on_error(&self, topic: Topic, error: &DiscoveryError, is_lost: &mut bool) {
+    fn end_outage(&self, topic: Topic) {
         if topic == Topic::Upstreams {
-            self.state.borrow_mut().catalog.begin_outage();
-        }
-        if !std::mem::replace(is_lost, true) {
-            slog::warn!(self.log, "store: does not answer"; "topic" => %topic, "error" => %error);
+            self.state.borrow_mut().catalog.end_outage(Instant::now());
         }
     }
 
-    /// Keeps the instance registered and reads the registered instances.
-    pub(crate) async fn keep_registered(self: Rc<Self>, address: std::net::SocketAddr) {
+    /// Keeps the instance registered, reads the registered instances, and notes whether the store
+    /// answers.
+    pub(crate) async fn keep_registered(self: Rc<Self>, address: SocketAddr) {
         let mut backoff = Backoff::new();
         let mut is_registered = false;
         let mut renewals = 0;
@@ -147,12 +185,19 @@
             } else {
                 self.discovery.register(address, REGISTRATION_TTL).await
             };
-            self.count("register", result.is_ok());
-            if let Err(error) = result {
-                slog::debug!(self.log, "members: not registered"; "error" => %error);
-                is_registered = is_registered && error != DiscoveryError::Lapsed;
-                backoff.pause().await;
-                continue;
+            self.count(if is_registered { "renew" } else { "register" }, result.is_ok());
+            match result {
+                Ok(()) => self.set_up(),
+                Err(DiscoveryError::Lapsed) => {
+                    slog::info!(self.log, "members: the registration has lapsed");
+                    is_registered = false;
+                    continue;
+                }
+                Err(error) => {
+                    self.set_down(&error);
+                    backoff.pause().await;
+                    continue;
+                }
             }
             backoff = Backoff::new();
             is_registered = true;
@@ -164,7 +209,19 @@
         }
     }
 
-    async fn read_instances(&self, own: std::net::SocketAddr) {
+    fn set_up(&self) {
+        if self.link.set_up() {
+            slog::info!(self.log, "store: answers");
+        }
+    }
+
+    fn set_down(&self, error: &DiscoveryError) {
+        if self.link.set_down() {
+            slog::warn!(self.log, "store: does not answer"; "error" => %error);
+        }
+    }
+
+    async fn read_instances(&self, own: SocketAddr) {
         let read = self.discovery.instances().await;
         self.count("instances", read.is_ok());
         match read {
