Let instances find each other, tell observations apart, write one line a request

Cause: the registered instances were read once, before the others had registered, and then after 15 s.

Change: the list is read 1, 3 and 6 s after the registration, an instance is connected only if it hears half of the registered ones, and others keep to a share of their own requests. Observations tell a broken connection from an error answer. One line for each request holds its story; its volume is bounded.

--- a/crates/fleet/src/budget.rs
+++ b/crates/fleet/src/budget.rs
@@ -5,7 +5,7 @@
 
 /// Part of the budget that is used. The rest covers attempts that other instances start at the
 /// same moment and datagrams that are lost.
-const USED_SHARE: f64 = 0.7;
+const USED_SHARE: f64 = 0.8;
 
 /// Limits of the budget of a service.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -60,14 +60,13 @@
         counter.add(now);
     }
 
-    /// Returns true if an extra attempt may be made. `instances` is the size of the fleet, and
-    /// `is_connected` tells whether this instance hears most of it. One that does not keeps to its
-    /// own share, since it cannot know what the others use.
+    /// Returns true if an extra attempt may be made. `is_connected` tells whether this instance
+    /// hears most of the fleet. One that does not keeps to a share of its own requests, since it
+    /// cannot know what the others use.
     pub fn allows(
         &mut self,
         now: Instant,
         limits: BudgetLimits,
-        instances: usize,
         is_connected: bool,
     ) -> bool {
         let (requests, extras, slack) = if is_connected {
@@ -75,8 +74,7 @@
             (requests, self.fleet_extras.count(now, limits.window), limits.slack)
         } else {
             let requests = self.own_requests.count(now, limits.window);
-            let slack = limits.slack / instances.max(1) as f64;
-            (requests, self.own_extras.count(now, limits.window), slack)
+            (requests, self.own_extras.count(now, limits.window), 0.0)
         };
         let most = USED_SHARE * (limits.ratio * requests as f64 + slack);
         (extras + 1) as f64 <= most
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use cactustrack_types::{Incarnation, InstanceId, Outcome, ServiceId, UpstreamId, Version};
+use cactustrack_types::{Incarnation, InstanceId, ServiceId, UpstreamId, Version};
 use derive_more::{Display, Error};
 use serde::{Deserialize, Serialize};
 
@@ -81,8 +81,8 @@
     },
     /// An attempt ended.
     Ended {
-        /// How it ended, if that says anything about the upstream.
-        outcome: Option<Outcome>,
+        /// What it says about the upstream, if anything.
+        observed: Option<Observation>,
         /// Time to the head of the answer, in milliseconds.
         latency_ms: u32,
         /// True if the upstream had a slot free when the attempt started.
@@ -90,6 +90,42 @@
     },
 }
 
+/// What an attempt says about its upstream.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Observation {
+    /// A complete answer in a usual time.
+    #[display("served")]
+    Served,
+    /// A complete answer that took far longer than usual.
+    #[display("slow")]
+    Slow,
+    /// An answer that reports a failure of the upstream.
+    #[display("error answer")]
+    ErrorAnswer,
+    /// The connection broke before an answer.
+    #[display("broken")]
+    Broken,
+    /// The answer ended before its announced length.
+    #[display("cut short")]
+    CutShort,
+    /// No connection could be opened.
+    #[display("unreachable")]
+    Unreachable,
+    /// No answer came for many times the usual time.
+    #[display("no answer")]
+    NoAnswer,
+    /// The upstream refused the request as busy although it had a slot free.
+    #[display("refused with room")]
+    RefusedWithRoom,
+}
+
+impl Observation {
+    /// Returns true if the upstream did not do its work.
+    pub fn is_failure(self) -> bool {
+        !matches!(self, Self::Served | Self::Slow)
+    }
+}
+
 /// Why a datagram is ignored.
 #[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
 pub enum DatagramError {
--- a/crates/fleet/src/observers.rs
+++ b/crates/fleet/src/observers.rs
@@ -6,7 +6,9 @@
 use std::collections::{HashMap, VecDeque};
 use std::time::{Duration, Instant};
 
-use cactustrack_types::{InstanceId, Outcome, UpstreamId};
+use cactustrack_types::{InstanceId, UpstreamId};
+
+use crate::message::Observation;
 
 /// Time over which the reports of an instance are weighed.
 const WINDOW: Duration = Duration::from_secs(4);
@@ -42,7 +44,7 @@
         now: Instant,
         observer: &InstanceId,
         upstream: &UpstreamId,
-        outcome: Outcome,
+        observed: Observation,
     ) -> f64 {
         let reports = self.reports.entry(observer.clone()).or_default();
         while reports.front().is_some_and(|report| now - report.at > WINDOW) {
@@ -51,7 +53,7 @@
         if reports.len() >= MAX_REPORTS {
             reports.pop_front();
         }
-        let failed = is_failure(outcome);
+        let failed = observed.is_failure();
         reports.push_back(Report { at: now, upstream: upstream.clone(), failed });
         if failed && is_doubted(reports) { DOUBTED_WEIGHT } else { 1.0 }
     }
@@ -68,10 +70,6 @@
     }
 }
 
-fn is_failure(outcome: Outcome) -> bool {
-    !matches!(outcome, Outcome::Ok | Outcome::Shed | Outcome::Slow)
-}
-
 fn is_doubted(reports: &VecDeque<Report>) -> bool {
     let failures: Vec<_> = reports.iter().filter(|report| report.failed).collect();
     let mut upstreams: Vec<_> = failures.iter().map(|report| &report.upstream).collect();
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -30,7 +30,8 @@
     heard: HashMap<InstanceId, Peer>,
     /// Addresses that were named by others, with the end of the time for which they are tried.
     introduced: HashMap<SocketAddr, Instant>,
-    most_heard: usize,
+    /// Registered instances when they were last read, with this one.
+    registered: usize,
     turn: usize,
 }
 
@@ -55,14 +56,12 @@
             return false;
         }
         self.heard.insert(datagram.from.clone(), Peer { address, life, sequence, heard: now });
-        self.most_heard = self.most_heard.max(self.heard.len());
         true
     }
 
     /// Drops an instance that leaves.
     pub fn remove(&mut self, name: &str) {
         self.heard.remove(name);
-        self.most_heard = self.heard.len();
     }
 
     /// Drops instances that were not heard for long and returns their names.
@@ -93,13 +92,19 @@
         all.iter().cycle().skip(self.turn).take(INTRODUCED_PEERS.min(all.len())).copied().collect()
     }
 
-    /// Number of instances in the fleet that are heard, with this one.
+    /// Notes how many instances are registered, with this one.
+    pub fn set_registered(&mut self, count: usize) {
+        self.registered = count;
+    }
+
+    /// Number of instances in the fleet as far as it is known, with this one.
     pub fn instances(&self) -> usize {
-        self.heard.len() + 1
+        (self.heard.len() + 1).max(self.registered)
     }
 
-    /// Returns true if this instance hears at least half of the instances that it ever heard.
+    /// Returns true if this instance hears at least half of the fleet. One that has not read how
+    /// many instances are registered cannot know.
     pub fn is_connected(&self) -> bool {
-        self.heard.len() * 2 >= self.most_heard && self.most_heard > 0
+        self.registered > 0 && (self.heard.len() + 1) * 2 >= self.registered
     }
 }
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -8,21 +8,31 @@
 
 use cactustrack_types::RequestClass;
 
-/// Probability of a fault up to which upstreams count as equally sound. It lies above the mean of
-/// an upstream that nothing is known of.
-const TRUSTED_PROBABILITY: f64 = 0.15;
+/// Probability of a fault up to which upstreams count as equally sound.
+const TRUSTED_PROBABILITY: f64 = 0.08;
 
 /// Loss if a faulty upstream gets a request that cannot be sent again.
-const LOSS_NON_IDEMPOTENT: f64 = 1.0;
+const LOSS_LAST_ATTEMPT: f64 = 1.0;
 
 /// Loss if a faulty upstream gets a request that can be sent again, in time and retry budget.
-const LOSS_REPEATABLE: f64 = 0.4;
+const LOSS_REPEATABLE: f64 = 0.65;
+
+/// Gain of an upstream that got no request from any instance for [`UNUSED_LIMIT`]. Without it, an
+/// upstream whose fault has ended would never show that it has.
+const GAIN_UNUSED: f64 = 0.25;
+const UNUSED_LIMIT: Duration = Duration::from_secs(4);
+
+/// Time without requests from which the gain grows.
+const UNUSED_GRACE: Duration = Duration::from_secs(1);
+
+/// Loss of an answer that is late by the latency target.
+const LOSS_PER_TARGET: f64 = 0.8;
 
 /// Loss for each request in flight, in slots. It spreads requests over idle upstreams.
 const LOSS_PER_LOAD: f64 = 0.08;
 
 /// Loss of a new connection, which costs the upstream time.
-const LOSS_NEW_CONNECTION: f64 = 0.05;
+const LOSS_NEW_CONNECTION: f64 = 0.06;
 
 /// Loss if the upstream is in another failure domain. Large answers cost the links between failure
 /// domains most.
@@ -54,6 +64,23 @@
     pub is_near: bool,
     /// True if it refused a request as busy a moment ago.
     pub is_full: bool,
+    /// Time for which it got no request from any instance, `None` if it never got one.
+    pub unused: Option<Duration>,
+}
+
+/// What is known of the request that is placed.
+#[derive(Clone, Copy, Debug)]
+pub struct Request {
+    /// Class of the request.
+    pub class: RequestClass,
+    /// True if it cannot be sent once more if this attempt fails.
+    pub is_last_attempt: bool,
+    /// Mean service time of the service.
+    pub service_time: Duration,
+    /// Time within which the answer is worth most.
+    pub target_left: Duration,
+    /// Uniform from 0 to 1, another one for each upstream.
+    pub draw: f64,
 }
 
 impl Prospect {
@@ -66,34 +93,38 @@
         service_time.mul_f64(f64::from(ahead) / f64::from(slots) * factor)
     }
 
-    /// Expected loss as a share of the worth of the request. `draw` is uniform from 0 to 1.
-    pub fn loss(
-        &self,
-        class: RequestClass,
-        service_time: Duration,
-        target_left: Duration,
-        draw: f64,
-    ) -> f64 {
-        let fault = (self.fault.max(self.own_fault) - TRUSTED_PROBABILITY).max(0.0);
-        let fault_loss = match class {
-            RequestClass::NonIdempotent => LOSS_NON_IDEMPOTENT,
-            RequestClass::Idempotent | RequestClass::Large => LOSS_REPEATABLE,
-        };
-        let wait = self.wait(service_time).as_secs_f64();
-        let cold =
-            if self.is_cold { service_time.as_secs_f64() * (COLD_FACTOR - 1.0) } else { 0.0 };
-        let time_loss = (wait + cold) / target_left.as_secs_f64().max(0.1);
+    /// Expected loss as a share of the worth of the request.
+    pub fn loss(&self, request: &Request) -> f64 {
         let load = f64::from(self.in_flight) / f64::from(self.slots.max(1));
-        let mut loss = fault * fault_loss + time_loss + load * LOSS_PER_LOAD + draw * LOSS_JITTER;
+        let mut loss = self.fault_loss(request) + self.time_loss(request);
+        loss += load * LOSS_PER_LOAD + request.draw * LOSS_JITTER - self.unused_gain();
         if !self.has_connection {
             loss += LOSS_NEW_CONNECTION;
         }
         if !self.is_near {
-            loss += match class {
+            loss += match request.class {
                 RequestClass::Large => LOSS_OTHER_DOMAIN_LARGE,
                 _ => LOSS_OTHER_DOMAIN,
             };
         }
         loss
     }
+
+    fn fault_loss(&self, request: &Request) -> f64 {
+        let fault = (self.fault.max(self.own_fault) - TRUSTED_PROBABILITY).max(0.0);
+        fault * if request.is_last_attempt { LOSS_LAST_ATTEMPT } else { LOSS_REPEATABLE }
+    }
+
+    fn time_loss(&self, request: &Request) -> f64 {
+        let wait = self.wait(request.service_time).as_secs_f64();
+        let service = request.service_time.as_secs_f64();
+        let cold = if self.is_cold { service * (COLD_FACTOR - 1.0) } else { 0.0 };
+        LOSS_PER_TARGET * (wait + cold) / request.target_left.as_secs_f64().max(0.1)
+    }
+
+    fn unused_gain(&self) -> f64 {
+        let unused = self.unused.unwrap_or(UNUSED_LIMIT).saturating_sub(UNUSED_GRACE);
+        let full = UNUSED_LIMIT - UNUSED_GRACE;
+        GAIN_UNUSED * (unused.as_secs_f64() / full.as_secs_f64()).min(1.0)
+    }
 }
--- a/crates/fleet/src/suspicion.rs
+++ b/crates/fleet/src/suspicion.rs
@@ -8,13 +8,13 @@
 
 use std::time::{Duration, Instant};
 
-use cactustrack_types::Outcome;
+use crate::message::Observation;
 
 /// Mean time until a sound upstream turns faulty.
-const MEAN_SOUND: Duration = Duration::from_secs(50);
+const MEAN_SOUND: Duration = Duration::from_secs(40);
 
 /// Mean length of a fault.
-const MEAN_FAULT: Duration = Duration::from_secs(6);
+const MEAN_FAULT: Duration = Duration::from_secs(9);
 
 /// Largest probability. It keeps a long series of failures from outlasting the fault by much.
 const MAX_PROBABILITY: f64 = 0.995;
@@ -22,25 +22,27 @@
 /// Smallest probability.
 const MIN_PROBABILITY: f64 = 0.002;
 
-/// Probabilities of an outcome.
+/// Probabilities of an observation.
 struct Likelihood {
     faulty: f64,
     sound: f64,
 }
 
-/// Likelihoods of an outcome, or `None` if it says nothing about the upstream. A sound upstream
-/// answers about one request in a hundred with an error of its own, and some are slow by nature.
-fn likelihood(outcome: Outcome) -> Option<Likelihood> {
-    let (faulty, sound) = match outcome {
-        Outcome::Ok => (0.45, 0.95),
-        Outcome::Failed => (0.45, 0.013),
-        Outcome::Refused => (0.2, 0.002),
-        Outcome::CutShort => (0.1, 0.004),
-        Outcome::Slow => (0.2, 0.03),
-        Outcome::Silent => (0.15, 0.01),
-        Outcome::Shed => return None,
+/// Likelihoods of what was observed. A sound upstream answers about one request in a hundred with
+/// an error of its own, and some answers are slow by nature; a broken connection is much rarer.
+fn likelihood(observed: Observation) -> Likelihood {
+    let (faulty, sound) = match observed {
+        Observation::Served => (0.3, 0.95),
+        Observation::Slow => (0.2, 0.03),
+        Observation::ErrorAnswer => (0.35, 0.013),
+        Observation::Broken => (0.6, 0.005),
+        Observation::CutShort => (0.1, 0.004),
+        Observation::Unreachable => (0.2, 0.002),
+        Observation::NoAnswer => (0.2, 0.01),
+        // The count of requests in flight misses what the upstream still does for others.
+        Observation::RefusedWithRoom => (0.3, 0.06),
     };
-    Some(Likelihood { faulty, sound })
+    Likelihood { faulty, sound }
 }
 
 /// Probability that an upstream is faulty.
@@ -64,13 +66,12 @@
         mean + (self.probability - mean) * (-rate * elapsed).exp()
     }
 
-    /// Takes an outcome into account. `weight` from 0 to 1 lowers the voice of an observer that is
-    /// not trusted.
-    pub fn observe(&mut self, now: Instant, outcome: Outcome, weight: f64) {
+    /// Takes an observation into account. `weight` from 0 to 1 lowers the voice of an observer that
+    /// is not trusted.
+    pub fn observe(&mut self, now: Instant, observed: Observation, weight: f64) {
         let prior = self.probability(now);
+        let Likelihood { faulty, sound } = likelihood(observed);
         self.at = now;
-        self.probability = prior;
-        let Some(Likelihood { faulty, sound }) = likelihood(outcome) else { return };
         let odds = prior / (1.0 - prior) * (faulty / sound).powf(weight);
         self.probability = (odds / (1.0 + odds)).clamp(MIN_PROBABILITY, MAX_PROBABILITY);
     }
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -3,11 +3,11 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
-use cactustrack_types::{Incarnation, InstanceId, Outcome, ServiceId, UpstreamId};
+use cactustrack_types::{Incarnation, InstanceId, ServiceId, UpstreamId};
 
 use crate::budget::{BudgetLimits, RetryBudget};
 use crate::load::FleetLoad;
-use crate::message::{Event, InFlight, Notice, to_ms};
+use crate::message::{Event, InFlight, Notice, Observation, to_ms};
 use crate::observers::Observers;
 use crate::suspicion::{Suspicion, long_run_mean};
 
@@ -34,6 +34,8 @@
     /// What this instance saw itself. Its path to an upstream can be bad while others reach it.
     seen: HashMap<UpstreamId, Suspicion>,
     lives: HashMap<UpstreamId, Incarnation>,
+    /// When an upstream last got a request from any instance.
+    last_used: HashMap<UpstreamId, Instant>,
     observers: Observers,
     budgets: HashMap<ServiceId, RetryBudget>,
     service_times: HashMap<ServiceId, Duration>,
@@ -48,6 +50,7 @@
             fleet: HashMap::new(),
             seen: HashMap::new(),
             lives: HashMap::new(),
+            last_used: HashMap::new(),
             observers: Observers::default(),
             budgets: HashMap::new(),
             service_times: HashMap::new(),
@@ -68,13 +71,13 @@
         extra: bool,
     ) -> Notice {
         let in_flight = self.load.start(upstream);
+        self.last_used.insert(upstream.clone(), now);
         self.budgets.entry(service.clone()).or_default().on_own(now, extra);
         let event = Event::Started { extra };
         Notice { service: service.clone(), upstream: upstream.clone(), in_flight, event }
     }
 
     /// Notes the end of an attempt of this instance and returns what the others have to know.
-    /// `outcome` is `None` if the end says nothing about the upstream.
     pub fn finish(
         &mut self,
         now: Instant,
@@ -83,14 +86,14 @@
         ended: Ended,
     ) -> Notice {
         let in_flight = self.load.finish(upstream);
-        if let Some(outcome) = ended.outcome {
+        if let Some(observed) = ended.observed {
             let seen = self.seen.entry(upstream.clone()).or_insert_with(|| Suspicion::new(now));
-            seen.observe(now, outcome, 1.0);
+            seen.observe(now, observed, 1.0);
             let own = self.own.clone();
-            self.observe(now, &own, upstream, outcome);
+            self.observe(now, &own, upstream, observed);
         }
         let event = Event::Ended {
-            outcome: ended.outcome,
+            observed: ended.observed,
             latency_ms: to_ms(ended.latency),
             unqueued: ended.unqueued,
         };
@@ -105,11 +108,12 @@
             Event::Started { extra } => {
                 let budget = self.budgets.entry(notice.service.clone()).or_default();
                 budget.on_fleet(now, extra);
+                self.last_used.insert(notice.upstream.clone(), now);
             }
-            Event::Ended { outcome, .. } => {
+            Event::Ended { observed, .. } => {
                 self.learn_service_time(&notice.service, notice.event);
-                if let Some(outcome) = outcome {
-                    self.observe(now, from, &notice.upstream, outcome);
+                if let Some(observed) = observed {
+                    self.observe(now, from, &notice.upstream, observed);
                 }
             }
         }
@@ -144,6 +148,7 @@
         self.fleet.remove(upstream);
         self.seen.remove(upstream);
         self.lives.remove(upstream);
+        self.last_used.remove(upstream);
     }
 
     /// Probability that an upstream is faulty, as the fleet sees it and as this instance does.
@@ -154,6 +159,11 @@
         (of(&self.fleet), of(&self.seen))
     }
 
+    /// Time for which an upstream got no request, `None` if it never got one.
+    pub fn unused(&self, now: Instant, upstream: &str) -> Option<Duration> {
+        self.last_used.get(upstream).map(|at| now.saturating_duration_since(*at))
+    }
+
     /// Returns true if the failures that this instance sees are more likely its own.
     pub fn is_self_doubted(&self) -> bool {
         self.observers.is_doubted(&self.own)
@@ -164,10 +174,10 @@
         self.service_times.get(service).copied().unwrap_or(INITIAL_SERVICE_TIME)
     }
 
-    /// Outcome of a complete answer, by the time that it took.
-    pub fn judge(&self, service: &str, latency: Duration) -> Outcome {
+    /// What a complete answer says about its upstream, by the time that it took.
+    pub fn judge(&self, service: &str, latency: Duration) -> Observation {
         let slow_after = self.service_time(service).mul_f64(SLOW_FACTOR);
-        if latency > slow_after { Outcome::Slow } else { Outcome::Ok }
+        if latency > slow_after { Observation::Slow } else { Observation::Served }
     }
 
     /// Notes that an upstream refused a request as busy.
@@ -182,14 +192,14 @@
         now: Instant,
         service: &ServiceId,
         limits: BudgetLimits,
-        fleet: FleetSize,
+        is_connected: bool,
         is_hedge: bool,
     ) -> bool {
         let share = if is_hedge { HEDGE_BUDGET_SHARE } else { 1.0 };
         let limits =
             BudgetLimits { ratio: limits.ratio * share, slack: limits.slack * share, ..limits };
         let budget = self.budgets.entry(service.clone()).or_default();
-        budget.allows(now, limits, fleet.instances, fleet.is_connected)
+        budget.allows(now, limits, is_connected)
     }
 
     fn observe(
@@ -197,18 +207,18 @@
         now: Instant,
         from: &InstanceId,
         upstream: &UpstreamId,
-        outcome: Outcome,
+        observed: Observation,
     ) {
-        let mut weight = self.observers.weigh(now, from, upstream, outcome);
-        if matches!(outcome, Outcome::Refused | Outcome::Silent) {
+        let mut weight = self.observers.weigh(now, from, upstream, observed);
+        if matches!(observed, Observation::Unreachable | Observation::NoAnswer) {
             weight *= PATH_FAILURE_WEIGHT;
         }
         let known = self.fleet.entry(upstream.clone()).or_insert_with(|| Suspicion::new(now));
-        known.observe(now, outcome, weight);
+        known.observe(now, observed, weight);
     }
 
     fn learn_service_time(&mut self, service: &ServiceId, event: Event) {
-        let Event::Ended { outcome: Some(Outcome::Ok), latency_ms, unqueued: true } = event else {
+        let Event::Ended { observed: Some(Observation::Served), latency_ms, unqueued: true } = event else {
             return;
         };
         let known = self.service_times.entry(service.clone()).or_insert(INITIAL_SERVICE_TIME);
@@ -221,19 +231,10 @@
 /// How an attempt ended.
 #[derive(Clone, Copy, Debug)]
 pub struct Ended {
-    /// Its outcome, if that says anything about the upstream.
-    pub outcome: Option<Outcome>,
+    /// What it says about the upstream, if anything.
+    pub observed: Option<Observation>,
     /// Time to the head of the answer.
     pub latency: Duration,
     /// True if the upstream had a slot free when the attempt started.
     pub unqueued: bool,
 }
-
-/// How much of the fleet an instance hears.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct FleetSize {
-    /// Instances, with this one.
-    pub instances: usize,
-    /// True if this instance hears most of them.
-    pub is_connected: bool,
-}
--- a/crates/observe/src/lib.rs
+++ b/crates/observe/src/lib.rs
@@ -1,10 +1,12 @@
 //! Metrics, logs and traces of an instance.
 
+mod budget;
 mod export;
 mod log;
 mod metrics;
 mod trace;
 
+pub use budget::{LineKind, LogBudget};
 pub use export::{ExportTarget, export_spans};
 pub use log::{LogTarget, RateLimit, new_logger};
 pub use metrics::Metrics;
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -6,6 +6,7 @@
 use cactustrack_observe::{SpanKind, SpanQueue, SpanTimer, TraceContext};
 use cactustrack_types::Outcome;
 
+use crate::story::{AttemptFacts, Story};
 use crate::{Target, TrafficPolicy};
 
 /// What an attempt reports to.
@@ -13,8 +14,8 @@
 pub(crate) struct Reporting {
     pub(crate) policy: Rc<dyn TrafficPolicy>,
     pub(crate) spans: SpanQueue,
-    /// Span of the caller's request.
-    pub(crate) parent: TraceContext,
+    /// Story of the caller's request.
+    pub(crate) story: Story,
 }
 
 /// An attempt under way. Dropping it reports it as cancelled.
@@ -25,6 +26,7 @@
     latency: Option<Duration>,
     /// True while the attempt waits for the first byte on a connection that was used before.
     waits_on_reused: bool,
+    is_reused: bool,
     /// Taken when the attempt is reported.
     span: Option<SpanTimer>,
 }
@@ -34,15 +36,15 @@
     pub(crate) fn new(reporting: Reporting, target: Target) -> Self {
         let started = Instant::now();
         reporting.policy.on_start(started, &target);
-        let mut span = SpanTimer::new("attempt", SpanKind::Client, Some(reporting.parent));
+        let mut span = SpanTimer::new("attempt", SpanKind::Client, Some(reporting.story.trace()));
         span.add("cactustrack.upstream", &*target.upstream);
         let (latency, span) = (None, Some(span));
-        Self { reporting, target, started, latency, waits_on_reused: false, span }
+        Self { reporting, target, started, latency, waits_on_reused: false, is_reused: false, span }
     }
 
     /// Trace context for the upstream.
     pub(crate) fn trace(&self) -> TraceContext {
-        self.span.as_ref().map_or(self.reporting.parent, SpanTimer::context)
+        self.span.as_ref().map_or(self.reporting.story.trace(), SpanTimer::context)
     }
 
     /// The upstream that the attempt goes to.
@@ -53,6 +55,7 @@
     /// Notes that the request goes out on a connection, which may have been used before.
     pub(crate) fn on_connection(&mut self, reused: bool) {
         self.waits_on_reused = reused;
+        self.is_reused = reused;
     }
 
     /// Notes the head of the answer.
@@ -66,6 +69,7 @@
     /// Gives the attempt up for a reason that says nothing about the upstream.
     pub(crate) fn abandon(mut self) {
         self.end_span("abandoned", false);
+        self.tell(None);
         self.reporting.policy.on_cancel(Instant::now(), &self.target, Duration::ZERO);
     }
 
@@ -83,10 +87,17 @@
     pub(crate) fn finish(mut self, outcome: Outcome) {
         let is_error = outcome != Outcome::Ok;
         self.end_span(&outcome.to_string(), is_error);
+        self.tell(Some(outcome));
         let policy = &self.reporting.policy;
         policy.on_finish(Instant::now(), &self.target, outcome, self.latency);
     }
 
+    fn tell(&self, outcome: Option<Outcome>) {
+        let (target, started, is_reused) = (&self.target, self.started, self.is_reused);
+        let facts = AttemptFacts { target, outcome, started, is_reused };
+        self.reporting.story.on_attempt(&facts);
+    }
+
     fn end_span(&mut self, outcome: &str, is_error: bool) {
         if let Some(mut span) = self.span.take() {
             span.add("cactustrack.outcome", outcome);
@@ -99,16 +110,15 @@
     fn drop(&mut self) {
         if self.span.is_some() {
             self.end_span("cancelled", false);
+            self.tell(None);
             let now = Instant::now();
             let policy = &self.reporting.policy;
+            let elapsed = now.duration_since(self.started);
             if self.waits_on_reused {
-                // The connection may have gone silent. It is closed with this attempt, and the
-                // next one on a new connection decides whether the upstream is slow.
-                policy.on_finish(now, &self.target, Outcome::Silent, None);
+                policy.on_overtaken(now, &self.target, elapsed);
             } else {
                 // After the head, the time is the caller's or that of the size of the body.
                 let head_arrived = self.latency.is_some();
-                let elapsed = now.duration_since(self.started);
                 let elapsed = if head_arrived { Duration::ZERO } else { elapsed };
                 policy.on_cancel(now, &self.target, elapsed);
             }
--- a/crates/proxy/src/handler.rs
+++ b/crates/proxy/src/handler.rs
@@ -5,7 +5,9 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use cactustrack_observe::{Metrics, RateLimit, SpanKind, SpanQueue, SpanTimer, TraceContext};
+use cactustrack_observe::{
+    LogBudget, Metrics, RateLimit, SpanKind, SpanQueue, SpanTimer, TraceContext,
+};
 use cactustrack_routing::headers::{self, HeadError};
 use cactustrack_routing::route::request_host;
 use cactustrack_store::{Claim, IdempotencyRecords};
@@ -23,6 +25,7 @@
 use crate::repeatable::Repeatable;
 use crate::request::Outgoing;
 use crate::resume::LargeResume;
+use crate::story::{self, Story};
 use crate::{Dialect, OutBody, Pool, Routed, TrafficPolicy, non_idempotent};
 
 const MAX_KEY_BYTES: usize = 255;
@@ -59,13 +62,22 @@
     /// Non-idempotent requests that run, also those whose caller has left.
     running: Rc<Cell<usize>>,
     log_limits: RefCell<HashMap<&'static str, RateLimit>>,
+    /// Bounds the lines that requests cause.
+    log_budget: Rc<LogBudget>,
 }
 
 impl Proxy {
     /// Creates a proxy. `life` tells this life of the instance from others of the same name.
     pub fn new(parts: ProxyParts, life: u64) -> Rc<Self> {
         let (next_claim, running) = (Cell::new(0), Rc::default());
-        Rc::new(Self { parts, next_claim, life, running, log_limits: RefCell::default() })
+        Rc::new(Self {
+            parts,
+            next_claim,
+            life,
+            running,
+            log_limits: RefCell::default(),
+            log_budget: Rc::default(),
+        })
     }
 
     pub(crate) fn policy(&self) -> &Rc<dyn TrafficPolicy> {
@@ -93,9 +105,9 @@
     }
 
     /// What attempts for a request with this span report to.
-    pub(crate) fn reporting(&self, parent: TraceContext) -> Reporting {
+    pub(crate) fn reporting(&self, story: Story) -> Reporting {
         let policy = Rc::clone(&self.parts.policy);
-        Reporting { policy, spans: self.parts.spans.clone(), parent }
+        Reporting { policy, spans: self.parts.spans.clone(), story }
     }
 
     /// Returns the number of log lines of a kind that were left out since the last one if a line
@@ -124,12 +136,19 @@
         let mut span = SpanTimer::new("request", SpanKind::Server, parent);
         let in_flight = InFlight::new(self.metrics());
         let (head, body) = req.into_parts();
-        let (routed, result) = self.process(started, head, body, span.context()).await;
+        let request = story::request_id(&head.headers, self.dialect().request_id().as_ref());
+        let (budget, log) = (Rc::clone(&self.log_budget), self.log().clone());
+        let story = Story::new(request, span.context(), started, budget, log);
+        let (routed, result) = self.process(started, head, body, story.clone()).await;
         let (service, class) = match &routed {
             Some(routed) => (&*routed.service, routed.class.to_string()),
             None => ("none", "none".to_owned()),
         };
+        if let Err(rejection) = &result {
+            story.on_rejection(rejection);
+        }
         let mut response = result.unwrap_or_else(|rejection| self.reject(service, rejection));
+        story.on_answer(response.status());
         response.body_mut().hold(Box::new(in_flight));
         let code = response.status();
         self.metrics().requests.with_label_values(&[service, &class, code.as_str()]).inc();
@@ -146,13 +165,14 @@
         now: Instant,
         head: Parts,
         body: Incoming,
-        trace: TraceContext,
+        story: Story,
     ) -> (Option<Routed>, Result<Response<OutBody>, Rejection>) {
         let routed = match self.route(now, &head) {
             Ok(routed) => routed,
             Err(rejection) => return (None, Err(rejection)),
         };
-        let result = self.forward(&routed, head, body, trace).await;
+        story.on_routed(&routed);
+        let result = self.forward(&routed, head, body, story).await;
         (Some(routed), result)
     }
 
@@ -177,7 +197,7 @@
         routed: &Routed,
         head: Parts,
         body: Incoming,
-        trace: TraceContext,
+        story: Story,
     ) -> Result<Response<OutBody>, Rejection> {
         let account = account_of(&head.headers);
         let claim = self.claim(routed, &head, &account)?;
@@ -211,10 +231,10 @@
         };
         let mut response = match routed.class {
             RequestClass::NonIdempotent => {
-                non_idempotent::run(Rc::clone(self), routed.clone(), out, claim, trace).await
+                non_idempotent::run(Rc::clone(self), routed.clone(), out, claim, story).await
             }
             RequestClass::Idempotent | RequestClass::Large => {
-                Repeatable::new(Rc::clone(self), routed.clone(), out, trace).run().await
+                Repeatable::new(Rc::clone(self), routed.clone(), out, story).run().await
             }
         }?;
         response.body_mut().hold(admission);
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -19,11 +19,12 @@
 mod resume;
 mod server;
 mod silence;
+mod story;
 
 pub use body::{OutBody, UpstreamBody};
 pub use dialect::{AnswerKind, Dialect, OwnDialect};
 pub use handler::{Proxy, ProxyParts};
-pub use policy::{Admission, Extra, Routed, Target, TrafficPolicy};
+pub use policy::{Admission, Basis, Extra, Routed, Target, TrafficPolicy};
 pub use pool::{Pool, PoolLimits};
 pub use reject::{Reason, Rejection};
 pub use server::{Server, ServerLimits, Shutdown};
--- a/crates/proxy/src/non_idempotent.rs
+++ b/crates/proxy/src/non_idempotent.rs
@@ -6,7 +6,6 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use cactustrack_observe::TraceContext;
 use cactustrack_routing::idempotency::{Attempt, ClaimResult, Event, Next, RecordAction, Step};
 use cactustrack_store::{Claim, ClaimOutcome, RecordState};
 use cactustrack_types::{Execution, Outcome, UpstreamId};
@@ -19,6 +18,7 @@
 use crate::relay::discard;
 use crate::repeatable::{rejection_for, retry_after};
 use crate::request::Outgoing;
+use crate::story::Story;
 use crate::{Extra, OutBody, Routed};
 
 /// Runs the request in a task of its own, so that its outcome is recorded even if the caller
@@ -28,11 +28,11 @@
     routed: Routed,
     out: Outgoing,
     claim: Option<Claim>,
-    trace: TraceContext,
+    story: Story,
 ) -> Result<Response<OutBody>, Rejection> {
     let (tx, rx) = oneshot::channel();
     let running = proxy.start_task();
-    let request = NonIdempotent::new(proxy, routed, out, claim, trace);
+    let request = NonIdempotent::new(proxy, routed, out, claim, story);
     let task = async move {
         let _running = running;
         let _ = tx.send(request.run().await);
@@ -47,7 +47,7 @@
     routed: Routed,
     out: Outgoing,
     claim: Option<Claim>,
-    trace: TraceContext,
+    story: Story,
     tried: Vec<UpstreamId>,
     /// The answer to be forwarded.
     answer: Option<Answer>,
@@ -61,10 +61,10 @@
         routed: Routed,
         out: Outgoing,
         claim: Option<Claim>,
-        trace: TraceContext,
+        story: Story,
     ) -> Self {
         let tried = Vec::new();
-        Self { proxy, routed, out, claim, trace, tried, answer: None, cause: None }
+        Self { proxy, routed, out, claim, story, tried, answer: None, cause: None }
     }
 
     async fn run(mut self) -> Result<Response<OutBody>, Rejection> {
@@ -148,7 +148,7 @@
         let Some(req) = self.out.build() else {
             return attempt.on(Event::ConnectFailed { another: false });
         };
-        let reporting = self.proxy.reporting(self.trace);
+        let reporting = self.proxy.reporting(self.story.clone());
         let deadline = self.routed.deadline;
         match exchange(&self.proxy, reporting, target, req, Reuse::Recent, deadline).await {
             Err(Failure { sent: false, cause }) => attempt.on(self.unsent(cause)),
--- a/crates/proxy/src/policy.rs
+++ b/crates/proxy/src/policy.rs
@@ -50,6 +50,17 @@
     pub max_connections: usize,
     /// True if the request was sent to another upstream before.
     pub is_extra: bool,
+    /// What the choice was based on.
+    pub basis: Basis,
+}
+
+/// What was believed of an upstream when it was chosen.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Basis {
+    /// Probability that it was faulty, in thousandths.
+    pub fault_permille: u16,
+    /// Requests that it had in flight.
+    pub in_flight: u32,
 }
 
 /// An attempt beyond the first one.
@@ -133,6 +144,14 @@
     /// `elapsed` is the time that the upstream let pass, zero if it was not to blame for any.
     fn on_cancel(&self, now: Instant, target: &Target, elapsed: Duration);
 
+    /// Notes that an attempt on a connection that was used before was given up without an answer,
+    /// because the caller left or another attempt was faster.
+    fn on_overtaken(&self, now: Instant, target: &Target, _elapsed: Duration) {
+        // The connection may have gone silent. It is closed with the attempt, and the next one on
+        // a new connection decides whether the upstream is slow.
+        self.on_finish(now, target, Outcome::Silent, None);
+    }
+
     /// Notes that another process answered at the address of an upstream.
     fn on_misdirected(&self, _now: Instant, _target: &Target) {}
 
--- a/crates/proxy/src/repeatable.rs
+++ b/crates/proxy/src/repeatable.rs
@@ -3,7 +3,6 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use cactustrack_observe::TraceContext;
 use cactustrack_types::{Execution, Outcome, UpstreamId};
 use futures::FutureExt;
 use futures::future::{Either, LocalBoxFuture, select};
@@ -14,6 +13,7 @@
 use crate::reject::{Reason, Rejection};
 use crate::relay::discard;
 use crate::request::Outgoing;
+use crate::story::Story;
 use crate::{Extra, OutBody, Routed, Target};
 
 /// Wait that is named to the caller if a busy upstream names none.
@@ -25,7 +25,7 @@
     pub(crate) routed: Routed,
     pub(crate) out: Outgoing,
     pub(crate) tried: Vec<UpstreamId>,
-    pub(crate) trace: TraceContext,
+    pub(crate) story: Story,
     /// True if an upstream may have acted on the request.
     sent: bool,
     /// Attempts of which a byte may have reached an upstream and that were not declined.
@@ -42,13 +42,8 @@
 }
 
 impl Repeatable {
-    pub(crate) fn new(
-        proxy: Rc<Proxy>,
-        routed: Routed,
-        out: Outgoing,
-        trace: TraceContext,
-    ) -> Self {
-        Self { proxy, routed, out, tried: Vec::new(), trace, sent: false, attempts: 0 }
+    pub(crate) fn new(proxy: Rc<Proxy>, routed: Routed, out: Outgoing, story: Story) -> Self {
+        Self { proxy, routed, out, tried: Vec::new(), story, sent: false, attempts: 0 }
     }
 
     /// Sends the request to upstreams until one gives a usable answer, the budget or the time is
@@ -148,7 +143,7 @@
         self.attempts += 1;
         let proxy = Rc::clone(&self.proxy);
         let deadline = self.routed.deadline;
-        let reporting = proxy.reporting(self.trace);
+        let reporting = proxy.reporting(self.story.clone());
         let reuse = Reuse::Idle {
             silent_after: self.proxy.policy().silent_after(Instant::now(), &self.routed),
         };
--- a/crates/proxy/src/resume.rs
+++ b/crates/proxy/src/resume.rs
@@ -76,7 +76,7 @@
             }
             let service = &*request.routed.service;
             proxy.metrics().attempts.with_label_values(&[service, "resume"]).inc();
-            let reporting = proxy.reporting(request.trace);
+            let reporting = proxy.reporting(request.story.clone());
             (proxy, target, request.out.build_range(range), reporting)
         };
         let deadline = Instant::now() + HEAD_TIMEOUT;
--- a/src/daemon/policy.rs
+++ b/src/daemon/policy.rs
@@ -6,7 +6,9 @@
 use std::time::{Duration, Instant};
 
 use cactustrack_observe::Metrics;
-use cactustrack_proxy::{Admission, Extra, Reason, Rejection, Routed, Target, TrafficPolicy};
+use cactustrack_proxy::{
+    Admission, Basis, Extra, Reason, Rejection, Routed, Target, TrafficPolicy,
+};
 use cactustrack_routing::balancer::{LoadReport, PickError, PickRequest};
 use cactustrack_routing::deadline::Deadline;
 use cactustrack_routing::headers;
@@ -112,6 +114,7 @@
             address: view.address,
             max_connections: usize::try_from(max_connections).unwrap_or(usize::MAX),
             is_extra: !exclude.is_empty(),
+            basis: Basis::default(),
         })
     }
 
--- a/src/node/instance.rs
+++ b/src/node/instance.rs
@@ -28,10 +28,10 @@
 const CALLER_IDLE_TIME: Duration = Duration::from_secs(120);
 
 /// Time for which an idle connection to an upstream is kept.
-const UPSTREAM_IDLE_TIME: Duration = Duration::from_secs(8);
+const UPSTREAM_IDLE_TIME: Duration = Duration::from_secs(9);
 
 /// Idle time up to which a connection may carry a request that must not be sent twice.
-const RECENT_IDLE_TIME: Duration = Duration::from_secs(4);
+const RECENT_IDLE_TIME: Duration = Duration::from_secs(6);
 
 /// Time given to a new connection. Upstreams are a few milliseconds away.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
--- a/src/node/link.rs
+++ b/src/node/link.rs
@@ -36,6 +36,14 @@
         self.wait_for(false).await;
     }
 
+    fn enqueue(&self) -> oneshot::Receiver<()> {
+        let (tx, rx) = oneshot::channel();
+        let mut waiting = self.waiting.borrow_mut();
+        waiting.retain(|tx| !tx.is_canceled());
+        waiting.push(tx);
+        rx
+    }
+
     fn set(&self, is_up: bool) -> bool {
         let is_changed = self.is_up.replace(is_up) != is_up;
         if is_changed {
@@ -49,11 +57,8 @@
 
     async fn wait_for(&self, is_up: bool) {
         while self.is_up.get() != is_up {
-            let (tx, rx) = oneshot::channel();
-            let mut waiting = self.waiting.borrow_mut();
-            waiting.retain(|tx| !tx.is_canceled());
-            waiting.push(tx);
-            drop(waiting);
+            let rx = self.enqueue();
+            // A sender that was dropped has also ended the wait.
             let _ = rx.await;
         }
     }
--- a/src/node/policy.rs
+++ b/src/node/policy.rs
@@ -6,11 +6,14 @@
 use cactustrack_fleet::admission::{self, Candidate};
 use cactustrack_fleet::budget::BudgetLimits;
 use cactustrack_fleet::discovery::ListedUpstream;
-use cactustrack_fleet::placement::Prospect;
+use cactustrack_fleet::message::Observation;
+use cactustrack_fleet::placement::{Prospect, Request};
 use cactustrack_fleet::split;
 use cactustrack_fleet::view::Ended;
 use cactustrack_platform::PlatformDialect;
-use cactustrack_proxy::{Admission, Extra, Pool, Reason, Rejection, Routed, Target, TrafficPolicy};
+use cactustrack_proxy::{
+    Admission, Basis, Extra, Pool, Reason, Rejection, Routed, Target, TrafficPolicy,
+};
 use cactustrack_routing::route::RouteError;
 use cactustrack_types::{FailureDomain, Outcome, RequestClass, ServiceId, UpstreamId};
 use futures::FutureExt;
@@ -23,7 +26,7 @@
 const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// A request is sent once more beside the first attempt after this many mean service times.
-const HEDGE_FACTOR: f64 = 2.2;
+const HEDGE_FACTOR: f64 = 1.7;
 
 /// Shortest wait before a hedge.
 const MIN_HEDGE_DELAY: Duration = Duration::from_millis(150);
@@ -98,18 +101,24 @@
         let target_left = target_left(now, routed);
         let usable = state.catalog.usable(now, &routed.service);
         let usable: Vec<_> = usable.filter(|upstream| !exclude.contains(&upstream.id)).collect();
-        let mut best: Option<(f64, &ListedUpstream)> = None;
+        let mut best: Option<(f64, &ListedUpstream, Basis)> = None;
         let mut shortest_wait = Duration::MAX;
         for upstream in usable {
             let prospect = self.prospect(&state, now, routed, upstream);
             let wait = prospect.wait(service_time);
             shortest_wait = shortest_wait.min(wait);
-            let loss = prospect.loss(routed.class, service_time, target_left, rand::random());
-            if best.is_none_or(|(least, _)| loss < least) {
-                best = Some((loss, upstream));
+            let loss = prospect.loss(&Request {
+                class: routed.class,
+                is_last_attempt: is_last_attempt(routed, exclude),
+                service_time,
+                target_left,
+                draw: rand::random(),
+            });
+            if best.is_none_or(|(least, ..)| loss < least) {
+                best = Some((loss, upstream, basis_of(&prospect)));
             }
         }
-        let Some((_, upstream)) = best else { return Err(no_upstream()) };
+        let Some((_, upstream, basis)) = best else { return Err(no_upstream()) };
         self.check_wait(&state, now, routed, shortest_wait)?;
         Ok(Target {
             service: routed.service.clone(),
@@ -118,17 +127,18 @@
             address: upstream.address,
             max_connections: max_connections(&state, &routed.service),
             is_extra: !exclude.is_empty(),
+            basis,
         })
     }
 
     fn allow_extra(&self, now: Instant, routed: &Routed, extra: Extra) -> bool {
         let mut state = self.state.borrow_mut();
-        let fleet = state.fleet_size();
+        let is_connected = state.peers.is_connected();
         let is_hedge = extra == Extra::Hedge;
         if is_hedge && self.load_share(&state, now, &routed.service) > MAX_HEDGE_LOAD {
             return false;
         }
-        state.view.allows_extra(now, &routed.service, self.budget, fleet, is_hedge)
+        state.view.allows_extra(now, &routed.service, self.budget, is_connected, is_hedge)
     }
 
     fn hedge_delay(&self, routed: &Routed) -> Option<Duration> {
@@ -162,25 +172,24 @@
         outcome: Outcome,
         latency: Option<Duration>,
     ) {
-        let judged = match (outcome, latency) {
-            (Outcome::Ok, Some(latency)) => {
-                self.state.borrow().view.judge(&target.service, latency)
-            }
-            _ => outcome,
-        };
-        self.finish(now, target, Some(judged), latency.unwrap_or_default());
+        let observed = self.observe(target, outcome, latency);
+        self.finish(now, target, observed, latency.unwrap_or_default());
     }
 
     fn on_cancel(&self, now: Instant, target: &Target, elapsed: Duration) {
         let usual = self.state.borrow().view.service_time(&target.service);
-        let outcome = if elapsed > usual.mul_f64(SILENT_FACTOR) {
-            Some(Outcome::Silent)
+        let observed = if elapsed > usual.mul_f64(SILENT_FACTOR) {
+            Some(Observation::NoAnswer)
         } else if elapsed > usual.mul_f64(SLOW_FACTOR) {
-            Some(Outcome::Slow)
+            Some(Observation::Slow)
         } else {
             None
         };
-        self.finish(now, target, outcome, elapsed);
+        self.finish(now, target, observed, elapsed);
+    }
+
+    fn on_overtaken(&self, now: Instant, target: &Target, elapsed: Duration) {
+        self.on_cancel(now, target, elapsed);
     }
 
     fn on_misdirected(&self, _now: Instant, target: &Target) {
@@ -188,7 +197,9 @@
     }
 
     fn on_shed(&self, now: Instant, target: &Target, _retry_after: Duration) {
-        self.state.borrow_mut().view.set_full(now, &target.upstream);
+        if !self.has_room(target) {
+            self.state.borrow_mut().view.set_full(now, &target.upstream);
+        }
     }
 }
 
@@ -211,6 +222,7 @@
             has_connection: self.pool.has_idle(&upstream.id, upstream.incarnation, needs_recent),
             is_near: upstream.failure_domain == self.failure_domain,
             is_full: state.view.load().is_full(now, &upstream.id),
+            unused: state.view.unused(now, &upstream.id),
         }
     }
 
@@ -237,6 +249,14 @@
         Err(overloaded(retry_after))
     }
 
+    /// Returns true if an upstream has a slot free as far as the fleet knows. The count holds the
+    /// request in question.
+    fn has_room(&self, target: &Target) -> bool {
+        let state = self.state.borrow();
+        let slots = state.catalog.get(&target.upstream).map_or(0, |upstream| upstream.slots);
+        state.view.load().in_flight(&target.upstream) <= slots
+    }
+
     /// Share of the slots of a service that are in use by the whole fleet.
     fn load_share(&self, state: &State, now: Instant, service: &ServiceId) -> f64 {
         let (mut in_flight, mut slots) = (0, 0);
@@ -247,12 +267,40 @@
         f64::from(in_flight) / f64::from(slots.max(1))
     }
 
-    fn finish(&self, now: Instant, target: &Target, outcome: Option<Outcome>, latency: Duration) {
+    /// What the end of an attempt says about its upstream. A connection that broke while it waited
+    /// for an answer counts as broken also if it was used before: idle ones are kept for seconds
+    /// only, so the upstream is the likelier cause.
+    fn observe(
+        &self,
+        target: &Target,
+        outcome: Outcome,
+        latency: Option<Duration>,
+    ) -> Option<Observation> {
+        Some(match (outcome, latency) {
+            (Outcome::Ok | Outcome::Slow, latency) => {
+                let latency = latency.unwrap_or_default();
+                self.state.borrow().view.judge(&target.service, latency)
+            }
+            (Outcome::Failed, Some(_)) => Observation::ErrorAnswer,
+            (Outcome::Failed | Outcome::Silent, _) => Observation::Broken,
+            (Outcome::Refused, _) => Observation::Unreachable,
+            (Outcome::CutShort, _) => Observation::CutShort,
+            (Outcome::Shed, _) if self.has_room(target) => Observation::RefusedWithRoom,
+            (Outcome::Shed, _) => return None,
+        })
+    }
+
+    fn finish(
+        &self,
+        now: Instant,
+        target: &Target,
+        observed: Option<Observation>,
+        latency: Duration,
+    ) {
+        let unqueued = self.has_room(target);
         let notice = {
             let mut state = self.state.borrow_mut();
-            let slots = state.catalog.get(&target.upstream).map_or(0, |upstream| upstream.slots);
-            let unqueued = state.view.load().in_flight(&target.upstream) <= slots;
-            let ended = Ended { outcome, latency, unqueued };
+            let ended = Ended { observed, latency, unqueued };
             state.view.finish(now, &target.service, &target.upstream, ended)
         };
         self.notices.push(notice);
@@ -268,6 +316,17 @@
     (share as usize).max(MIN_CONNECTIONS)
 }
 
+/// Returns true if the request cannot be sent once more if this attempt fails.
+fn is_last_attempt(routed: &Routed, tried: &[UpstreamId]) -> bool {
+    let sent = u32::try_from(tried.len()).unwrap_or(u32::MAX).saturating_add(1);
+    !routed.class.is_repeatable() || routed.max_attempts.is_some_and(|most| sent >= most)
+}
+
+fn basis_of(prospect: &Prospect) -> Basis {
+    let fault = prospect.fault.max(prospect.own_fault);
+    Basis { fault_permille: (fault * 1_000.0) as u16, in_flight: prospect.in_flight }
+}
+
 fn target_left(now: Instant, routed: &Routed) -> Duration {
     routed.target.unwrap_or(routed.deadline).saturating_duration_since(now)
 }
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -11,7 +11,7 @@
 use cactustrack_fleet::discovery::{Change, ListedUpstream};
 use cactustrack_fleet::message::Notice;
 use cactustrack_fleet::peers::Peers;
-use cactustrack_fleet::view::{FleetSize, FleetView};
+use cactustrack_fleet::view::FleetView;
 use cactustrack_routing::route::RouteTable;
 use cactustrack_types::{Configuration, InstanceId, ServiceId, Version};
 use slog::Logger;
@@ -116,11 +116,6 @@
         self.is_listed = true;
     }
 
-    /// How much of the fleet the instance hears.
-    pub(crate) fn fleet_size(&self) -> FleetSize {
-        FleetSize { instances: self.peers.instances(), is_connected: self.peers.is_connected() }
-    }
-
     /// Returns the reason why the instance would refuse requests.
     pub(crate) fn readiness(&self) -> Result<(), &'static str> {
         if self.stopping {
--- a/src/node/sync.rs
+++ b/src/node/sync.rs
@@ -28,8 +28,12 @@
 /// the renewal, which costs a tenth of a call, is the sign of life.
 const RENEWAL_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Renewals between two reads of the registered instances.
-const RENEWALS_PER_READ: u32 = 15;
+/// Renewals after which the registered instances are read for the first time. Instances that start
+/// together are registered by then, and the read may show a state that is some seconds old.
+const FIRST_READS: [u32; 3] = [1, 3, 6];
+
+/// Renewals between two later reads of the registered instances.
+const RENEWALS_PER_READ: u32 = 12;
 
 /// Pause after a call that failed, doubled up to the largest one.
 const FIRST_RETRY_PAUSE: Duration = Duration::from_millis(150);
@@ -203,7 +207,7 @@
             }
             backoff = Backoff::new();
             is_registered = true;
-            if renewals % RENEWALS_PER_READ == 0 {
+            if FIRST_READS.contains(&renewals) || (renewals > 0 && renewals % RENEWALS_PER_READ == 0) {
                 self.read_instances(address).await;
             }
             renewals += 1;
@@ -228,8 +232,10 @@
         self.count("instances", read.is_ok());
         match read {
             Ok(addresses) => {
+                let mut state = self.state.borrow_mut();
+                state.peers.set_registered(addresses.len());
                 let others = addresses.into_iter().filter(|address| *address != own);
-                self.state.borrow_mut().peers.introduce(Instant::now(), others);
+                state.peers.introduce(Instant::now(), others);
             }
             Err(error) => {
                 slog::debug!(self.log, "members: instances cannot be read"; "error" => %error);
--- a/tests/all/proxy/fakes.rs
+++ b/tests/all/proxy/fakes.rs
@@ -128,6 +128,7 @@
             address: *address,
             max_connections: self.max_connections,
             is_extra: !exclude.is_empty(),
+            basis: cactustrack_proxy::Basis::default(),
         })
     }
 
