Keep answers without work out of the service time, and do not blame time-outs

Cause: two thirds of the answers of a service take 2 ms, since they only show which configuration is in force. They pulled the mean service time from 420 ms to 90 ms: requests were hedged at 150 ms, waits were underestimated and usual answers counted as slow. Answers with 504 at the deadline that the instance had set counted as faults of the upstream.

Change: answers under 15 ms do not count in the mean; a 504 of an upstream is passed on; hedges start at 2.5 mean service times, since the work of a request takes as long on the second upstream (seen in the logs: the first attempt wins).

--- a/crates/fleet/src/budget.rs
+++ b/crates/fleet/src/budget.rs
@@ -63,12 +63,7 @@
     /// Returns true if an extra attempt may be made. `is_connected` tells whether this instance
     /// hears most of the fleet. One that does not keeps to a share of its own requests, since it
     /// cannot know what the others use.
-    pub fn allows(
-        &mut self,
-        now: Instant,
-        limits: BudgetLimits,
-        is_connected: bool,
-    ) -> bool {
+    pub fn allows(&mut self, now: Instant, limits: BudgetLimits, is_connected: bool) -> bool {
         let (requests, extras, slack) = if is_connected {
             let requests = self.fleet_requests.count(now, limits.window);
             (requests, self.fleet_extras.count(now, limits.window), limits.slack)
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -14,6 +14,10 @@
 /// Service time that is assumed before the first answer.
 const INITIAL_SERVICE_TIME: Duration = Duration::from_millis(300);
 
+/// Answers that take less than this, in milliseconds, do not count in the mean. They need no work,
+/// and many of them would make every other answer look slow.
+const MIN_SERVICE_TIME_MS: u32 = 15;
+
 /// Weight of a new answer in the mean service time.
 const SERVICE_TIME_WEIGHT: f64 = 0.03;
 
@@ -218,9 +222,14 @@
     }
 
     fn learn_service_time(&mut self, service: &ServiceId, event: Event) {
-        let Event::Ended { observed: Some(Observation::Served), latency_ms, unqueued: true } = event else {
+        let Event::Ended { observed: Some(Observation::Served), latency_ms, unqueued: true } =
+            event
+        else {
             return;
         };
+        if latency_ms < MIN_SERVICE_TIME_MS {
+            return;
+        }
         let known = self.service_times.entry(service.clone()).or_insert(INITIAL_SERVICE_TIME);
         let sample = f64::from(latency_ms) / 1_000.0;
         let mean = known.as_secs_f64();
--- a/src/node/policy.rs
+++ b/src/node/policy.rs
@@ -26,7 +26,7 @@
 const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// A request is sent once more beside the first attempt after this many mean service times.
-const HEDGE_FACTOR: f64 = 1.7;
+const HEDGE_FACTOR: f64 = 2.5;
 
 /// Shortest wait before a hedge.
 const MIN_HEDGE_DELAY: Duration = Duration::from_millis(150);
--- a/src/node/sync.rs
+++ b/src/node/sync.rs
@@ -207,7 +207,9 @@
             }
             backoff = Backoff::new();
             is_registered = true;
-            if FIRST_READS.contains(&renewals) || (renewals > 0 && renewals % RENEWALS_PER_READ == 0) {
+            if FIRST_READS.contains(&renewals)
+                || (renewals > 0 && renewals % RENEWALS_PER_READ == 0)
+            {
                 self.read_instances(address).await;
             }
             renewals += 1;
--- a/tests/all/platform/dialect.rs
+++ b/tests/all/platform/dialect.rs
@@ -44,6 +44,7 @@
         Case { status: 200, headers: &[OTHER_ID, SIGNED], kind: AnswerKind::Foreign },
         Case { status: 200, headers: &[ID, SIGNED, ENCODED], kind: AnswerKind::Foreign },
         Case { status: 500, headers: &[ID, SIGNED], kind: AnswerKind::Failed },
+        Case { status: 504, headers: &[ID, SIGNED], kind: AnswerKind::Usable },
         Case { status: 503, headers: &[ID, NOT_RUN], kind: AnswerKind::Shed },
         Case { status: 429, headers: &[ID, NOT_RUN], kind: AnswerKind::Shed },
         Case { status: 503, headers: &[ID], kind: AnswerKind::Failed },
--- a/tests/all/sharing/suspicion.rs
+++ b/tests/all/sharing/suspicion.rs
@@ -28,7 +28,12 @@
         Case { observed: &[Served, Served, Served], wait: Duration::ZERO, least: 0.0, most: 0.05 },
         Case { observed: &[Broken], wait: Duration::ZERO, least: 0.5, most: 0.98 },
         Case { observed: &[Broken, Broken], wait: Duration::ZERO, least: 0.95, most: 1.0 },
-        Case { observed: &[Served, Served, Served, ErrorAnswer, Served], wait: Duration::ZERO, least: 0.0, most: 0.5 },
+        Case {
+            observed: &[Served, Served, Served, ErrorAnswer, Served],
+            wait: Duration::ZERO,
+            least: 0.0,
+            most: 0.5,
+        },
         Case { observed: &[Broken, Broken], wait: Duration::from_secs(20), least: 0.0, most: 0.4 },
         // Known to be sound, and suspected after the first connection that breaks.
         Case {
@@ -84,3 +89,25 @@
     view.set_life(&up, Incarnation(2));
     assert_eq!(view.fault(now, "up").0, long_run_mean());
 }
+
+/// Guards against answers that need no work and make all others look slow. Requests that only show
+/// which configuration is in force pulled the mean from 420 ms down to 90 ms, and every second
+/// request was hedged.
+#[test]
+fn answers_without_work_leave_the_service_time_alone() {
+    let mut view = FleetView::new("edge-0".into());
+    let now = Instant::now();
+    let answer = |latency_ms| {
+        let observed = Some(Observation::Served);
+        let event = Event::Ended { observed, latency_ms, unqueued: true };
+        Notice { service: "svc".into(), upstream: "up".into(), in_flight: 0, event }
+    };
+    for number in 0..600 {
+        let latency_ms = if number % 3 == 0 { 400 } else { 2 };
+        view.on_notice(now, &"edge-1".into(), &answer(latency_ms));
+    }
+    let mean = view.service_time("svc");
+    assert!((390..=400).contains(&mean.as_millis()), "{mean:?}");
+    assert_eq!(view.judge("svc", Duration::from_millis(900)), Observation::Served);
+    assert_eq!(view.judge("svc", Duration::from_millis(2_000)), Observation::Slow);
+}
