Collect changes of the store for 600 ms, and let suspicion fade sooner

Change: the pause between watches is 600 ms; a fault lasts 5 s on average and an unused upstream gains less.

--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -19,7 +19,7 @@
 
 /// Gain of an upstream that got no request from any instance for [`UNUSED_LIMIT`]. Without it, an
 /// upstream whose fault has ended would never show that it has.
-const GAIN_UNUSED: f64 = 0.25;
+const GAIN_UNUSED: f64 = 0.15;
 const UNUSED_LIMIT: Duration = Duration::from_secs(4);
 
 /// Time without requests from which the gain grows.
--- a/src/node/sync.rs
+++ b/src/node/sync.rs
@@ -18,8 +18,9 @@
 /// Wait of the first watch after an outage, which only fetches what was missed.
 const CATCH_UP_WAIT: Duration = Duration::from_millis(1);
 
-/// Pause between two watches, in which changes collect so that they cost one call.
-const WATCH_PAUSE: Duration = Duration::from_millis(120);
+/// Pause after changes, in which further ones collect so that they cost one call. The first change
+/// after a quiet time is seen at once.
+const WATCH_PAUSE: Duration = Duration::from_millis(600);
 
 /// Life of the registration without renewal.
 const REGISTRATION_TTL: Duration = Duration::from_secs(15);
