Relay the store's changes through five instances, and tell a request's story

Change: five instances watch and relay changes to the others as datagrams; whoever is behind what others know for 250 ms fetches the changes itself; an instance that hears no relay becomes one. cactustrack trace prints the story of a request from the logs. docs/platform.md is the design note.

--- a/crates/fleet/src/catalog.rs
+++ b/crates/fleet/src/catalog.rs
@@ -9,7 +9,7 @@
 
 use cactustrack_types::{ServiceId, UpstreamId};
 
-use crate::discovery::ListedUpstream;
+use crate::discovery::{ListedUpstream, Revision};
 
 /// Time after the return of the list's keeper within which lapsed entries are listed again. Live
 /// upstreams are back within about two seconds, of which some pass before the return is noticed.
@@ -47,18 +47,26 @@
         }
     }
 
-    /// Adds or changes an entry. Returns true if the upstream was not known.
+    /// Adds or changes an entry. Returns false if a later one is known.
     pub fn upsert(&mut self, upstream: ListedUpstream) -> bool {
-        self.doubtful.remove(&upstream.id);
         let id = upstream.id.clone();
+        if self.listed.get(&id).is_some_and(|known| known.revision > upstream.revision) {
+            return false;
+        }
+        self.doubtful.remove(&id);
         if self.misdirected.get(&id).is_some_and(|revision| *revision < upstream.revision) {
             self.misdirected.remove(&id);
         }
-        self.listed.insert(id, upstream).is_none()
+        self.listed.insert(id, upstream);
+        true
     }
 
-    /// Removes an entry, at once or after the time in which it may return.
-    pub fn remove(&mut self, now: Instant, id: &UpstreamId) {
+    /// Removes an entry, at once or after the time in which it may return. A removal that is older
+    /// than the entry has no effect.
+    pub fn remove(&mut self, now: Instant, id: &UpstreamId, revision: Revision) {
+        if self.listed.get(id).is_some_and(|known| known.revision > revision) {
+            return;
+        }
         match self.relist_until(now) {
             Some(until) if self.listed.contains_key(id) => {
                 self.doubtful.entry(id.clone()).or_insert(until);
@@ -72,7 +80,7 @@
         let is_missing = |id: &&UpstreamId| !list.iter().any(|upstream| upstream.id == **id);
         let missing: Vec<_> = self.listed.keys().filter(is_missing).cloned().collect();
         for id in missing {
-            self.remove(now, &id);
+            self.remove(now, &id, Revision::MAX);
         }
         for upstream in list {
             self.upsert(upstream);
@@ -126,6 +134,11 @@
         self.listed.is_empty()
     }
 
+    /// Returns true while entries that lapsed in an outage may come back.
+    pub fn is_recovering(&self, now: Instant) -> bool {
+        self.relist_until(now).is_some()
+    }
+
     fn drop_entry(&mut self, id: &UpstreamId) {
         self.listed.remove(id);
         self.doubtful.remove(id);
--- a/crates/fleet/src/discovery.rs
+++ b/crates/fleet/src/discovery.rs
@@ -7,6 +7,7 @@
 
 use cactustrack_types::{Configuration, FailureDomain, Incarnation, ServiceId, UpstreamId};
 use derive_more::{Display, Error};
+use serde::{Deserialize, Serialize};
 
 /// A future that stays on the thread of its instance.
 pub type LocalFuture<'a, T> = Pin<Box<dyn Future<Output = T> + 'a>>;
@@ -38,7 +39,7 @@
 }
 
 /// What is watched.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Topic {
     /// The configuration.
     #[display("configuration")]
@@ -55,8 +56,8 @@
     Configured(Box<Configuration>),
     /// An upstream is listed, or its entry changed.
     Listed(ListedUpstream),
-    /// An upstream is no longer listed.
-    Unlisted(UpstreamId),
+    /// An upstream is no longer listed since a revision.
+    Unlisted(UpstreamId, Revision),
 }
 
 /// State of a topic at a revision.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -10,7 +10,8 @@
 //! * how many attempts beyond the first one the fleet has made ([`budget`]).
 //!
 //! [`placement`] and [`admission`] decide on single requests with that view. [`catalog`] keeps the
-//! listed upstreams, and [`discovery`] is the border to whatever lists them.
+//! listed upstreams, and [`discovery`] is the border to whatever lists them. A few instances watch
+//! it and [`relay`] its changes to the others.
 //!
 //! Nothing here performs I/O or reads a clock.
 
@@ -23,6 +24,7 @@
 pub mod observers;
 pub mod peers;
 pub mod placement;
+pub mod relay;
 pub mod split;
 pub mod suspicion;
 pub mod view;
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -6,12 +6,14 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use cactustrack_types::{Incarnation, InstanceId, ServiceId, UpstreamId, Version};
+use cactustrack_types::{FailureDomain, Incarnation, InstanceId, ServiceId, UpstreamId, Version};
 use derive_more::{Display, Error};
 use serde::{Deserialize, Serialize};
 
+use crate::discovery::{Revision, Topic};
+
 /// Version of the encoding. Datagrams of another version are ignored.
-pub const FORMAT: u8 = 1;
+pub const FORMAT: u8 = 2;
 
 /// Largest datagram, in bytes. It stays below the usual MTU of 1,500 bytes.
 pub const MAX_DATAGRAM_BYTES: usize = 1_400;
@@ -46,9 +48,89 @@
         peers: Vec<SocketAddr>,
         /// True if the sender stops and should not be sent anything more.
         leaving: bool,
+        /// What the sender knows of the keeper of the lists.
+        keeper: KeeperView,
+    },
+    /// Changes of the list of upstreams, from a relay.
+    Upstreams(Delta<Vec<UpstreamChange>>),
+    /// A part of a configuration, from a relay.
+    Configuration(Delta<Part>),
+    /// A change that is too large for datagrams: it has to be read from the keeper.
+    Advanced {
+        /// What changed.
+        topic: Topic,
+        /// Revision of the change.
+        revision: Revision,
     },
 }
 
+/// What an instance knows of the keeper of the lists.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KeeperView {
+    /// True if the keeper answers the instance.
+    pub is_up: bool,
+    /// Revision up to which the configuration is known, 0 if it was not read.
+    pub configuration: Revision,
+    /// Revision up to which the upstreams are known, 0 if they were not read.
+    pub upstreams: Revision,
+}
+
+/// Changes after one revision and up to another one.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Delta<T> {
+    /// Revision that the receiver must know.
+    pub after: Revision,
+    /// Revision that the receiver knows afterwards.
+    pub revision: Revision,
+    /// True if the keeper has just returned from an outage, in which entries lapse that come back.
+    pub after_outage: bool,
+    /// The changes.
+    pub content: T,
+}
+
+/// A part of a configuration that is longer than a datagram.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Part {
+    /// Version of the configuration.
+    pub version: Version,
+    /// Number of the part, from 0.
+    pub index: u16,
+    /// Number of parts.
+    pub count: u16,
+    /// Bytes of the encoded configuration.
+    pub bytes: Vec<u8>,
+}
+
+/// A change of the list of upstreams.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UpstreamChange {
+    /// The upstream.
+    pub id: UpstreamId,
+    /// Revision of the change.
+    pub revision: Revision,
+    /// Its entry, or `None` if it is no longer listed.
+    pub entry: Option<UpstreamEntry>,
+}
+
+/// Entry of an upstream without its name.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UpstreamEntry {
+    /// Service that it belongs to.
+    pub service: ServiceId,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// The failure domain that it runs in.
+    pub failure_domain: FailureDomain,
+    /// Requests that it works on at a time.
+    pub slots: u32,
+    /// Which life of the process this is.
+    pub incarnation: Incarnation,
+    /// True if it is about to stop.
+    pub leaving: bool,
+    /// How much longer it is slow after its start, in milliseconds.
+    pub cold_ms: u32,
+}
+
 /// Requests of one instance at one upstream.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct InFlight {
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -6,7 +6,7 @@
 
 use cactustrack_types::{Incarnation, InstanceId};
 
-use crate::message::Datagram;
+use crate::message::{Body, Datagram, KeeperView};
 
 /// Time without a datagram after which an instance counts as gone.
 const SILENCE_LIMIT: Duration = Duration::from_secs(4);
@@ -17,11 +17,20 @@
 /// Addresses that are passed on in one heartbeat.
 const INTRODUCED_PEERS: usize = 4;
 
+/// Instances that watch the keeper of the lists and relay its changes to the others. Several, so
+/// that a fault of some of them delays no change.
+const RELAYS: usize = 5;
+
+/// Time without a datagram after which an instance does not count as a relay. It is well below the
+/// time in which a change must be in force.
+const RELAY_SILENCE_LIMIT: Duration = Duration::from_millis(1_500);
+
 struct Peer {
     address: SocketAddr,
     life: Incarnation,
     sequence: u64,
     heard: Instant,
+    keeper: KeeperView,
 }
 
 /// Known instances, by name and by address.
@@ -55,7 +64,13 @@
         if self.heard.get(&datagram.from).is_some_and(is_old) {
             return false;
         }
-        self.heard.insert(datagram.from.clone(), Peer { address, life, sequence, heard: now });
+        let known = self.heard.get(&datagram.from).map(|peer| peer.keeper).unwrap_or_default();
+        let keeper = match &datagram.body {
+            Body::Heartbeat { keeper, .. } => *keeper,
+            _ => known,
+        };
+        let peer = Peer { address, life, sequence, heard: now, keeper };
+        self.heard.insert(datagram.from.clone(), peer);
         true
     }
 
@@ -97,6 +112,32 @@
         self.registered = count;
     }
 
+    /// Returns true if this instance has to watch the keeper of the lists. All instances rank all
+    /// others alike, so that those that hear each other agree on who relays.
+    pub fn is_relay(&self, now: Instant, own: &str, is_up: bool) -> bool {
+        if !is_up {
+            return false;
+        }
+        let own_rank = rank(own);
+        let is_able = |peer: &Peer| {
+            let silence = now.saturating_duration_since(peer.heard);
+            peer.keeper.is_up && silence <= RELAY_SILENCE_LIMIT
+        };
+        let able = self.heard.iter().filter(|(_, peer)| is_able(peer));
+        able.filter(|(name, _)| rank(name) < own_rank).count() < RELAYS
+    }
+
+    /// Highest revisions of which an instance that the keeper answers has told.
+    pub fn known_revisions(&self) -> KeeperView {
+        let mut known = KeeperView::default();
+        for peer in self.heard.values().filter(|peer| peer.keeper.is_up) {
+            known.is_up = true;
+            known.configuration = known.configuration.max(peer.keeper.configuration);
+            known.upstreams = known.upstreams.max(peer.keeper.upstreams);
+        }
+        known
+    }
+
     /// Number of instances in the fleet as far as it is known, with this one.
     pub fn instances(&self) -> usize {
         (self.heard.len() + 1).max(self.registered)
@@ -108,3 +149,13 @@
         self.registered > 0 && (self.heard.len() + 1) * 2 >= self.registered
     }
 }
+
+/// Rank of an instance among those that may relay. The hash spreads the ranks over the failure
+/// domains.
+fn rank(name: &str) -> (u64, &str) {
+    // FNV-1a, which gives the same value in every process.
+    let hash = name.bytes().fold(0xcbf2_9ce4_8422_2325, |hash: u64, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
+    });
+    (hash, name)
+}
--- /dev/null
+++ b/crates/fleet/src/relay.rs
@@ -0,0 +1,138 @@
+//! Changes of the lists on their way from relays to the other instances.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use cactustrack_types::{Configuration, Version};
+
+use crate::discovery::{Change, ListedUpstream, Topic};
+use crate::message::{Body, Delta, Part, UpstreamChange, UpstreamEntry, to_ms};
+
+/// Most changes of upstreams in a datagram.
+const MAX_CHANGES: usize = 9;
+
+/// Bytes of a configuration in a datagram.
+const PART_BYTES: usize = 1_200;
+
+/// Most parts of a configuration that is sent in datagrams.
+const MAX_PARTS: usize = 16;
+
+/// Changes of a topic that a relay read.
+pub type Read<'a> = Delta<&'a [Change]>;
+
+/// Splits changes into the bodies of datagrams, each of which holds by itself.
+pub fn to_bodies(now: Instant, topic: Topic, read: &Read<'_>) -> Vec<Body> {
+    match topic {
+        Topic::Upstreams => upstream_bodies(now, read),
+        Topic::Configuration => configuration_bodies(read),
+    }
+}
+
+fn upstream_bodies(now: Instant, read: &Read<'_>) -> Vec<Body> {
+    let Delta { mut after, revision, after_outage, content: changes } = *read;
+    let mut changes: Vec<_> =
+        changes.iter().filter_map(|change| to_upstream_change(now, change)).collect();
+    changes.sort_by_key(|change| change.revision);
+    let chunks = changes.len().div_ceil(MAX_CHANGES);
+    let mut bodies = Vec::new();
+    for (number, chunk) in changes.chunks(MAX_CHANGES).enumerate() {
+        let last = chunk.last().map_or(revision, |change| change.revision);
+        let until = if number + 1 == chunks { revision } else { last };
+        let content = chunk.to_vec();
+        bodies.push(Body::Upstreams(Delta { after, revision: until, after_outage, content }));
+        after = until;
+    }
+    bodies
+}
+
+fn configuration_bodies(read: &Read<'_>) -> Vec<Body> {
+    let Delta { after, revision, after_outage, content: changes } = *read;
+    let newest = changes.iter().rev().find_map(|change| match change {
+        Change::Configured(configuration) => Some(configuration),
+        _ => None,
+    });
+    let Some(configuration) = newest else { return Vec::new() };
+    let advanced = vec![Body::Advanced { topic: Topic::Configuration, revision }];
+    let Ok(bytes) = serde_json::to_vec(configuration) else { return advanced };
+    let parts = bytes.len().div_ceil(PART_BYTES);
+    if parts > MAX_PARTS {
+        return advanced;
+    }
+    let part = |(index, bytes): (usize, &[u8])| {
+        let content = Part {
+            version: configuration.version,
+            index: index as u16,
+            count: parts as u16,
+            bytes: bytes.to_vec(),
+        };
+        Body::Configuration(Delta { after, revision, after_outage, content })
+    };
+    bytes.chunks(PART_BYTES).enumerate().map(part).collect()
+}
+
+fn to_upstream_change(now: Instant, change: &Change) -> Option<UpstreamChange> {
+    match change {
+        Change::Listed(upstream) => {
+            let cold = upstream.cold_until.map(|until| until.saturating_duration_since(now));
+            let entry = UpstreamEntry {
+                service: upstream.service.clone(),
+                address: upstream.address,
+                failure_domain: upstream.failure_domain.clone(),
+                slots: upstream.slots,
+                incarnation: upstream.incarnation,
+                leaving: upstream.leaving,
+                cold_ms: to_ms(cold.unwrap_or_default()),
+            };
+            let (id, revision) = (upstream.id.clone(), upstream.revision);
+            Some(UpstreamChange { id, revision, entry: Some(entry) })
+        }
+        Change::Unlisted(id, revision) => {
+            Some(UpstreamChange { id: id.clone(), revision: *revision, entry: None })
+        }
+        Change::Configured(_) => None,
+    }
+}
+
+/// Turns a change that was relayed into the change that the relay saw.
+pub fn from_upstream_change(now: Instant, change: UpstreamChange) -> Change {
+    let UpstreamChange { id, revision, entry } = change;
+    let Some(entry) = entry else { return Change::Unlisted(id, revision) };
+    let cold = Duration::from_millis(u64::from(entry.cold_ms));
+    Change::Listed(ListedUpstream {
+        id,
+        service: entry.service,
+        address: entry.address,
+        failure_domain: entry.failure_domain,
+        slots: entry.slots,
+        incarnation: entry.incarnation,
+        leaving: entry.leaving,
+        cold_until: (!cold.is_zero()).then(|| now + cold),
+        revision,
+    })
+}
+
+/// Parts of configurations that have arrived, of the newest version only. Relays send the same
+/// parts, so those of several relays complete each other.
+#[derive(Debug, Default)]
+pub struct Assembly {
+    version: Version,
+    parts: HashMap<u16, Vec<u8>>,
+}
+
+impl Assembly {
+    /// Adds a part and returns the configuration if it is complete.
+    pub fn add(&mut self, part: Part) -> Option<Configuration> {
+        if part.version < self.version {
+            return None;
+        }
+        if part.version > self.version {
+            self.version = part.version;
+            self.parts.clear();
+        }
+        let count = part.count;
+        self.parts.insert(part.index, part.bytes);
+        let bytes: Option<Vec<&[u8]>> =
+            (0..count).map(|index| self.parts.get(&index).map(Vec::as_slice)).collect();
+        serde_json::from_slice(&bytes?.concat()).ok()
+    }
+}
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -13,6 +13,7 @@
 mod new;
 mod settings;
 mod store;
+mod trace;
 
 use std::ffi::OsString;
 use std::io::Write;
@@ -73,6 +74,7 @@
     admin::STATUS,
     history::SUBCOMMAND,
     admin::EXPLAIN,
+    trace::SUBCOMMAND,
     completions::SUBCOMMAND,
 ];
 
--- a/src/node/exchange.rs
+++ b/src/node/exchange.rs
@@ -11,6 +11,7 @@
 use cactustrack_types::{Incarnation, InstanceId};
 use slog::Logger;
 
+use super::behind::Behind;
 use super::state::SharedState;
 
 /// Time in which notices collect before they are sent.
@@ -30,6 +31,7 @@
     sequence: Cell<u64>,
     is_flush_due: Cell<bool>,
     state: SharedState,
+    behind: Rc<Behind>,
     metrics: Metrics,
     log: Logger,
 }
@@ -45,6 +47,7 @@
         instance: InstanceId,
         life: Incarnation,
         state: SharedState,
+        behind: Rc<Behind>,
         metrics: Metrics,
         log: Logger,
     ) -> io::Result<Rc<Self>> {
@@ -57,6 +60,7 @@
             sequence: Cell::new(0),
             is_flush_due: Cell::new(false),
             state,
+            behind,
             metrics,
             log,
         }))
@@ -88,11 +92,16 @@
         compio::runtime::spawn(task).detach();
     }
 
-    /// Tells the others at once that the instance stops.
-    pub(crate) fn say_leaving(&self) {
+    /// Tells the others at once that the state of the instance has changed.
+    pub(crate) fn announce(&self) {
         self.send_heartbeat();
     }
 
+    /// Passes changes on that this instance read from the keeper of the lists.
+    pub(crate) fn relay(&self, bodies: Vec<Body>) {
+        bodies.into_iter().for_each(|body| self.send(body));
+    }
+
     fn flush(&self) {
         let notices = std::mem::take(&mut self.state.borrow_mut().outbox);
         for notices in notices.chunks(MAX_NOTICES) {
@@ -127,6 +136,7 @@
                 in_flight: state.view.load().own(),
                 peers: state.peers.introductions(),
                 leaving: state.stopping,
+                keeper: state.keeper,
             }
         };
         self.send(body);
@@ -186,7 +196,7 @@
         self.metrics.peer_bytes.with_label_values(&["received"]).inc_by(bytes.len() as u64);
         match Datagram::decode(bytes) {
             Ok(datagram) if datagram.from == self.instance => {}
-            Ok(datagram) => self.on_datagram(&datagram, from),
+            Ok(datagram) => self.on_datagram(datagram, from),
             Err(error) => {
                 self.metrics.peer_frames_dropped.with_label_values(&["malformed"]).inc();
                 slog::debug!(self.log, "members: datagram ignored"; "error" => %error);
@@ -194,28 +204,34 @@
         }
     }
 
-    fn on_datagram(&self, datagram: &Datagram, address: SocketAddr) {
+    fn on_datagram(&self, datagram: Datagram, address: SocketAddr) {
         let now = Instant::now();
         let mut state = self.state.borrow_mut();
-        if !state.peers.accept(now, address, datagram) {
+        if !state.peers.accept(now, address, &datagram) {
             return;
         }
-        match &datagram.body {
+        match datagram.body {
             Body::Notices(notices) => {
-                for notice in notices {
+                for notice in &notices {
                     state.view.on_notice(now, &datagram.from, notice);
                 }
             }
-            Body::Heartbeat { in_flight, peers, leaving } => {
-                state.view.on_heartbeat(now, &datagram.from, in_flight);
+            Body::Heartbeat { in_flight, peers, leaving, .. } => {
+                state.view.on_heartbeat(now, &datagram.from, &in_flight);
                 let own = self.socket.local_addr().ok();
-                let others = peers.iter().copied().filter(|peer| Some(*peer) != own);
+                let others = peers.into_iter().filter(|peer| Some(*peer) != own);
                 state.peers.introduce(now, others);
-                if *leaving && in_flight.is_empty() {
+                if leaving && in_flight.is_empty() {
                     state.peers.remove(&datagram.from);
                     state.view.forget_peer(&datagram.from);
                 }
             }
+            Body::Upstreams(delta) => state.on_upstreams(now, delta),
+            Body::Configuration(delta) => state.on_configuration(delta),
+            Body::Advanced { topic, revision } => {
+                drop(state);
+                self.behind.set(topic, revision);
+            }
         }
     }
 }
--- a/src/node/instance.rs
+++ b/src/node/instance.rs
@@ -15,6 +15,7 @@
 use futures::channel::oneshot;
 use slog::Logger;
 
+use super::behind::Behind;
 use super::exchange::Exchange;
 use super::link::StoreLink;
 use super::policy::NodePolicy;
@@ -85,7 +86,8 @@
         let state = Rc::new(RefCell::new(State::new(settings.instance.clone(), log.clone())));
         let discovery: Rc<dyn Discovery> =
             Rc::new(PlatformDiscovery::new(settings.store, settings.instance.clone(), log.clone()));
-        let exchange = start_exchange(settings, life, &state, &metrics, &log)?;
+        let behind = Rc::new(Behind::default());
+        let exchange = start_exchange(settings, life, &state, &behind, &metrics, &log)?;
         let pool = Pool::new(PoolLimits {
             max_idle_age: UPSTREAM_IDLE_TIME,
             recent_age: RECENT_IDLE_TIME,
@@ -93,7 +95,7 @@
             ..PoolLimits::default()
         });
         close_expired(pool.clone());
-        let policy = new_policy(settings, &state, &exchange, &pool);
+        let policy = new_policy(settings, &state, &exchange, &pool, &log);
         let parts = ProxyParts {
             instance: settings.instance.clone(),
             policy: Rc::new(policy),
@@ -107,7 +109,18 @@
         let proxy = Proxy::new(parts, life.0);
         let (server, shutdown) = bind_callers(settings, &proxy).await?;
         bind_admin(settings, &state, &metrics).await?;
-        start_sync(settings, &discovery, &state, &metrics, &log);
+        let sync = Sync {
+            discovery: Rc::clone(&discovery),
+            state: Rc::clone(&state),
+            link: StoreLink::new(),
+            exchange: Rc::clone(&exchange),
+            behind,
+            instance: settings.instance.clone(),
+            started: Instant::now(),
+            metrics,
+            log: log.clone(),
+        };
+        start_sync(Rc::new(sync), settings);
         let (tx, stop) = oneshot::channel();
         let grace = settings.bounds.stop_grace;
         let instance =
@@ -127,7 +140,7 @@
         let began = Instant::now();
         slog::info!(log, "proxy: stopping"; "grace_ms" => grace.as_millis() as u64);
         state.borrow_mut().stopping = true;
-        exchange.say_leaving();
+        exchange.announce();
         let ending = async {
             if let Err(error) = discovery.unregister().await {
                 slog::debug!(log, "members: still registered"; "error" => %error);
@@ -144,7 +157,7 @@
             }
         };
         let is_finished = compio::time::timeout(left, finishing).await.is_ok();
-        exchange.say_leaving();
+        exchange.announce();
         slog::info!(log, "proxy: stopped"; "finished" => is_finished,
             "ms" => began.elapsed().as_millis() as u64);
     }
@@ -154,6 +167,7 @@
     settings: &Settings,
     life: Incarnation,
     state: &SharedState,
+    behind: &Rc<Behind>,
     metrics: &Metrics,
     log: &Logger,
 ) -> Result<Rc<Exchange>> {
@@ -161,7 +175,8 @@
     let introductions = settings.introductions.iter().copied().filter(|peer| *peer != address);
     state.borrow_mut().peers.introduce(Instant::now(), introductions);
     let (instance, state) = (settings.instance.clone(), Rc::clone(state));
-    let exchange = Exchange::bind(address, instance, life, state, metrics.clone(), log.clone());
+    let (behind, metrics) = (Rc::clone(behind), metrics.clone());
+    let exchange = Exchange::bind(address, instance, life, state, behind, metrics, log.clone());
     let exchange =
         exchange.wrap_err_with(|| format!("cannot listen on {address} for instances"))?;
     exchange.start().wrap_err("cannot receive datagrams")?;
@@ -173,6 +188,7 @@
     state: &SharedState,
     exchange: &Rc<Exchange>,
     pool: &Pool,
+    log: &Logger,
 ) -> NodePolicy {
     let bounds = settings.bounds;
     NodePolicy {
@@ -185,6 +201,7 @@
             window: bounds.retry_window,
             slack: bounds.retry_slack,
         },
+        log: log.clone(),
     }
 }
 
@@ -212,24 +229,13 @@
     Ok(())
 }
 
-fn start_sync(
-    settings: &Settings,
-    discovery: &Rc<dyn Discovery>,
-    state: &SharedState,
-    metrics: &Metrics,
-    log: &Logger,
-) {
-    let sync = Rc::new(Sync {
-        discovery: Rc::clone(discovery),
-        state: Rc::clone(state),
-        link: StoreLink::new(),
-        metrics: metrics.clone(),
-        log: log.clone(),
-    });
+fn start_sync(sync: Rc<Sync>, settings: &Settings) {
     for topic in [Topic::Configuration, Topic::Upstreams] {
         compio::runtime::spawn(Rc::clone(&sync).follow(topic)).detach();
     }
-    compio::runtime::spawn(sync.keep_registered(settings.listen.peers)).detach();
+    let address = settings.listen.peers;
+    compio::runtime::spawn(Rc::clone(&sync).keep_registered(address)).detach();
+    compio::runtime::spawn(sync.follow_instances(address)).detach();
 }
 
 fn close_expired(pool: Pool) {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -4,6 +4,7 @@
 //! configuration comes from the platform, and each instance judges upstreams by the notices that
 //! all instances send to each other. `docs/platform.md` gives the reasons.
 
+mod behind;
 mod exchange;
 mod instance;
 mod link;
--- a/src/node/policy.rs
+++ b/src/node/policy.rs
@@ -18,6 +18,7 @@
 use cactustrack_types::{FailureDomain, Outcome, RequestClass, ServiceId, UpstreamId};
 use futures::FutureExt;
 use http::{HeaderMap, StatusCode};
+use slog::Logger;
 
 use super::exchange::NoticeSink;
 use super::state::{SharedState, State};
@@ -48,6 +49,9 @@
 /// An attempt that was given up earlier says nothing about the upstream.
 const SLOW_FACTOR: f64 = 3.5;
 
+/// Probability of a fault from which an upstream is called suspected in the log.
+const SUSPECTED_PROBABILITY: f64 = 0.5;
+
 /// Decides with the state of the instance.
 pub(crate) struct NodePolicy {
     pub(crate) state: SharedState,
@@ -55,6 +59,7 @@
     pub(crate) pool: Pool,
     pub(crate) failure_domain: FailureDomain,
     pub(crate) budget: BudgetLimits,
+    pub(crate) log: Logger,
 }
 
 impl TrafficPolicy for NodePolicy {
@@ -249,6 +254,20 @@
         Err(overloaded(retry_after))
     }
 
+    /// Writes a line when an observation of this instance changes what it believes of an upstream.
+    fn tell_belief(&self, target: &Target, observed: Option<Observation>, before: f64, after: f64) {
+        let was_suspected = before >= SUSPECTED_PROBABILITY;
+        let is_suspected = after >= SUSPECTED_PROBABILITY;
+        if was_suspected == is_suspected {
+            return;
+        }
+        let observed = observed.map(|observed| observed.to_string()).unwrap_or_default();
+        let message = if is_suspected { "is suspected" } else { "is trusted again" };
+        slog::info!(self.log, "health: upstream {}", message;
+            "upstream" => &*target.upstream, "service" => &*target.service,
+            "observed" => observed, "before" => before, "after" => after);
+    }
+
     /// Returns true if an upstream has a slot free as far as the fleet knows. The count holds the
     /// request in question.
     fn has_room(&self, target: &Target) -> bool {
@@ -300,8 +319,12 @@
         let unqueued = self.has_room(target);
         let notice = {
             let mut state = self.state.borrow_mut();
+            let (before, _) = state.view.fault(now, &target.upstream);
             let ended = Ended { observed, latency, unqueued };
-            state.view.finish(now, &target.service, &target.upstream, ended)
+            let notice = state.view.finish(now, &target.service, &target.upstream, ended);
+            let (after, _) = state.view.fault(now, &target.upstream);
+            self.tell_belief(target, observed, before, after);
+            notice
         };
         self.notices.push(notice);
     }
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -8,9 +8,10 @@
 use std::time::Instant;
 
 use cactustrack_fleet::catalog::Catalog;
-use cactustrack_fleet::discovery::{Change, ListedUpstream};
-use cactustrack_fleet::message::Notice;
+use cactustrack_fleet::discovery::{Change, ListedUpstream, Revision, Topic};
+use cactustrack_fleet::message::{Delta, KeeperView, Notice, Part, UpstreamChange};
 use cactustrack_fleet::peers::Peers;
+use cactustrack_fleet::relay::{self, Assembly};
 use cactustrack_fleet::view::FleetView;
 use cactustrack_routing::route::RouteTable;
 use cactustrack_types::{Configuration, InstanceId, ServiceId, Version};
@@ -67,8 +68,10 @@
     pub(crate) peers: Peers,
     /// Notices that wait to be sent to the others.
     pub(crate) outbox: Vec<Notice>,
-    /// True once the list of upstreams was read.
-    pub(crate) is_listed: bool,
+    /// What the instance knows of the keeper of the lists.
+    pub(crate) keeper: KeeperView,
+    /// Parts of a configuration that is being relayed.
+    pub(crate) assembly: Assembly,
     /// True once the instance was asked to stop.
     pub(crate) stopping: bool,
     log: Logger,
@@ -83,7 +86,8 @@
             view: FleetView::new(instance),
             peers: Peers::default(),
             outbox: Vec::new(),
-            is_listed: false,
+            keeper: KeeperView { is_up: true, ..KeeperView::default() },
+            assembly: Assembly::default(),
             stopping: false,
             log,
         }
@@ -94,13 +98,60 @@
         match change {
             Change::Configured(configuration) => self.put_in_force(&configuration),
             Change::Listed(upstream) => self.list(upstream),
-            Change::Unlisted(id) => {
-                slog::info!(self.log, "members: upstream is no longer listed"; "upstream" => &*id);
-                self.catalog.remove(now, &id);
+            Change::Unlisted(id, revision) => {
+                slog::info!(self.log, "members: upstream is no longer listed";
+                    "upstream" => &*id, "revision" => revision);
+                self.catalog.remove(now, &id, revision);
             }
         }
     }
 
+    /// Revision up to which a topic is known, `None` if it was not read.
+    pub(crate) fn revision(&self, topic: Topic) -> Option<Revision> {
+        let revision = match topic {
+            Topic::Configuration => self.keeper.configuration,
+            Topic::Upstreams => self.keeper.upstreams,
+        };
+        (revision > 0).then_some(revision)
+    }
+
+    /// Notes that a topic is known up to a revision.
+    pub(crate) fn advance(&mut self, topic: Topic, revision: Revision) {
+        let known = match topic {
+            Topic::Configuration => &mut self.keeper.configuration,
+            Topic::Upstreams => &mut self.keeper.upstreams,
+        };
+        *known = revision.max(*known);
+    }
+
+    /// Applies changes that a relay read. They have no effect if changes before them are missing,
+    /// which are then read from the keeper.
+    pub(crate) fn on_upstreams(&mut self, now: Instant, delta: Delta<Vec<UpstreamChange>>) {
+        let known = self.keeper.upstreams;
+        if known < delta.after {
+            return;
+        }
+        if delta.after_outage {
+            self.catalog.begin_outage();
+            self.catalog.end_outage(now);
+        }
+        for change in delta.content {
+            if change.revision > known {
+                self.apply(now, relay::from_upstream_change(now, change));
+            }
+        }
+        self.advance(Topic::Upstreams, delta.revision);
+    }
+
+    /// Takes a part of a configuration that a relay read. A configuration is whole in itself, so it
+    /// does not matter which versions before it are missing.
+    pub(crate) fn on_configuration(&mut self, delta: Delta<Part>) {
+        if let Some(configuration) = self.assembly.add(delta.content) {
+            self.put_in_force(&configuration);
+            self.advance(Topic::Configuration, delta.revision);
+        }
+    }
+
     /// Applies a whole list of upstreams.
     pub(crate) fn replace_upstreams(&mut self, now: Instant, changes: Vec<Change>) {
         let listed = changes.into_iter().filter_map(|change| match change {
@@ -113,7 +164,6 @@
             self.view.set_life(&upstream.id, upstream.incarnation);
         }
         self.catalog.replace(now, list);
-        self.is_listed = true;
     }
 
     /// Returns the reason why the instance would refuse requests.
@@ -124,7 +174,7 @@
         if self.in_force.is_none() {
             return Err("no configuration is in force");
         }
-        if !self.is_listed { Err("no list of upstreams was read") } else { Ok(()) }
+        if self.keeper.upstreams == 0 { Err("no list of upstreams was read") } else { Ok(()) }
     }
 
     /// A version never replaces a newer one, in whatever order they arrive.
@@ -140,10 +190,12 @@
     }
 
     fn list(&mut self, upstream: ListedUpstream) {
-        self.view.set_life(&upstream.id, upstream.incarnation);
+        let (id, incarnation) = (upstream.id.clone(), upstream.incarnation);
         slog::info!(self.log, "members: upstream is listed";
-            "upstream" => &*upstream.id, "service" => &*upstream.service,
+            "upstream" => &*id, "service" => &*upstream.service,
             "leaving" => upstream.leaving, "revision" => upstream.revision);
-        self.catalog.upsert(upstream);
+        if self.catalog.upsert(upstream) {
+            self.view.set_life(&id, incarnation);
+        }
     }
 }
--- a/src/node/sync.rs
+++ b/src/node/sync.rs
@@ -5,10 +5,15 @@
 use std::time::{Duration, Instant};
 
 use cactustrack_fleet::discovery::{Discovery, DiscoveryError, Revision, Topic, Watched};
+use cactustrack_fleet::message::Delta;
+use cactustrack_fleet::relay;
 use cactustrack_observe::Metrics;
+use cactustrack_types::InstanceId;
 use futures::future::{Either, select};
 use slog::Logger;
 
+use super::behind::Behind;
+use super::exchange::Exchange;
 use super::link::StoreLink;
 use super::state::SharedState;
 
@@ -25,16 +30,28 @@
 /// Life of the registration without renewal.
 const REGISTRATION_TTL: Duration = Duration::from_secs(15);
 
-/// Interval of renewals. A waiting watch does not show that the store has stopped answering, so
+/// Time for which an instance leaves a topic to the relays before it looks at it again.
+const REST: Duration = Duration::from_millis(150);
+
+/// Time after the start in which the other instances are heard for the first time. Until then an
+/// instance does not know whether it has to relay.
+const SETTLING_TIME: Duration = Duration::from_millis(1_500);
+
+/// Interval of renewals of an instance that is not a relay.
+const RESTING_RENEWAL_INTERVAL: Duration = Duration::from_secs(4);
+
+/// Interval of renewals of a relay. A waiting watch does not show that the store has stopped answering, so
 /// the renewal, which costs a tenth of a call, is the sign of life.
 const RENEWAL_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Renewals after which the registered instances are read for the first time. Instances that start
-/// together are registered by then, and the read may show a state that is some seconds old.
-const FIRST_READS: [u32; 3] = [1, 3, 6];
+/// Times after the registration at which the registered instances are read for the first time.
+/// Instances that start together are registered by then, and the read may show a state that is
+/// some seconds old.
+const FIRST_READS: [Duration; 3] =
+    [Duration::from_secs(1), Duration::from_secs(3), Duration::from_secs(6)];
 
-/// Renewals between two later reads of the registered instances.
-const RENEWALS_PER_READ: u32 = 12;
+/// Interval of later reads of the registered instances.
+const READ_INTERVAL: Duration = Duration::from_secs(12);
 
 /// Pause after a call that failed, doubled up to the largest one.
 const FIRST_RETRY_PAUSE: Duration = Duration::from_millis(150);
@@ -45,6 +62,10 @@
     pub(crate) discovery: Rc<dyn Discovery>,
     pub(crate) state: SharedState,
     pub(crate) link: StoreLink,
+    pub(crate) exchange: Rc<Exchange>,
+    pub(crate) behind: Rc<Behind>,
+    pub(crate) instance: InstanceId,
+    pub(crate) started: Instant,
     pub(crate) metrics: Metrics,
     pub(crate) log: Logger,
 }
@@ -64,64 +85,77 @@
     }
 }
 
-/// Where a topic is followed from.
+/// What to do next for a topic.
 #[derive(Clone, Copy)]
-enum Position {
-    /// The topic must be read anew.
-    Unknown,
-    /// Changes after the revision are missing, and may have been missed for long.
-    Behind(Revision),
-    /// All changes up to the revision are applied.
-    Current(Revision),
-}
-
-impl Position {
-    fn after_outage(self) -> Self {
-        match self {
-            Self::Current(revision) => Self::Behind(revision),
-            other => other,
-        }
-    }
+enum Step {
+    /// Read it as a whole.
+    Read,
+    /// Fetch the changes that were missed.
+    CatchUp(Revision),
+    /// Wait for changes as a relay.
+    Watch(Revision),
+    /// Leave it to the relays for a moment.
+    Rest,
 }
 
 impl Sync {
     /// Follows a topic until the process ends.
     pub(crate) async fn follow(self: Rc<Self>, topic: Topic) {
         let mut backoff = Backoff::new();
-        let mut position = Position::Unknown;
+        let mut was_cut_off = false;
         loop {
             self.link.wait_until_up().await;
-            let step = std::pin::pin!(self.step(topic, position));
+            let step = self.next_step(topic, was_cut_off);
+            let doing = std::pin::pin!(self.act(topic, step));
             let down = std::pin::pin!(self.link.wait_until_down());
-            match select(step, down).await {
-                Either::Left((Ok(next), _)) => {
-                    position = next;
+            match select(doing, down).await {
+                Either::Left((Ok(()), _)) => {
+                    was_cut_off = false;
                     backoff = Backoff::new();
                 }
                 Either::Left((Err(error), _)) => {
                     slog::debug!(self.log, "store: no answer"; "topic" => %topic,
                         "error" => %error);
                     self.begin_outage(topic);
-                    position = position.after_outage();
+                    was_cut_off = true;
                     backoff.pause().await;
                 }
                 Either::Right(_) => {
                     self.begin_outage(topic);
-                    position = position.after_outage();
+                    was_cut_off = true;
                 }
             }
         }
     }
 
-    async fn step(&self, topic: Topic, position: Position) -> Result<Position, DiscoveryError> {
-        match position {
-            Position::Unknown => self.read(topic).await,
-            Position::Behind(revision) => self.watch(topic, revision, CATCH_UP_WAIT).await,
-            Position::Current(revision) => self.watch(topic, revision, WATCH_WAIT).await,
+    fn next_step(&self, topic: Topic, was_cut_off: bool) -> Step {
+        let state = self.state.borrow();
+        let Some(revision) = state.revision(topic) else { return Step::Read };
+        let others = state.peers.known_revisions();
+        if was_cut_off || self.behind.check(topic, revision, &others) {
+            return Step::CatchUp(revision);
         }
+        let now = Instant::now();
+        let is_settled = now.duration_since(self.started) >= SETTLING_TIME;
+        if is_settled && state.peers.is_relay(now, &self.instance, true) {
+            return Step::Watch(revision);
+        }
+        Step::Rest
     }
 
-    async fn read(&self, topic: Topic) -> Result<Position, DiscoveryError> {
+    async fn act(&self, topic: Topic, step: Step) -> Result<(), DiscoveryError> {
+        match step {
+            Step::Read => self.read(topic).await,
+            Step::CatchUp(revision) => self.watch(topic, revision, CATCH_UP_WAIT).await,
+            Step::Watch(revision) => self.watch(topic, revision, WATCH_WAIT).await,
+            Step::Rest => {
+                compio::time::sleep(REST).await;
+                Ok(())
+            }
+        }
+    }
+
+    async fn read(&self, topic: Topic) -> Result<(), DiscoveryError> {
         let read = self.discovery.read(topic).await;
         self.count("read", read.is_ok());
         let snapshot = read?;
@@ -135,9 +169,10 @@
                 }
             }
         }
+        state.advance(topic, snapshot.revision);
         drop(state);
         self.end_outage(topic);
-        Ok(Position::Current(snapshot.revision))
+        Ok(())
     }
 
     async fn watch(
@@ -145,25 +180,35 @@
         topic: Topic,
         after: Revision,
         wait: Duration,
-    ) -> Result<Position, DiscoveryError> {
+    ) -> Result<(), DiscoveryError> {
         let watched = self.discovery.watch(topic, after, wait).await;
         self.count("watch", watched.is_ok());
         let Watched::Changes(snapshot) = watched? else {
             slog::info!(self.log, "members: history is gone, reading anew"; "topic" => %topic);
-            return Ok(Position::Unknown);
+            return self.read(topic).await;
         };
+        self.end_outage(topic);
+        let now = Instant::now();
         let is_changed = !snapshot.changes.is_empty();
-        {
+        let revision = snapshot.revision.max(after);
+        let bodies = {
             let mut state = self.state.borrow_mut();
+            let after_outage = state.catalog.is_recovering(now);
+            let content = &snapshot.changes[..];
+            let read = Delta { after, revision, after_outage, content };
+            let is_relay = state.peers.is_relay(now, &self.instance, true);
+            let bodies = is_relay.then(|| relay::to_bodies(now, topic, &read));
             for change in snapshot.changes {
-                state.apply(Instant::now(), change);
+                state.apply(now, change);
             }
-        }
-        self.end_outage(topic);
+            state.advance(topic, revision);
+            bodies.unwrap_or_default()
+        };
+        self.exchange.relay(bodies);
         if is_changed {
             compio::time::sleep(WATCH_PAUSE).await;
         }
-        Ok(Position::Current(snapshot.revision.max(after)))
+        Ok(())
     }
 
     fn begin_outage(&self, topic: Topic) {
@@ -178,12 +223,10 @@
         }
     }
 
-    /// Keeps the instance registered, reads the registered instances, and notes whether the store
-    /// answers.
+    /// Keeps the instance registered and notes whether the store answers.
     pub(crate) async fn keep_registered(self: Rc<Self>, address: SocketAddr) {
         let mut backoff = Backoff::new();
         let mut is_registered = false;
-        let mut renewals = 0;
         loop {
             let result = if is_registered {
                 self.discovery.renew().await
@@ -208,25 +251,50 @@
             }
             backoff = Backoff::new();
             is_registered = true;
-            if FIRST_READS.contains(&renewals)
-                || (renewals > 0 && renewals % RENEWALS_PER_READ == 0)
-            {
-                self.read_instances(address).await;
-            }
-            renewals += 1;
+            self.wait_for_renewal().await;
+        }
+    }
+
+    /// Waits until the next renewal is due, which comes sooner when the instance becomes a relay.
+    async fn wait_for_renewal(&self) {
+        let renewed = Instant::now();
+        loop {
             compio::time::sleep(RENEWAL_INTERVAL).await;
+            let now = Instant::now();
+            let is_relay = self.state.borrow().peers.is_relay(now, &self.instance, true);
+            if is_relay || now.duration_since(renewed) >= RESTING_RENEWAL_INTERVAL {
+                return;
+            }
+        }
+    }
+
+    /// Reads the registered instances from time to time.
+    pub(crate) async fn follow_instances(self: Rc<Self>, address: SocketAddr) {
+        let started = Instant::now();
+        for at in FIRST_READS {
+            compio::time::sleep(at.saturating_sub(started.elapsed())).await;
+            self.read_instances(address).await;
+        }
+        loop {
+            compio::time::sleep(READ_INTERVAL).await;
+            self.link.wait_until_up().await;
+            self.read_instances(address).await;
         }
     }
 
     fn set_up(&self) {
         if self.link.set_up() {
             slog::info!(self.log, "store: answers");
+            self.state.borrow_mut().keeper.is_up = true;
         }
     }
 
     fn set_down(&self, error: &DiscoveryError) {
         if self.link.set_down() {
             slog::warn!(self.log, "store: does not answer"; "error" => %error);
+            self.state.borrow_mut().keeper.is_up = false;
+            // Another instance has to relay in place of this one.
+            self.exchange.announce();
         }
     }
 
--- a/tests/all/platform.rs
+++ b/tests/all/platform.rs
@@ -2,6 +2,7 @@
 
 mod decoding;
 mod dialect;
+mod relaying;
 mod rig;
 mod stopping;
 mod store_outage;
--- a/tests/all/sharing.rs
+++ b/tests/all/sharing.rs
@@ -5,4 +5,5 @@
 mod catalog;
 mod load;
 mod placement;
+mod relay;
 mod suspicion;
--- a/tests/all/sharing/catalog.rs
+++ b/tests/all/sharing/catalog.rs
@@ -72,7 +72,7 @@
     catalog.begin_outage();
     catalog.end_outage(now);
     let later = now + Duration::from_secs(3);
-    catalog.remove(later, &"a".into());
+    catalog.remove(later, &"a".into(), 5);
     assert!(usable(&catalog, later).is_empty());
 }
 
--- /dev/null
+++ b/tests/all/sharing/relay.rs
@@ -0,0 +1,155 @@
+//! Changes of the lists on their way from relays to the other instances.
+
+use std::time::{Duration, Instant};
+
+use cactustrack_fleet::discovery::{Change, ListedUpstream, Topic};
+use cactustrack_fleet::message::{
+    Body, Datagram, Delta, FORMAT, KeeperView, MAX_DATAGRAM_BYTES, Part,
+};
+use cactustrack_fleet::peers::Peers;
+use cactustrack_fleet::relay::{Assembly, from_upstream_change, to_bodies};
+use cactustrack_types::{
+    CONFIGURATION_FORMAT, Configuration, Delivery, Incarnation, Millis, RequestClass, Route,
+};
+
+fn listed(number: u64) -> Change {
+    Change::Listed(ListedUpstream {
+        id: format!("upstream-{number:012}").into(),
+        service: "a-service-with-a-name".into(),
+        address: "10.128.100.100:18080".parse().expect("an address"),
+        failure_domain: "attica-a".into(),
+        slots: 4,
+        incarnation: Incarnation(1_776_441_437_027),
+        leaving: false,
+        cold_until: None,
+        revision: 100 + number,
+    })
+}
+
+fn datagram(from: &str, sequence: u64, body: Body) -> Datagram {
+    let life = Incarnation(1);
+    Datagram { format: FORMAT, from: from.into(), life, sequence, version: 1, body }
+}
+
+fn configuration(version: u64, routes: usize) -> Configuration {
+    let route = |number: usize| Route {
+        host: "shop.example".into(),
+        path_prefix: format!("/path-{number}/").into(),
+        service: "svc".into(),
+        class: RequestClass::Idempotent,
+        timeout: Millis(Duration::from_secs(4)),
+        max_timeout: Millis(Duration::from_secs(4)),
+        delivery: Delivery { subtree_only: true, ..Delivery::default() },
+    };
+    Configuration {
+        format: CONFIGURATION_FORMAT,
+        version,
+        team: "operator".into(),
+        services: Vec::new(),
+        routes: (0..routes).map(route).collect(),
+        accounts: Vec::new(),
+    }
+}
+
+/// Guards against datagrams that are cut on the way, and against changes that are lost, doubled or
+/// out of order between them.
+#[test]
+fn changes_of_upstreams_arrive_whole_and_in_order() {
+    let now = Instant::now();
+    let mut changes: Vec<Change> = (0..25).map(listed).collect();
+    changes.push(Change::Unlisted("upstream-gone".into(), 130));
+    let read = Delta { after: 90, revision: 140, after_outage: true, content: &changes[..] };
+    let bodies = to_bodies(now, Topic::Upstreams, &read);
+    let (mut known, mut arrived) = (90, Vec::new());
+    for body in bodies {
+        let bytes = datagram("front-attica-a-20", 1, body).encode();
+        assert!(bytes.len() <= MAX_DATAGRAM_BYTES, "{} bytes", bytes.len());
+        let Body::Upstreams(delta) = Datagram::decode(&bytes).expect("a datagram").body else {
+            panic!("a delta of upstreams");
+        };
+        assert_eq!(delta.after, known, "nothing is missing before");
+        assert!(delta.after_outage);
+        known = delta.revision;
+        arrived.extend(delta.content.into_iter().map(|change| from_upstream_change(now, change)));
+    }
+    assert_eq!(known, 140);
+    assert_eq!(arrived, changes);
+}
+
+/// Guards against a configuration that is put together from parts of two versions, or that is
+/// never complete because each relay lost another part.
+#[test]
+fn a_configuration_is_put_together_from_the_parts_of_several_relays() {
+    let parts = |version: u64| -> Vec<Part> {
+        let changes = [Change::Configured(Box::new(configuration(version, 30)))];
+        let read =
+            Delta { after: 1, revision: version, after_outage: false, content: &changes[..] };
+        let bodies = to_bodies(Instant::now(), Topic::Configuration, &read);
+        let part = |body| match body {
+            Body::Configuration(delta) => delta.content,
+            other => panic!("{other:?}"),
+        };
+        bodies.into_iter().map(part).collect()
+    };
+    let (old, new) = (parts(5), parts(6));
+    assert!(old.len() > 2, "several parts");
+    let mut assembly = Assembly::default();
+    assert_eq!(assembly.add(old[0].clone()), None);
+    assert_eq!(assembly.add(new[1].clone()), None);
+    assert_eq!(assembly.add(old[1].clone()), None, "an older version has no effect");
+    for part in &new[2..] {
+        assert_eq!(assembly.add(part.clone()), None);
+    }
+    assert_eq!(assembly.add(new[0].clone()), Some(configuration(6, 30)));
+}
+
+/// Guards against a flood of datagrams for a configuration with thousands of routes.
+#[test]
+fn a_large_configuration_is_left_to_the_store() {
+    let changes = [Change::Configured(Box::new(configuration(7, 2_000)))];
+    let read = Delta { after: 1, revision: 9, after_outage: false, content: &changes[..] };
+    let bodies = to_bodies(Instant::now(), Topic::Configuration, &read);
+    assert_eq!(bodies, [Body::Advanced { topic: Topic::Configuration, revision: 9 }]);
+}
+
+/// Guards against a fleet in which nobody relays, or in which all instances watch the store.
+#[test]
+fn a_few_instances_that_the_store_answers_relay() {
+    struct Case {
+        instances: usize,
+        /// The store answers every instance but each one whose number is a multiple of this.
+        cut_off_each: usize,
+        silent_ms: u64,
+        relays: usize,
+    }
+    let cases = [
+        Case { instances: 1, cut_off_each: 99, silent_ms: 0, relays: 1 },
+        Case { instances: 4, cut_off_each: 99, silent_ms: 0, relays: 4 },
+        Case { instances: 48, cut_off_each: 99, silent_ms: 0, relays: 5 },
+        Case { instances: 48, cut_off_each: 2, silent_ms: 0, relays: 5 },
+        // Nobody hears anybody, so each has to watch for itself.
+        Case { instances: 8, cut_off_each: 99, silent_ms: 2_000, relays: 8 },
+    ];
+    for Case { instances, cut_off_each, silent_ms, relays } in cases {
+        let now = Instant::now();
+        let is_up = |number: usize| (number + 1) % cut_off_each != 0;
+        let name = |number: usize| format!("front-attica-b-{number}");
+        let relaying = (0..instances).filter(|own| {
+            let mut peers = Peers::default();
+            for other in (0..instances).filter(|other| other != own) {
+                let keeper = KeeperView { is_up: is_up(other), ..KeeperView::default() };
+                let body = Body::Heartbeat {
+                    in_flight: Vec::new(),
+                    peers: Vec::new(),
+                    leaving: false,
+                    keeper,
+                };
+                let address = format!("10.0.0.{other}:7540").parse().expect("an address");
+                peers.accept(now, address, &datagram(&name(other), 1, body));
+            }
+            let at = now + Duration::from_millis(silent_ms);
+            peers.is_relay(at, &name(*own), is_up(*own))
+        });
+        assert_eq!(relaying.count(), relays, "{instances} instances, cut off {cut_off_each}");
+    }
+}
