--- a/src/cli/trace.rs
+++ b/src/cli/trace.rs
@@ -88,8 +88,12 @@
     /// dependency that the request met.
     fn is_belief_for(&self, story: &Self) -> bool {
         let is_belief = BELIEF_PARTS.iter().any(|part| self.text("msg").starts_with(part));
-        let upstream = self.text("upstream");
-        let concerns = upstream.is_empty() || story.text("attempts").contains(upstream);
+        let (upstream, attempts) = (self.text("upstream"), story.text("attempts"));
+        let concerns = if attempts.is_empty() && !upstream.is_empty() {
+            self.text("service") == story.text("service")
+        } else {
+            upstream.is_empty() || attempts.contains(upstream)
+        };
         is_belief && concerns && self.text("instance") == story.text("instance")
     }
 
--- a/tests/all/platform.rs
+++ b/tests/all/platform.rs
@@ -6,4 +6,5 @@
 mod rig;
 mod stopping;
 mod store_outage;
+mod story;
 mod traffic;
