Pass notices on through two hubs of each failure domain

Cause: each notice went to all other instances: 2,500 datagrams a second at each of 126 instances, and two thirds of the bytes crossed failure domains.

Change: an instance sends its notices to a hub of its failure domain, which collects them for 20 ms and passes them on to its neighbours and to one hub of each other failure domain. Fleets of less than ten tell each other directly.

--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -13,7 +13,7 @@
 use crate::discovery::{Revision, Topic};
 
 /// Version of the encoding. Datagrams of another version are ignored.
-pub const FORMAT: u8 = 2;
+pub const FORMAT: u8 = 3;
 
 /// Largest datagram, in bytes. It stays below the usual MTU of 1,500 bytes.
 pub const MAX_DATAGRAM_BYTES: usize = 1_400;
@@ -40,6 +40,8 @@
 pub enum Body {
     /// Attempts that started or ended since the last datagram.
     Notices(Vec<Notice>),
+    /// Notices of several instances, from a hub.
+    Bundle(Bundle),
     /// All requests that the sender has in flight, and some of the instances that it hears.
     Heartbeat {
         /// In flight by upstream. Upstreams that are not named have none.
@@ -50,6 +52,8 @@
         leaving: bool,
         /// What the sender knows of the keeper of the lists.
         keeper: KeeperView,
+        /// Failure domain of the sender.
+        failure_domain: FailureDomain,
     },
     /// Changes of the list of upstreams, from a relay.
     Upstreams(Delta<Vec<UpstreamChange>>),
@@ -64,6 +68,28 @@
     },
 }
 
+/// Notices that a hub collected.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Bundle {
+    /// True if the receiver is the hub of another failure domain, which passes the bundle on there.
+    pub pass_on: bool,
+    /// The notices by their senders.
+    pub reports: Vec<Report>,
+}
+
+/// Notices of one instance.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Report {
+    /// The instance.
+    pub from: InstanceId,
+    /// Its life.
+    pub life: Incarnation,
+    /// Number of its datagram.
+    pub sequence: u64,
+    /// What it tells.
+    pub notices: Vec<Notice>,
+}
+
 /// What an instance knows of the keeper of the lists.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct KeeperView {
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -4,9 +4,9 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use cactustrack_types::{Incarnation, InstanceId};
+use cactustrack_types::{FailureDomain, Incarnation, InstanceId};
 
-use crate::message::{Body, Datagram, KeeperView};
+use crate::message::{Body, Datagram, KeeperView, Report};
 
 /// Time without a datagram after which an instance counts as gone.
 const SILENCE_LIMIT: Duration = Duration::from_secs(4);
@@ -25,12 +25,48 @@
 /// time in which a change must be in force.
 const RELAY_SILENCE_LIMIT: Duration = Duration::from_millis(1_500);
 
+/// Instances of a failure domain that collect notices and pass them on.
+const HUBS: usize = 2;
+
+/// Size of a fleet from which notices go through hubs. Smaller fleets tell each other directly.
+const HUB_FLEET: usize = 10;
+
 struct Peer {
     address: SocketAddr,
     life: Incarnation,
     sequence: u64,
     heard: Instant,
     keeper: KeeperView,
+    failure_domain: FailureDomain,
+}
+
+/// Where notices of this instance go.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Route {
+    /// To all other instances.
+    All(Vec<SocketAddr>),
+    /// To a hub of the own failure domain.
+    Hub(SocketAddr),
+    /// This instance is a hub.
+    Own,
+}
+
+/// Where a hub passes notices on to.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct HubTargets {
+    /// All other instances of the own failure domain.
+    pub near: Vec<SocketAddr>,
+    /// One hub of each other failure domain.
+    pub hubs: Vec<SocketAddr>,
+}
+
+/// This instance.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Own {
+    /// Its name.
+    pub name: InstanceId,
+    /// The failure domain that it runs in.
+    pub failure_domain: FailureDomain,
 }
 
 /// Known instances, by name and by address.
@@ -39,6 +75,8 @@
     heard: HashMap<InstanceId, Peer>,
     /// Addresses that were named by others, with the end of the time for which they are tried.
     introduced: HashMap<SocketAddr, Instant>,
+    /// Number of the last report of each instance that came through a hub.
+    reports: HashMap<InstanceId, (Incarnation, u64)>,
     /// Registered instances when they were last read, with this one.
     registered: usize,
     turn: usize,
@@ -64,12 +102,14 @@
         if self.heard.get(&datagram.from).is_some_and(is_old) {
             return false;
         }
-        let known = self.heard.get(&datagram.from).map(|peer| peer.keeper).unwrap_or_default();
-        let keeper = match &datagram.body {
-            Body::Heartbeat { keeper, .. } => *keeper,
+        let known = self.heard.get(&datagram.from);
+        let known = known.map(|peer| (peer.keeper, peer.failure_domain.clone()));
+        let known = known.unwrap_or_else(|| (KeeperView::default(), "".into()));
+        let (keeper, failure_domain) = match &datagram.body {
+            Body::Heartbeat { keeper, failure_domain, .. } => (*keeper, failure_domain.clone()),
             _ => known,
         };
-        let peer = Peer { address, life, sequence, heard: now, keeper };
+        let peer = Peer { address, life, sequence, heard: now, keeper, failure_domain };
         self.heard.insert(datagram.from.clone(), peer);
         true
     }
@@ -87,6 +127,7 @@
         let silent: Vec<InstanceId> = silent.map(|(name, _)| name.clone()).collect();
         for name in &silent {
             self.heard.remove(name);
+            self.reports.remove(name);
         }
         silent
     }
@@ -127,6 +168,63 @@
         able.filter(|(name, _)| rank(name) < own_rank).count() < RELAYS
     }
 
+    /// Notes a report that came through a hub. Returns false if it, or a later one, was already
+    /// taken, or if it is from an earlier life of its sender.
+    pub fn accept_report(&mut self, report: &Report) -> bool {
+        let number = (report.life, report.sequence);
+        let last = self.reports.entry(report.from.clone()).or_default();
+        let is_new = number > *last;
+        if is_new {
+            *last = number;
+        }
+        is_new
+    }
+
+    /// Where the notices of this instance go. `turn` spreads them over the hubs.
+    pub fn route(&self, now: Instant, own: &Own, turn: usize) -> Route {
+        if self.instances() < HUB_FLEET {
+            return Route::All(self.addresses());
+        }
+        let hubs = self.hubs(now, &own.failure_domain, Some(own));
+        match hubs.get(turn % hubs.len().max(1)) {
+            Some(Some(address)) => Route::Hub(*address),
+            _ => Route::Own,
+        }
+    }
+
+    /// Where this instance passes notices on to as a hub.
+    pub fn hub_targets(&self, now: Instant, own: &Own, turn: usize) -> HubTargets {
+        let mut targets = HubTargets::default();
+        let mut others = Vec::new();
+        for peer in self.heard.values() {
+            if peer.failure_domain == own.failure_domain {
+                targets.near.push(peer.address);
+            } else if !others.contains(&&peer.failure_domain) {
+                others.push(&peer.failure_domain);
+            }
+        }
+        for domain in others {
+            let hubs = self.hubs(now, domain, None);
+            targets.hubs.extend(hubs.get(turn % hubs.len().max(1)).copied().flatten());
+        }
+        targets
+    }
+
+    /// Addresses of the hubs of a failure domain. `None` stands for this instance, which counts if
+    /// it is given as `own`.
+    fn hubs(&self, now: Instant, domain: &str, own: Option<&Own>) -> Vec<Option<SocketAddr>> {
+        let is_able = |peer: &Peer| {
+            let silence = now.saturating_duration_since(peer.heard);
+            &*peer.failure_domain == domain && silence <= RELAY_SILENCE_LIMIT
+        };
+        let able = self.heard.iter().filter(|(_, peer)| is_able(peer));
+        let mut ranked: Vec<_> =
+            able.map(|(name, peer)| (rank(name), Some(peer.address))).collect();
+        ranked.extend(own.map(|own| (rank(&own.name), None)));
+        ranked.sort_unstable();
+        ranked.into_iter().take(HUBS).map(|(_, address)| address).collect()
+    }
+
     /// Highest revisions of which an instance that the keeper answers has told.
     pub fn known_revisions(&self) -> KeeperView {
         let mut known = KeeperView::default();
--- a/src/node/exchange.rs
+++ b/src/node/exchange.rs
@@ -1,14 +1,17 @@
 //! Datagrams to and from other instances.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::{SocketAddr, UdpSocket};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use cactustrack_fleet::message::{Body, Datagram, FORMAT, MAX_DATAGRAM_BYTES, Notice};
+use cactustrack_fleet::message::{
+    Body, Bundle, Datagram, FORMAT, MAX_DATAGRAM_BYTES, Notice, Report,
+};
+use cactustrack_fleet::peers::{Own, Route};
 use cactustrack_observe::Metrics;
-use cactustrack_types::{Incarnation, InstanceId};
+use cactustrack_types::Incarnation;
 use slog::Logger;
 
 use super::behind::Behind;
@@ -23,13 +26,24 @@
 /// Most notices in a datagram. With the longest usual names it stays below the size limit.
 const MAX_NOTICES: usize = 16;
 
-/// Exchange of notices and heartbeats with all other instances.
+/// Time in which a hub collects notices before it passes them on.
+const BUNDLE_DELAY: Duration = Duration::from_millis(20);
+
+/// Most notices in a bundle.
+const MAX_BUNDLED: usize = 14;
+
+/// Exchange of notices and heartbeats with the other instances.
 pub(crate) struct Exchange {
     socket: UdpSocket,
-    instance: InstanceId,
+    own: Own,
     life: Incarnation,
     sequence: Cell<u64>,
     is_flush_due: Cell<bool>,
+    /// Reports that this instance collects as a hub.
+    bundle: RefCell<Vec<Report>>,
+    is_bundle_due: Cell<bool>,
+    /// Spreads notices over hubs.
+    turn: Cell<usize>,
     state: SharedState,
     behind: Rc<Behind>,
     metrics: Metrics,
@@ -44,7 +58,7 @@
     /// Fails if the address cannot be bound.
     pub(crate) fn bind(
         address: SocketAddr,
-        instance: InstanceId,
+        own: Own,
         life: Incarnation,
         state: SharedState,
         behind: Rc<Behind>,
@@ -55,10 +69,13 @@
         socket.set_nonblocking(true)?;
         Ok(Rc::new(Self {
             socket,
-            instance,
+            own,
             life,
             sequence: Cell::new(0),
             is_flush_due: Cell::new(false),
+            bundle: RefCell::default(),
+            is_bundle_due: Cell::new(false),
+            turn: Cell::new(0),
             state,
             behind,
             metrics,
@@ -102,13 +119,81 @@
         bodies.into_iter().for_each(|body| self.send(body));
     }
 
-    fn flush(&self) {
+    fn flush(self: &Rc<Self>) {
         let notices = std::mem::take(&mut self.state.borrow_mut().outbox);
         for notices in notices.chunks(MAX_NOTICES) {
-            self.send(Body::Notices(notices.to_vec()));
+            let turn = self.next_turn();
+            let route = self.state.borrow().peers.route(Instant::now(), &self.own, turn);
+            match route {
+                Route::All(addresses) => {
+                    self.send_to(Body::Notices(notices.to_vec()), &addresses);
+                }
+                Route::Hub(address) => self.send_to(Body::Notices(notices.to_vec()), &[address]),
+                Route::Own => {
+                    let (from, life) = (self.own.name.clone(), self.life);
+                    let sequence = self.next_sequence();
+                    self.collect(Report { from, life, sequence, notices: notices.to_vec() });
+                }
+            }
+        }
+    }
+
+    /// Keeps a report until the bundle is sent.
+    fn collect(self: &Rc<Self>, report: Report) {
+        self.bundle.borrow_mut().push(report);
+        if self.is_bundle_due.replace(true) {
+            return;
+        }
+        let exchange = Rc::clone(self);
+        let task = async move {
+            compio::time::sleep(BUNDLE_DELAY).await;
+            exchange.is_bundle_due.set(false);
+            exchange.send_bundle();
+        };
+        compio::runtime::spawn(task).detach();
+    }
+
+    fn send_bundle(&self) {
+        let turn = self.next_turn();
+        let targets = self.state.borrow().peers.hub_targets(Instant::now(), &self.own, turn);
+        for reports in split_reports(self.bundle.take()) {
+            let near = Bundle { pass_on: false, reports };
+            let far = Bundle { pass_on: true, reports: near.reports.clone() };
+            self.send_to(Body::Bundle(near), &targets.near);
+            self.send_to(Body::Bundle(far), &targets.hubs);
+        }
+    }
+
+    fn on_bundle(&self, now: Instant, bundle: Bundle) {
+        let Bundle { pass_on, reports } = bundle;
+        {
+            let mut state = self.state.borrow_mut();
+            for report in &reports {
+                if report.from != self.own.name && state.peers.accept_report(report) {
+                    for notice in &report.notices {
+                        state.view.on_notice(now, &report.from, notice);
+                    }
+                }
+            }
+        }
+        if pass_on {
+            let near = self.state.borrow().peers.hub_targets(now, &self.own, 0).near;
+            self.send_to(Body::Bundle(Bundle { pass_on: false, reports }), &near);
         }
     }
 
+    fn next_turn(&self) -> usize {
+        let turn = self.turn.get().wrapping_add(1);
+        self.turn.set(turn);
+        turn
+    }
+
+    fn next_sequence(&self) -> u64 {
+        let sequence = self.sequence.get() + 1;
+        self.sequence.set(sequence);
+        sequence
+    }
+
     async fn beat(self: Rc<Self>) {
         loop {
             self.send_heartbeat();
@@ -137,25 +222,27 @@
                 peers: state.peers.introductions(),
                 leaving: state.stopping,
                 keeper: state.keeper,
+                failure_domain: self.own.failure_domain.clone(),
             }
         };
         self.send(body);
     }
 
-    /// A datagram that cannot be sent is as good as lost, which the others bear with.
     fn send(&self, body: Body) {
-        let (addresses, version) = {
-            let state = self.state.borrow();
-            let version = state.in_force.as_ref().map_or(0, |in_force| in_force.version);
-            (state.peers.addresses(), version)
-        };
-        let sequence = self.sequence.get() + 1;
-        self.sequence.set(sequence);
-        let (from, life) = (self.instance.clone(), self.life);
+        let addresses = self.state.borrow().peers.addresses();
+        self.send_to(body, &addresses);
+    }
+
+    /// A datagram that cannot be sent is as good as lost, which the others bear with.
+    fn send_to(&self, body: Body, addresses: &[SocketAddr]) {
+        let in_force = &self.state.borrow().in_force;
+        let version = in_force.as_ref().map_or(0, |in_force| in_force.version);
+        let sequence = self.next_sequence();
+        let (from, life) = (self.own.name.clone(), self.life);
         let datagram = Datagram { format: FORMAT, from, life, sequence, version, body };
         let bytes = datagram.encode();
         let mut lost = 0;
-        for address in &addresses {
+        for address in addresses {
             if self.socket.send_to(&bytes, address).is_err() {
                 lost += 1;
             }
@@ -185,17 +272,17 @@
     }
 
     /// Reads what else has arrived, which costs less than a round of the event loop for each.
-    fn drain(&self) {
+    fn drain(self: &Rc<Self>) {
         let mut buf = [0; MAX_DATAGRAM_BYTES];
         while let Ok((read, from)) = self.socket.recv_from(&mut buf) {
             self.on_bytes(&buf[..read], from);
         }
     }
 
-    fn on_bytes(&self, bytes: &[u8], from: SocketAddr) {
+    fn on_bytes(self: &Rc<Self>, bytes: &[u8], from: SocketAddr) {
         self.metrics.peer_bytes.with_label_values(&["received"]).inc_by(bytes.len() as u64);
         match Datagram::decode(bytes) {
-            Ok(datagram) if datagram.from == self.instance => {}
+            Ok(datagram) if datagram.from == self.own.name => {}
             Ok(datagram) => self.on_datagram(datagram, from),
             Err(error) => {
                 self.metrics.peer_frames_dropped.with_label_values(&["malformed"]).inc();
@@ -204,7 +291,7 @@
         }
     }
 
-    fn on_datagram(&self, datagram: Datagram, address: SocketAddr) {
+    fn on_datagram(self: &Rc<Self>, datagram: Datagram, address: SocketAddr) {
         let now = Instant::now();
         let mut state = self.state.borrow_mut();
         if !state.peers.accept(now, address, &datagram) {
@@ -215,6 +302,17 @@
                 for notice in &notices {
                     state.view.on_notice(now, &datagram.from, notice);
                 }
+                // Notices that are not sent to all come to a hub.
+                if matches!(state.peers.route(now, &self.own, 0), Route::All(_)) {
+                    return;
+                }
+                drop(state);
+                let Datagram { from, life, sequence, .. } = datagram;
+                self.collect(Report { from, life, sequence, notices });
+            }
+            Body::Bundle(bundle) => {
+                drop(state);
+                self.on_bundle(now, bundle);
             }
             Body::Heartbeat { in_flight, peers, leaving, .. } => {
                 state.view.on_heartbeat(now, &datagram.from, &in_flight);
@@ -248,3 +346,21 @@
         self.schedule_flush();
     }
 }
+
+/// Splits reports so that each bundle fits in a datagram.
+fn split_reports(reports: Vec<Report>) -> Vec<Vec<Report>> {
+    let mut bundles = vec![Vec::new()];
+    let mut notices = 0;
+    for report in reports {
+        if notices + report.notices.len() > MAX_BUNDLED && notices > 0 {
+            bundles.push(Vec::new());
+            notices = 0;
+        }
+        notices += report.notices.len();
+        if let Some(bundle) = bundles.last_mut() {
+            bundle.push(report);
+        }
+    }
+    bundles.retain(|bundle| !bundle.is_empty());
+    bundles
+}
--- a/src/node/instance.rs
+++ b/src/node/instance.rs
@@ -6,6 +6,7 @@
 
 use cactustrack_fleet::budget::BudgetLimits;
 use cactustrack_fleet::discovery::{Discovery, Topic};
+use cactustrack_fleet::peers::Own;
 use cactustrack_observe::{Metrics, SpanQueue};
 use cactustrack_platform::{PlatformDialect, PlatformDiscovery, READINESS_PATH, Settings};
 use cactustrack_proxy::{Pool, PoolLimits, Proxy, ProxyParts, Server, ServerLimits, Shutdown};
@@ -174,9 +175,10 @@
     let address = settings.listen.peers;
     let introductions = settings.introductions.iter().copied().filter(|peer| *peer != address);
     state.borrow_mut().peers.introduce(Instant::now(), introductions);
-    let (instance, state) = (settings.instance.clone(), Rc::clone(state));
+    let (name, failure_domain) = (settings.instance.clone(), settings.failure_domain.clone());
+    let (own, state) = (Own { name, failure_domain }, Rc::clone(state));
     let (behind, metrics) = (Rc::clone(behind), metrics.clone());
-    let exchange = Exchange::bind(address, instance, life, state, behind, metrics, log.clone());
+    let exchange = Exchange::bind(address, own, life, state, behind, metrics, log.clone());
     let exchange =
         exchange.wrap_err_with(|| format!("cannot listen on {address} for instances"))?;
     exchange.start().wrap_err("cannot receive datagrams")?;
--- a/tests/all/sharing.rs
+++ b/tests/all/sharing.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod budget;
 mod catalog;
+mod hubs;
 mod load;
 mod placement;
 mod relay;
--- /dev/null
+++ b/tests/all/sharing/hubs.rs
@@ -0,0 +1,118 @@
+//! Notices that go through a few instances of each failure domain.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use cactustrack_fleet::message::{Body, Datagram, FORMAT, KeeperView, Report};
+use cactustrack_fleet::peers::{Own, Peers, Route};
+use cactustrack_types::Incarnation;
+
+const DOMAINS: [&str; 3] = ["domain-a", "domain-b", "domain-c"];
+
+struct Instance {
+    own: Own,
+    address: SocketAddr,
+    peers: Peers,
+}
+
+/// Instances that have all heard each other.
+fn fleet(now: Instant, size: usize) -> Vec<Instance> {
+    let own = |number: usize| {
+        let failure_domain = DOMAINS[number % DOMAINS.len()].into();
+        Own { name: format!("edge-{number}").into(), failure_domain }
+    };
+    let address = |number: usize| format!("10.0.0.{number}:7540").parse().expect("an address");
+    let heartbeat = |number: usize| Datagram {
+        format: FORMAT,
+        from: own(number).name,
+        life: Incarnation(1),
+        sequence: 1,
+        version: 1,
+        body: Body::Heartbeat {
+            in_flight: Vec::new(),
+            peers: Vec::new(),
+            leaving: false,
+            keeper: KeeperView::default(),
+            failure_domain: own(number).failure_domain,
+        },
+    };
+    let instance = |number: usize| {
+        let mut peers = Peers::default();
+        for other in (0..size).filter(|other| *other != number) {
+            peers.accept(now, address(other), &heartbeat(other));
+        }
+        Instance { own: own(number), address: address(number), peers }
+    };
+    (0..size).map(instance).collect()
+}
+
+/// Guards against notices that do not reach an instance, or that cross between failure domains more
+/// often than once for each of them.
+#[test]
+fn notices_reach_every_instance_and_cross_once() {
+    let now = Instant::now();
+    let fleet = fleet(now, 30);
+    let all: BTreeSet<SocketAddr> = fleet.iter().map(|instance| instance.address).collect();
+    let find = |address: SocketAddr| {
+        fleet.iter().find(|instance| instance.address == address).expect("an instance")
+    };
+    for (turn, sender) in fleet.iter().enumerate() {
+        let hub = match sender.peers.route(now, &sender.own, turn) {
+            Route::Hub(address) => find(address),
+            Route::Own => sender,
+            Route::All(addresses) => panic!("{} addresses", addresses.len()),
+        };
+        assert_eq!(hub.own.failure_domain, sender.own.failure_domain);
+        let targets = hub.peers.hub_targets(now, &hub.own, turn);
+        assert_eq!(targets.hubs.len(), DOMAINS.len() - 1);
+        let mut reached: BTreeSet<_> = targets.near.iter().copied().collect();
+        reached.insert(hub.address);
+        for far in targets.hubs {
+            let far = find(far);
+            assert_ne!(far.own.failure_domain, hub.own.failure_domain);
+            reached.insert(far.address);
+            reached.extend(far.peers.hub_targets(now, &far.own, 0).near);
+        }
+        assert_eq!(reached, all);
+    }
+}
+
+/// Guards against notices that go to hubs which were killed.
+#[test]
+fn a_hub_that_is_not_heard_is_replaced() {
+    let now = Instant::now();
+    let fleet = fleet(now, 12);
+    let sender = &fleet[0];
+    let later = now + Duration::from_secs(2);
+    let is_direct = |turn| matches!(sender.peers.route(later, &sender.own, turn), Route::Own);
+    assert!((0..4).all(is_direct), "an instance that hears nobody is a hub for itself");
+}
+
+/// Guards against a report that counts twice because two hubs pass it on.
+#[test]
+fn a_report_counts_once() {
+    let mut peers = Peers::default();
+    let report = |life, sequence| Report {
+        from: "edge-1".into(),
+        life: Incarnation(life),
+        sequence,
+        notices: Vec::new(),
+    };
+    struct Case {
+        life: u64,
+        sequence: u64,
+        is_taken: bool,
+    }
+    let cases = [
+        Case { life: 1, sequence: 5, is_taken: true },
+        Case { life: 1, sequence: 5, is_taken: false },
+        Case { life: 1, sequence: 4, is_taken: false },
+        Case { life: 1, sequence: 6, is_taken: true },
+        Case { life: 2, sequence: 1, is_taken: true },
+        Case { life: 1, sequence: 7, is_taken: false },
+    ];
+    for Case { life, sequence, is_taken } in cases {
+        assert_eq!(peers.accept_report(&report(life, sequence)), is_taken, "{life} {sequence}");
+    }
+}
--- a/tests/all/sharing/relay.rs
+++ b/tests/all/sharing/relay.rs
@@ -143,6 +143,7 @@
                     peers: Vec::new(),
                     leaving: false,
                     keeper,
+                    failure_domain: "domain-a".into(),
                 };
                 let address = format!("10.0.0.{other}:7540").parse().expect("an address");
                 peers.accept(now, address, &datagram(&name(other), 1, body));
