--- a/tests/all/sharing/relay.rs
+++ b/tests/all/sharing/relay.rs
@@ -132,7 +132,7 @@
     ];
     for Case { instances, cut_off_each, silent_ms, relays } in cases {
         let now = Instant::now();
-        let is_up = |number: usize| (number + 1) % cut_off_each != 0;
+        let is_up = |number: usize| !(number + 1).is_multiple_of(cut_off_each);
         let name = |number: usize| format!("front-attica-b-{number}");
         let relaying = (0..instances).filter(|own| {
             let mut peers = Peers::default();
