Suspect an upstream after one broken connection also if it has served for long

Cause: after four answers the probability of a fault fell to 0.002, and one broken connection raised it to 0.19 only, below every limit. The test of suspicion failed since the mean fault was shortened.

Change: the probability does not fall below 0.01, so that one broken connection gives 0.55.

--- a/crates/fleet/src/suspicion.rs
+++ b/crates/fleet/src/suspicion.rs
@@ -19,8 +19,9 @@
 /// Largest probability. It keeps a long series of failures from outlasting the fault by much.
 const MAX_PROBABILITY: f64 = 0.995;
 
-/// Smallest probability.
-const MIN_PROBABILITY: f64 = 0.002;
+/// Smallest probability. One broken connection makes a suspect also of an upstream that has served
+/// for long.
+const MIN_PROBABILITY: f64 = 0.01;
 
 /// Probabilities of an observation.
 struct Likelihood {
