--- a/tests/all/platform.rs
+++ b/tests/all/platform.rs
@@ -2,6 +2,7 @@
 
 mod decoding;
 mod dialect;
+mod examples;
 mod relaying;
 mod rig;
 mod stopping;
