Start test instances again when a port was taken, and let them listen for a window

One instance could not bind a port that another process had taken between its choice and its use ("Address already in use" in the run's output). In the other test the instance had not listened for a window of the retry budget, so it did not send a declined request once more and answered 503, which is intended since the slack is left alone until then.

Change: the rig starts an instance that ends at once again with other ports, and sets a window of 200 ms, which passes before the test begins. The checks are as they were.

--- a/tests/all/platform/rig.rs
+++ b/tests/all/platform/rig.rs
@@ -21,6 +21,9 @@
 /// Longest wait for something that must happen, long against any pause of a busy machine.
 const WAIT_LIMIT: Duration = Duration::from_secs(30);
 
+/// Window of the retry budget. An instance uses the slack only after it has listened for as long.
+const BUDGET_WINDOW: Duration = Duration::from_millis(200);
+
 /// Stand-ins and instances of one test.
 pub(super) struct Rig {
     pub(super) store: PlatformStore,
@@ -68,6 +71,8 @@
         for instance in &rig.instances {
             wait_for("an instance to be ready", || instance.is_ready());
         }
+        // From now on the instances use the slack of the retry budget.
+        thread::sleep(BUDGET_WINDOW);
         rig
     }
 
@@ -125,7 +130,23 @@
 }
 
 impl Process {
+    /// Starts an instance. Another process may take a port between its choice and its use, so an
+    /// instance that ends at once is started again with other ports.
     fn start(number: usize, store: SocketAddr) -> Self {
+        loop {
+            let mut process = Self::spawn(number, store);
+            let mut has_ended = false;
+            wait_for("an instance to listen or to end", || {
+                has_ended = process.child.try_wait().expect("its state").is_some();
+                has_ended || !process.lines_with("proxy: listening").is_empty()
+            });
+            if !has_ended {
+                return process;
+            }
+        }
+    }
+
+    fn spawn(number: usize, store: SocketAddr) -> Self {
         static NEXT: AtomicU32 = AtomicU32::new(0);
         let unique = NEXT.fetch_add(1, Ordering::SeqCst);
         let settings = std::env::temp_dir()
@@ -185,11 +206,11 @@
     peers: SocketAddr,
     store: SocketAddr,
 ) -> String {
-    let port = peers.port();
+    let (port, window) = (peers.port(), BUDGET_WINDOW.as_secs_f64());
     format!(
         "node-name = \"edge-{number}\"\nip = \"127.0.0.1\"\nzone = \"domain-a\"\n\
          internal-port-range = [{port},{port}]\nseeds = []\n\
-         bounds = [\"grace-s=6\",\"retry-budget-ratio=0.2\",\"budget-window-s=10\",\
+         bounds = [\"grace-s=6\",\"retry-budget-ratio=0.2\",\"budget-window-s={window}\",\
          \"budget-slack=64\"]\n[listen]\nfront = \"{callers}\"\nreadiness = \"{admin}\"\n\
          [limits]\nmax-fds = 4100\n[provider]\naddress = \"{store}\"\n"
     )
