--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -19,8 +19,8 @@
 
 /// Gain of an upstream that got no request from any instance for [`UNUSED_LIMIT`]. Without it, an
 /// upstream whose fault has ended would never show that it has.
-const GAIN_UNUSED: f64 = 0.15;
-const UNUSED_LIMIT: Duration = Duration::from_secs(4);
+const GAIN_UNUSED: f64 = 0.3;
+const UNUSED_LIMIT: Duration = Duration::from_secs(3);
 
 /// Time without requests from which the gain grows.
 const UNUSED_GRACE: Duration = Duration::from_secs(1);
--- a/tests/all/sharing/placement.rs
+++ b/tests/all/sharing/placement.rs
@@ -30,11 +30,15 @@
     }
     use RequestClass::{Idempotent, Large, NonIdempotent};
     let suspect = Prospect { fault: 0.8, ..IDLE };
+    // Its fault may have ended, and nobody would find out. Failed as FLOOR in the users' bench: 26
+    // of 85 sound upstreams got nothing for two seconds.
+    let forgotten = Prospect { fault: 0.35, unused: Some(Duration::from_secs(3)), ..IDLE };
     let busy = Prospect { in_flight: 3, ..IDLE };
     let queued = Prospect { in_flight: 8, ..IDLE };
     let far = Prospect { is_near: false, ..IDLE };
     let cases = [
         Case { better: IDLE, worse: suspect, class: NonIdempotent },
+        Case { better: forgotten, worse: IDLE, class: NonIdempotent },
         Case { better: busy, worse: suspect, class: NonIdempotent },
         // Waiting for a slot is better than losing a request that cannot be sent again.
         Case { better: queued, worse: Prospect { fault: 0.99, ..IDLE }, class: NonIdempotent },
