Keep the stand-in of the platform's store with the tests that use it

Cause: the stand-in held the platform's words in a crate outside platform/, and only the tests of the platform use it.

Change: the stand-in is a module of those tests. No product code is changed.

--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -3,6 +3,5 @@
 pub mod caller;
 pub mod instance_list;
 pub mod link;
-pub mod platform_store;
 pub mod store;
 pub mod upstream;
--- a/tests/all/platform.rs
+++ b/tests/all/platform.rs
@@ -6,6 +6,7 @@
 mod relaying;
 mod rig;
 mod stopping;
+mod store;
 mod store_outage;
 mod story;
 mod traffic;
--- a/tests/all/platform/rig.rs
+++ b/tests/all/platform/rig.rs
@@ -10,8 +10,8 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use super::store::PlatformStore;
 use cactustrack_test_support::caller::{Call, Reply};
-use cactustrack_test_support::platform_store::PlatformStore;
 use cactustrack_test_support::upstream::{Behaviour, Upstreams};
 use http::StatusCode;
 use serde_json::json;
--- a/crates/test-support/src/platform_store.rs
+++ b/tests/all/platform/store.rs
@@ -25,7 +25,7 @@
 
 /// How the store treats calls.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum Mode {
+pub(super) enum Mode {
     /// Answers.
     #[default]
     Serving,
@@ -56,9 +56,9 @@
 }
 
 /// A store on a thread of its own. Dropping it stops it.
-pub struct PlatformStore {
+pub(super) struct PlatformStore {
     /// Where it listens.
-    pub address: SocketAddr,
+    pub(super) address: SocketAddr,
     content: Arc<Mutex<Content>>,
     stop: Arc<AtomicBool>,
     thread: Option<JoinHandle<()>>,
@@ -70,7 +70,7 @@
     /// # Panics
     ///
     /// Panics if the machine has no free port or thread.
-    pub fn spawn() -> Self {
+    pub(super) fn spawn() -> Self {
         let (tx, rx) = mpsc::channel();
         let content = Arc::new(Mutex::new(Content::default()));
         let stop = Arc::new(AtomicBool::new(false));
@@ -91,29 +91,29 @@
     }
 
     /// Writes a key as the operator or an upstream does.
-    pub fn put(&self, key: &str, value: &[u8]) {
+    pub(super) fn put(&self, key: &str, value: &[u8]) {
         lock(&self.content).put(key, STANDARD.encode(value), 0);
     }
 
     /// Removes a key.
-    pub fn remove(&self, key: &str) {
+    pub(super) fn remove(&self, key: &str) {
         lock(&self.content).remove(key);
     }
 
     /// Changes how calls are treated from now on.
-    pub fn set_mode(&self, mode: Mode) {
+    pub(super) fn set_mode(&self, mode: Mode) {
         lock(&self.content).mode = mode;
     }
 
     /// Forgets all changes up to now.
-    pub fn drop_history(&self) {
+    pub(super) fn drop_history(&self) {
         let mut content = lock(&self.content);
         content.dropped = content.rev;
         content.history.clear();
     }
 
     /// Takes away all leases with their keys.
-    pub fn end_all_leases(&self) {
+    pub(super) fn end_all_leases(&self) {
         let mut content = lock(&self.content);
         let leases: Vec<u64> = content.leases.keys().copied().collect();
         for lease in leases {
@@ -122,13 +122,13 @@
     }
 
     /// Keys under a prefix.
-    pub fn keys(&self, prefix: &str) -> Vec<String> {
+    pub(super) fn keys(&self, prefix: &str) -> Vec<String> {
         let content = lock(&self.content);
         content.entries.keys().filter(|key| key.starts_with(prefix)).cloned().collect()
     }
 
     /// Number of calls to a path.
-    pub fn calls(&self, path: &str) -> u64 {
+    pub(super) fn calls(&self, path: &str) -> u64 {
         lock(&self.content).calls.get(path).copied().unwrap_or_default()
     }
 }
--- a/tests/all/platform/store_outage.rs
+++ b/tests/all/platform/store_outage.rs
@@ -2,8 +2,8 @@
 
 use std::time::{Duration, Instant};
 
+use super::store::Mode;
 use cactustrack_test_support::caller::Call;
-use cactustrack_test_support::platform_store::Mode;
 use http::StatusCode;
 
 use super::rig::{HOST, Rig, RouteCase, SEARCH, request, wait_for};
