Send relayed changes through hubs, compress versions, and spread relays

Cause: a relay sent each version as five datagrams to each of 112 instances at once, which filled its link of 10 Mbit/s, and what did not fit was lost. FNV-1a ranks of names that differ in their end lie close together, so all five relays were in one failure domain.

Change: a relay sends changes to its own failure domain and to one hub of each other one, which passes them on. Configurations are compressed. Ranks are taken from a mixed hash. Parts that cannot be read are dropped with a log line.

A version has at most four parts in place of sixteen.

--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -13,7 +13,7 @@
 use crate::discovery::{Revision, Topic};
 
 /// Version of the encoding. Datagrams of another version are ignored.
-pub const FORMAT: u8 = 4;
+pub const FORMAT: u8 = 5;
 
 /// Largest datagram, in bytes. It stays below the usual MTU of 1,500 bytes.
 pub const MAX_DATAGRAM_BYTES: usize = 1_400;
@@ -59,6 +59,8 @@
     Upstreams(Delta<Vec<UpstreamChange>>),
     /// A part of a configuration, from a relay.
     Configuration(Delta<Part>),
+    /// A change for a hub of another failure domain, which passes it on to its neighbours there.
+    PassOn(Box<Body>),
     /// A change that is too large for datagrams: it has to be read from the keeper.
     Advanced {
         /// What changed.
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -208,6 +208,17 @@
         }
     }
 
+    /// Where this instance sends a change that it relays. Small fleets have no hubs, so there it
+    /// goes to all others directly.
+    pub fn relay_targets(&self, now: Instant, own: &Own, turn: usize) -> HubTargets {
+        if self.instances() < HUB_FLEET {
+            return HubTargets { near: self.addresses(), hubs: Vec::new() };
+        }
+        let mut targets = self.hub_targets(now, own, turn);
+        targets.near.extend(self.introduced.keys());
+        targets
+    }
+
     /// Where this instance passes notices on to as a hub.
     pub fn hub_targets(&self, now: Instant, own: &Own, turn: usize) -> HubTargets {
         let mut targets = HubTargets::default();
@@ -265,8 +276,15 @@
     }
 }
 
-/// Rank of an instance among those that may relay. The hash spreads the ranks over the failure
-/// domains.
+/// Rank of an instance among those that may relay or be hubs. The names of a fleet differ in a few
+/// characters at their end, so the hash is mixed: otherwise the lowest ranks share a failure domain.
 fn rank(name: &str) -> (u64, &str) {
-    (hash(name.bytes()), name)
+    (mix(hash(name.bytes())), name)
+}
+
+/// Finalizer of MurmurHash3, in which every bit of the input changes half of the output.
+fn mix(mut hash: u64) -> u64 {
+    hash = (hash ^ (hash >> 33)).wrapping_mul(0xff51_afd7_ed55_8ccd);
+    hash = (hash ^ (hash >> 33)).wrapping_mul(0xc4ce_b9fe_1a85_ec53);
+    hash ^ (hash >> 33)
 }
--- a/crates/fleet/src/relay.rs
+++ b/crates/fleet/src/relay.rs
@@ -1,9 +1,14 @@
 //! Changes of the lists on their way from relays to the other instances.
 
 use std::collections::HashMap;
+use std::io::{self, Read as _, Write};
 use std::time::{Duration, Instant};
 
 use cactustrack_types::{Configuration, Version};
+use derive_more::{Display, Error};
+use flate2::Compression;
+use flate2::read::DeflateDecoder;
+use flate2::write::DeflateEncoder;
 
 use crate::discovery::{Change, ListedUpstream, Topic};
 use crate::message::{Body, Delta, Part, UpstreamChange, UpstreamEntry, to_ms};
@@ -11,11 +16,16 @@
 /// Most changes of upstreams in a datagram.
 const MAX_CHANGES: usize = 9;
 
-/// Bytes of a configuration in a datagram.
+/// Bytes of a compressed configuration in a datagram.
 const PART_BYTES: usize = 1_200;
 
-/// Most parts of a configuration that is sent in datagrams.
-const MAX_PARTS: usize = 16;
+/// Most parts of a configuration that is sent in datagrams. A hub passes each of them on to all
+/// instances of its failure domain at once, over a link that may be slow.
+const MAX_PARTS: usize = 4;
+
+/// Most bytes of a configuration after decompression, so that a malformed datagram cannot take the
+/// memory of an instance.
+const MAX_CONFIGURATION_BYTES: u64 = 1 << 20;
 
 /// Changes of a topic that a relay read.
 pub type Read<'a> = Delta<&'a [Change]>;
@@ -53,7 +63,7 @@
     });
     let Some(configuration) = newest else { return Vec::new() };
     let advanced = vec![Body::Advanced { topic: Topic::Configuration, revision }];
-    let Ok(bytes) = serde_json::to_vec(configuration) else { return advanced };
+    let Ok(bytes) = compress(configuration) else { return advanced };
     let parts = bytes.len().div_ceil(PART_BYTES);
     if parts > MAX_PARTS {
         return advanced;
@@ -70,6 +80,18 @@
     bytes.chunks(PART_BYTES).enumerate().map(part).collect()
 }
 
+fn compress(configuration: &Configuration) -> io::Result<Vec<u8>> {
+    let mut encoder = DeflateEncoder::new(Vec::new(), Compression::default());
+    encoder.write_all(&serde_json::to_vec(configuration)?)?;
+    encoder.finish()
+}
+
+fn decompress(bytes: &[u8]) -> io::Result<Configuration> {
+    let mut decoded = Vec::new();
+    DeflateDecoder::new(bytes).take(MAX_CONFIGURATION_BYTES).read_to_end(&mut decoded)?;
+    Ok(serde_json::from_slice(&decoded)?)
+}
+
 fn to_upstream_change(now: Instant, change: &Change) -> Option<UpstreamChange> {
     match change {
         Change::Listed(upstream) => {
@@ -121,9 +143,14 @@
 
 impl Assembly {
     /// Adds a part and returns the configuration if it is complete.
-    pub fn add(&mut self, part: Part) -> Option<Configuration> {
+    ///
+    /// # Errors
+    ///
+    /// Fails if the parts together are not a configuration. They are dropped, so that other relays
+    /// can send them again.
+    pub fn add(&mut self, part: Part) -> Result<Option<Configuration>, MalformedParts> {
         if part.version < self.version {
-            return None;
+            return Ok(None);
         }
         if part.version > self.version {
             self.version = part.version;
@@ -133,6 +160,23 @@
         self.parts.insert(part.index, part.bytes);
         let bytes: Option<Vec<&[u8]>> =
             (0..count).map(|index| self.parts.get(&index).map(Vec::as_slice)).collect();
-        serde_json::from_slice(&bytes?.concat()).ok()
+        let Some(bytes) = bytes else { return Ok(None) };
+        match decompress(&bytes.concat()) {
+            Ok(configuration) => Ok(Some(configuration)),
+            Err(error) => {
+                self.parts.clear();
+                Err(MalformedParts { version: self.version, reason: error.to_string() })
+            }
+        }
     }
 }
+
+/// The parts of a version are complete but cannot be read.
+#[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
+#[display("the parts of version {version} are no configuration: {reason}")]
+pub struct MalformedParts {
+    /// Version that the parts belong to.
+    pub version: Version,
+    /// What is wrong.
+    pub reason: String,
+}
--- a/src/node/exchange.rs
+++ b/src/node/exchange.rs
@@ -114,9 +114,25 @@
         self.send_heartbeat();
     }
 
-    /// Passes changes on that this instance read from the keeper of the lists.
+    /// Passes changes on that this instance read from the keeper of the lists. They go through one
+    /// hub of each other failure domain, since the link of a relay may be too slow to send them to
+    /// all instances at once.
     pub(crate) fn relay(&self, bodies: Vec<Body>) {
-        bodies.into_iter().for_each(|body| self.send(body));
+        if bodies.is_empty() {
+            return;
+        }
+        let turn = self.next_turn();
+        let targets = self.state.borrow().peers.relay_targets(Instant::now(), &self.own, turn);
+        for body in bodies {
+            self.send_to(body.clone(), &targets.near);
+            self.send_to(Body::PassOn(Box::new(body)), &targets.hubs);
+        }
+    }
+
+    /// Passes a relayed change on to the other instances of the own failure domain.
+    fn pass_on(&self, body: Body) {
+        let near = self.state.borrow().peers.hub_targets(Instant::now(), &self.own, 0).near;
+        self.send_to(body, &near);
     }
 
     fn flush(self: &Rc<Self>) {
@@ -233,6 +249,9 @@
 
     /// A datagram that cannot be sent is as good as lost, which the others bear with.
     fn send_to(&self, body: Body, addresses: &[SocketAddr]) {
+        if addresses.is_empty() {
+            return;
+        }
         let in_force = &self.state.borrow().in_force;
         let version = in_force.as_ref().map_or(0, |in_force| in_force.version);
         let sequence = self.next_sequence();
@@ -295,15 +314,15 @@
         if !state.peers.accept(now, address, &datagram) {
             return;
         }
-        match datagram.body {
+        let Datagram { from, life, sequence, body, .. } = datagram;
+        match body {
             Body::Notices(notices) => {
-                state.on_notices(now, &datagram.from, &notices);
+                state.on_notices(now, &from, &notices);
                 // Notices that are not sent to all come to a hub.
                 if matches!(state.peers.route(now, &self.own, 0), Route::All(_)) {
                     return;
                 }
                 drop(state);
-                let Datagram { from, life, sequence, .. } = datagram;
                 let from = short_sender(&from, life);
                 self.collect(Report { from, sequence, notices });
             }
@@ -312,20 +331,36 @@
                 self.on_bundle(now, bundle);
             }
             Body::Heartbeat { in_flight, peers, leaving, .. } => {
-                state.view.on_heartbeat(now, &datagram.from, &in_flight);
+                state.view.on_heartbeat(now, &from, &in_flight);
                 let own = self.socket.local_addr().ok();
                 let others = peers.into_iter().filter(|peer| Some(*peer) != own);
                 state.peers.introduce(now, others);
                 if leaving && in_flight.is_empty() {
-                    state.peers.remove(&datagram.from);
-                    state.view.forget_peer(&datagram.from);
+                    state.peers.remove(&from);
+                    state.view.forget_peer(&from);
                 }
             }
-            Body::Upstreams(delta) => state.on_upstreams(now, delta),
-            Body::Configuration(delta) => state.on_configuration(delta),
-            Body::Advanced { topic, revision } => {
+            Body::PassOn(change) => {
                 drop(state);
-                self.behind.set(topic, revision);
+                self.on_change(now, (*change).clone());
+                self.pass_on(*change);
+            }
+            change => {
+                drop(state);
+                self.on_change(now, change);
+            }
+        }
+    }
+
+    /// Takes a change of the lists from a relay or a hub.
+    fn on_change(&self, now: Instant, change: Body) {
+        match change {
+            Body::Upstreams(delta) => self.state.borrow_mut().on_upstreams(now, delta),
+            Body::Configuration(delta) => self.state.borrow_mut().on_configuration(delta),
+            Body::Advanced { topic, revision } => self.behind.set(topic, revision),
+            _ => {
+                self.metrics.peer_frames_dropped.with_label_values(&["malformed"]).inc();
+                slog::debug!(self.log, "members: datagram ignored"; "error" => "not a change");
             }
         }
     }
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -161,9 +161,13 @@
     /// Takes a part of a configuration that a relay read. A configuration is whole in itself, so it
     /// does not matter which versions before it are missing.
     pub(crate) fn on_configuration(&mut self, delta: Delta<Part>) {
-        if let Some(configuration) = self.assembly.add(delta.content) {
-            self.put_in_force(&configuration);
-            self.advance(Topic::Configuration, delta.revision);
+        match self.assembly.add(delta.content) {
+            Ok(Some(configuration)) => {
+                self.put_in_force(&configuration);
+                self.advance(Topic::Configuration, delta.revision);
+            }
+            Ok(None) => {}
+            Err(error) => slog::warn!(self.log, "config: relayed parts ignored"; "error" => %error),
         }
     }
 
--- a/tests/all/sharing/hubs.rs
+++ b/tests/all/sharing/hubs.rs
@@ -80,6 +80,39 @@
     }
 }
 
+/// Guards against a relay whose link carries a change once for each instance of the fleet, and
+/// against instances that the change does not reach.
+#[test]
+fn a_change_reaches_every_instance_over_one_hub_of_each_failure_domain() {
+    struct Case {
+        instances: usize,
+        most_copies: usize,
+    }
+    let cases = [
+        // Too small for hubs: the relay sends to all.
+        Case { instances: 6, most_copies: 5 },
+        Case { instances: 30, most_copies: 9 + 2 },
+        Case { instances: 126, most_copies: 41 + 2 },
+    ];
+    for Case { instances, most_copies } in cases {
+        let now = Instant::now();
+        let fleet = fleet(now, instances);
+        let all: BTreeSet<SocketAddr> = fleet.iter().map(|instance| instance.address).collect();
+        for (turn, relay) in fleet.iter().enumerate().take(20) {
+            let targets = relay.peers.relay_targets(now, &relay.own, turn);
+            let copies = targets.near.len() + targets.hubs.len();
+            assert!(copies <= most_copies, "{copies} copies of {instances} instances");
+            let mut reached: BTreeSet<_> = targets.near.into_iter().collect();
+            reached.insert(relay.address);
+            for hub in fleet.iter().filter(|instance| targets.hubs.contains(&instance.address)) {
+                reached.insert(hub.address);
+                reached.extend(hub.peers.hub_targets(now, &hub.own, 0).near);
+            }
+            assert_eq!(reached, all, "{instances} instances");
+        }
+    }
+}
+
 /// Guards against notices that go to hubs which were killed.
 #[test]
 fn a_hub_that_is_not_heard_is_replaced() {
