Add a fault soak that runs separate instances under random faults

Change: examples/soak draws a schedule from a seed, starts instances behind links, sends signals, disturbs links, store and upstreams, and judges the notes of callers and upstreams. The judgement is pure and has a table of cases. The harness of the daemon's tests keeps the logs of a failed test.

--- /dev/null
+++ b/examples/soak/callers.rs
@@ -0,0 +1,210 @@
+//! Callers that hold their connections and note what came of each request.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use cactustrack_test_support::upstream::byte_at;
+use compio::net::TcpStream;
+use cyper_core::HyperStream;
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+
+use crate::fleet::HOST;
+use crate::verdict::{Class, Flaw, Outcome, Sent};
+
+/// Time after its deadline at which a caller stops waiting.
+const PATIENCE: Duration = Duration::from_secs(1);
+
+/// Time that a caller allows a new connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Size of a large answer in bytes.
+const LARGE_BYTES: u64 = 150_000;
+
+const DEADLINES_MS: (u64, u64) = (800, 3_000);
+const PAUSES_MS: (u64, u64) = (10, 120);
+
+/// An instance as callers see it.
+#[derive(Debug)]
+pub(crate) struct Endpoint {
+    pub(crate) address: SocketAddr,
+    /// True if new connections go there.
+    pub(crate) is_ready: AtomicBool,
+    /// Counts the processes of the instance.
+    pub(crate) life: AtomicU32,
+}
+
+/// What the callers share with the run.
+#[derive(Debug)]
+pub(crate) struct Front {
+    pub(crate) instances: Vec<Endpoint>,
+    /// Newest version that the store has accepted.
+    pub(crate) version: AtomicU64,
+    pub(crate) stop: AtomicBool,
+    pub(crate) started: Instant,
+}
+
+/// Starts the callers on a thread of their own.
+pub(crate) fn spawn(front: Arc<Front>, seed: u64, callers: usize) -> JoinHandle<Vec<Sent>> {
+    thread::spawn(move || {
+        let runtime = compio::runtime::Runtime::new().expect("a runtime for the callers");
+        runtime.block_on(async {
+            let callers = (0..callers).map(|number| {
+                let rng = SmallRng::seed_from_u64(seed ^ (number as u64 + 1));
+                Caller { number, front: Arc::clone(&front), rng, connection: None }.run()
+            });
+            futures::future::join_all(callers).await.into_iter().flatten().collect()
+        })
+    })
+}
+
+struct Connection {
+    tx: SendRequest<Full<Bytes>>,
+    instance: usize,
+    life: u32,
+}
+
+struct Caller {
+    number: usize,
+    front: Arc<Front>,
+    rng: SmallRng,
+    connection: Option<Connection>,
+}
+
+impl Caller {
+    async fn run(mut self) -> Vec<Sent> {
+        let mut all = Vec::new();
+        for count in 0_u64.. {
+            if self.front.stop.load(Ordering::Relaxed) {
+                break;
+            }
+            let pause = self.rng.random_range(PAUSES_MS.0..PAUSES_MS.1);
+            compio::time::sleep(Duration::from_millis(pause)).await;
+            let id = format!("c{}-{count}", self.number);
+            if let Some(mut connection) = self.connect().await {
+                all.push(self.send(&mut connection, id).await);
+                if !connection.tx.is_closed() {
+                    self.connection = Some(connection);
+                }
+            }
+        }
+        all
+    }
+
+    /// The open connection, or a new one to an instance that is ready.
+    async fn connect(&mut self) -> Option<Connection> {
+        if let Some(connection) = self.connection.take()
+            && !connection.tx.is_closed()
+        {
+            return Some(connection);
+        }
+        let instances = &self.front.instances;
+        let ready: Vec<usize> = (0..instances.len())
+            .filter(|number| instances[*number].is_ready.load(Ordering::Relaxed))
+            .collect();
+        let instance = *ready.get(self.rng.random_range(0..ready.len().max(1)))?;
+        let endpoint = &instances[instance];
+        let life = endpoint.life.load(Ordering::Relaxed);
+        let opening = async {
+            let stream = TcpStream::connect(endpoint.address).await.ok()?;
+            let (tx, driver) = http1::handshake(HyperStream::new_plain(stream)).await.ok()?;
+            compio::runtime::spawn(async move {
+                // A broken connection shows in the request that uses it.
+                let _ = driver.await;
+            })
+            .detach();
+            Some(Connection { tx, instance, life })
+        };
+        compio::time::timeout(CONNECT_TIMEOUT, opening).await.ok()?
+    }
+
+    async fn send(&mut self, connection: &mut Connection, id: String) -> Sent {
+        let version = self.front.version.load(Ordering::Relaxed);
+        let (class, path, version) = match self.rng.random_range(0..10) {
+            0..=3 => (Class::NonIdempotent, "/orders/x".to_owned(), None),
+            4 => (Class::Large, format!("/bytes/{LARGE_BYTES}"), None),
+            5 | 6 => (Class::Idempotent, format!("/v{version}/x"), Some(version)),
+            _ => (Class::Idempotent, "/search/x".to_owned(), None),
+        };
+        let deadline = self.rng.random_range(DEADLINES_MS.0..DEADLINES_MS.1);
+        let deadline = Duration::from_millis(deadline);
+        let sent = self.front.started.elapsed();
+        let sending = exchange(&mut connection.tx, class, &path, &id, deadline);
+        let outcome = match compio::time::timeout(deadline + PATIENCE, sending).await {
+            Ok(outcome) => outcome,
+            Err(_) => Outcome::NoAnswer,
+        };
+        let ended = self.front.started.elapsed();
+        let (instance, life) = (connection.instance, connection.life);
+        Sent { id, class, instance, life, version, deadline, sent, ended, outcome }
+    }
+}
+
+async fn exchange(
+    tx: &mut SendRequest<Full<Bytes>>,
+    class: Class,
+    path: &str,
+    id: &str,
+    deadline: Duration,
+) -> Outcome {
+    let (method, body) = match class {
+        Class::NonIdempotent => ("POST", Bytes::from_static(b"an order")),
+        Class::Idempotent | Class::Large => ("GET", Bytes::new()),
+    };
+    let req = Request::builder()
+        .method(method)
+        .uri(path)
+        .header("host", HOST)
+        .header("x-tag", id)
+        .header("cactustrack-request-id", id)
+        .header("cactustrack-deadline-ms", deadline.as_millis().to_string())
+        .body(Full::new(body))
+        .expect("a request of valid parts");
+    if tx.ready().await.is_err() {
+        return Outcome::Closed;
+    }
+    match tx.send_request(req).await {
+        Ok(response) => judge(response, class, id).await,
+        Err(_) => Outcome::Closed,
+    }
+}
+
+/// Compares an answer with what the upstreams send.
+async fn judge(response: Response<Incoming>, class: Class, id: &str) -> Outcome {
+    let (head, body) = response.into_parts();
+    let status = head.status;
+    let Ok(body) = body.collect().await.map(http_body_util::Collected::to_bytes) else {
+        // An answer that visibly breaks off claims nothing.
+        return Outcome::Closed;
+    };
+    if status != StatusCode::OK {
+        return Outcome::Answered { status, flaw: None };
+    }
+    let is_own = match class {
+        Class::Large => is_whole(&body),
+        _ => String::from_utf8_lossy(&body).contains(&format!(r#""tag":"{id}""#)),
+    };
+    let flaw = if !head.headers.contains_key("cactustrack-backend-signature") {
+        Some(Flaw::NotSigned)
+    } else if head.headers.get("cactustrack-request-id").is_none_or(|answered| answered != id) {
+        Some(Flaw::OfAnother)
+    } else if !is_own {
+        Some(Flaw::NotWhole)
+    } else {
+        None
+    };
+    Outcome::Answered { status, flaw }
+}
+
+fn is_whole(body: &[u8]) -> bool {
+    let expected = (0..LARGE_BYTES).map(byte_at);
+    body.iter().copied().eq(expected)
+}
--- /dev/null
+++ b/examples/soak/fleet.rs
@@ -0,0 +1,240 @@
+//! Stand-ins and separate instance processes on the loopback interface.
+
+use std::fs::{self, File};
+use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::time::Duration;
+
+use cactustrack_test_support::caller::Call;
+use cactustrack_test_support::link::Link;
+use cactustrack_test_support::upstream::{Behaviour, Upstreams};
+use eyre::{Result, WrapErr, ensure, eyre};
+use http::StatusCode;
+use serde_json::json;
+
+use crate::plan::Size;
+use crate::store::PlatformStore;
+
+/// Host of all routes.
+pub(crate) const HOST: &str = "shop.example";
+
+const DOMAINS: [&str; 3] = ["domain-a", "domain-b", "domain-c"];
+
+const SERVICE: &str = "svc-a";
+
+/// Time that an upstream takes for a request.
+pub(crate) const SERVICE_TIME: Duration = Duration::from_millis(40);
+
+/// Requests that an upstream is listed to work on at a time.
+const SLOTS: u32 = 4;
+
+/// Versions whose routes stay in the configuration.
+const KEPT_VERSIONS: u64 = 12;
+
+/// An instance with the links around it.
+pub(crate) struct Instance {
+    name: String,
+    binary: PathBuf,
+    settings: PathBuf,
+    log: PathBuf,
+    admin: SocketAddr,
+    /// Link from callers.
+    pub(crate) callers: Link,
+    /// Link to the store.
+    pub(crate) store: Link,
+    child: Option<Child>,
+}
+
+/// All that runs.
+pub(crate) struct Fleet {
+    pub(crate) store: PlatformStore,
+    pub(crate) upstreams: Upstreams,
+    /// Links to the upstreams, in their order.
+    pub(crate) links: Vec<Link>,
+    pub(crate) instances: Vec<Instance>,
+    dir: PathBuf,
+}
+
+impl Fleet {
+    /// Starts the stand-ins, lists the upstreams and starts the instances.
+    pub(crate) fn start(size: Size, seed: u64) -> Result<Self> {
+        let dir = format!("cactustrack-soak-{}-{seed}", std::process::id());
+        let dir = std::env::temp_dir().join(dir);
+        fs::create_dir_all(&dir).wrap_err("cannot create the directory of the run")?;
+        let ids: Vec<String> = (0..size.upstreams).map(|number| format!("up-{number}")).collect();
+        let upstreams = Upstreams::spawn(&ids, &usual_behaviour());
+        let links = upstreams.all.iter().map(|upstream| Link::spawn(upstream.address)).collect();
+        let store = PlatformStore::spawn();
+        let binary = binary()?;
+        let mut fleet = Self { store, upstreams, links, instances: Vec::new(), dir };
+        fleet.accept(1);
+        for number in 0..size.upstreams {
+            fleet.list(number, 1, "ready");
+        }
+        for number in 0..size.instances {
+            let instance = Instance::new(number, &binary, &fleet.dir, fleet.store.address)?;
+            fleet.instances.push(instance);
+        }
+        Ok(fleet)
+    }
+
+    /// Accepts a version. Each version adds a route of its own.
+    pub(crate) fn accept(&self, version: u64) {
+        let kept = version.saturating_sub(KEPT_VERSIONS).max(1)..=version;
+        let added = kept.map(|version| format!("/v{version}/"));
+        let mut rows: Vec<_> = added.map(|prefix| row(&prefix, "idempotent")).collect();
+        rows.push(row("/search/", "idempotent"));
+        rows.push(row("/orders/", "non_idempotent"));
+        rows.push(row("/bytes/", "download"));
+        let columns = ["name", "host", "path-prefix", "kind", "timeout-s", "attempts", "service"];
+        let services = json!({"columns": ["name", "max-connections"], "rows": [[SERVICE, 300]]});
+        let configuration = json!({"version": version, "services": services,
+            "routes": {"columns": columns, "rows": rows}});
+        self.store.put("op/config", configuration.to_string().as_bytes());
+    }
+
+    /// Writes the entry of an upstream in one of its lives.
+    pub(crate) fn list(&self, number: usize, life: u64, state: &str) {
+        let entry = json!({"service": SERVICE, "address": self.links[number].address.to_string(),
+            "zone": DOMAINS[number % DOMAINS.len()], "version": "v1", "capacity": SLOTS,
+            "state": state, "warmup-left-s": 0, "seq": 1, "born": life});
+        self.store.put(&entry_key(number), entry.to_string().as_bytes());
+    }
+
+    /// Removes the entry of an upstream.
+    pub(crate) fn unlist(&self, number: usize) {
+        self.store.remove(&entry_key(number));
+    }
+
+    /// Where the logs of the instances are.
+    pub(crate) fn logs(&self) -> &Path {
+        &self.dir
+    }
+
+    /// Removes the logs, which are needed only if a promise was broken.
+    pub(crate) fn remove_logs(&self) -> Result<()> {
+        fs::remove_dir_all(&self.dir).wrap_err("cannot remove the logs of the run")
+    }
+}
+
+impl Instance {
+    fn new(number: usize, binary: &Path, dir: &Path, store: SocketAddr) -> Result<Self> {
+        let name = format!("edge-{number}");
+        let (callers, admin, peers) = (free_port()?, free_port()?, free_udp_port()?);
+        let store = Link::spawn(store);
+        let (port, domain) = (peers.port(), DOMAINS[number % DOMAINS.len()]);
+        let text = format!(
+            "node-name = \"{name}\"\nip = \"127.0.0.1\"\nzone = \"{domain}\"\n\
+             internal-port-range = [{port},{port}]\nseeds = []\n\
+             bounds = [\"grace-s=6\",\"retry-budget-ratio=0.2\",\"budget-window-s=10\",\
+             \"budget-slack=64\"]\n[listen]\nfront = \"{callers}\"\nreadiness = \"{admin}\"\n\
+             [limits]\nmax-fds = 4100\n[provider]\naddress = \"{}\"\n",
+            store.address
+        );
+        let settings = dir.join(format!("{name}.toml"));
+        fs::write(&settings, text).wrap_err("cannot write the settings of an instance")?;
+        let log = dir.join(format!("{name}.log"));
+        let callers = Link::spawn(callers);
+        let binary = binary.to_owned();
+        let mut instance = Self { name, binary, settings, log, admin, callers, store, child: None };
+        instance.start()?;
+        Ok(instance)
+    }
+
+    /// Starts a process, whose log is added to that of the former one.
+    pub(crate) fn start(&mut self) -> Result<()> {
+        let log = File::options().create(true).append(true).open(&self.log);
+        let log = log.wrap_err("cannot open the log of an instance")?;
+        let child = Command::new(&self.binary)
+            .arg("platform")
+            .arg(&self.settings)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone()?)
+            .stderr(log)
+            .spawn()
+            .wrap_err_with(|| format!("cannot start {}", self.name))?;
+        self.child = Some(child);
+        Ok(())
+    }
+
+    /// Returns true if a process was started and its end was not seen.
+    pub(crate) fn is_running(&self) -> bool {
+        self.child.is_some()
+    }
+
+    /// Sends a signal to the process, if there is one.
+    pub(crate) fn signal(&self, signal: &str) -> Result<()> {
+        let Some(child) = &self.child else { return Ok(()) };
+        let status = Command::new("kill").args([signal, &child.id().to_string()]).status()?;
+        ensure!(status.success(), "{} does not take the signal {signal}", self.name);
+        Ok(())
+    }
+
+    /// Ends the process at once.
+    pub(crate) fn kill(&mut self) -> Result<()> {
+        let Some(mut child) = self.child.take() else { return Ok(()) };
+        child.kill()?;
+        child.wait()?;
+        Ok(())
+    }
+
+    /// Returns how the process ended, if it has.
+    pub(crate) fn take_end(&mut self) -> Result<Option<ExitStatus>> {
+        let Some(child) = &mut self.child else { return Ok(None) };
+        let status = child.try_wait()?;
+        if status.is_some() {
+            self.child = None;
+        }
+        Ok(status)
+    }
+
+    /// Address for questions about readiness.
+    pub(crate) fn admin(&self) -> SocketAddr {
+        self.admin
+    }
+}
+
+impl Drop for Instance {
+    fn drop(&mut self) {
+        if let Err(error) = self.kill() {
+            eprintln!("{} may still run: {error:#}", self.name);
+        }
+    }
+}
+
+/// Returns true if an instance says that it takes requests.
+pub(crate) async fn is_ready(admin: SocketAddr) -> bool {
+    let reply = Call::get("admin", "/cactustrack/ready").send_async(admin).await;
+    reply.is_ok_and(|reply| reply.status == StatusCode::OK)
+}
+
+/// How an upstream treats requests without a fault.
+pub(crate) fn usual_behaviour() -> Behaviour {
+    Behaviour { latency: SERVICE_TIME, ..Behaviour::default() }
+}
+
+fn entry_key(number: usize) -> String {
+    format!("servers/up-{number}")
+}
+
+fn row(prefix: &str, kind: &str) -> serde_json::Value {
+    json!([prefix, HOST, prefix, kind, 4.0, 2, SERVICE])
+}
+
+/// The program under test, which cargo puts beside the folder of the examples.
+fn binary() -> Result<PathBuf> {
+    let own = std::env::current_exe().wrap_err("cannot find the own program")?;
+    let dir = own.parent().and_then(Path::parent);
+    let binary = dir.ok_or_else(|| eyre!("the own program has no folder"))?.join("cactustrackd");
+    ensure!(binary.is_file(), "{} is missing, build it first", binary.display());
+    Ok(binary)
+}
+
+fn free_port() -> Result<SocketAddr> {
+    Ok(TcpListener::bind("127.0.0.1:0")?.local_addr()?)
+}
+
+fn free_udp_port() -> Result<SocketAddr> {
+    Ok(UdpSocket::bind("127.0.0.1:0")?.local_addr()?)
+}
--- a/tests/all/fleet/harness.rs
+++ b/tests/all/fleet/harness.rs
@@ -358,6 +358,17 @@
         let _ = self.child.wait();
     }
 
+    /// Writes the log to a file that outlives a failed test, so that its cause can be traced.
+    fn keep_log(&self) {
+        let name = format!("cactustrack-failed-{}-{}.log", std::process::id(), self.id);
+        let path = std::env::temp_dir().join(name);
+        let lines: Vec<String> = self.log().iter().map(Value::to_string).collect();
+        match fs::write(&path, lines.join("\n")) {
+            Ok(()) => eprintln!("log of {}: {}", self.id, path.display()),
+            Err(error) => eprintln!("the log of {} cannot be kept: {error}", self.id),
+        }
+    }
+
     /// Returns true if the process has ended by itself with success.
     pub(super) fn has_stopped(&mut self) -> bool {
         self.child.try_wait().expect("a process").is_some_and(|status| status.success())
@@ -367,6 +378,9 @@
 impl Drop for Process {
     fn drop(&mut self) {
         self.kill();
+        if thread::panicking() {
+            self.keep_log();
+        }
     }
 }
 
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -10,4 +10,5 @@
 mod proxy;
 mod routing;
 mod sharing;
+mod soak;
 mod store;
