Try unused upstreams by need, few at a time, and expect longer faults

Change: trial.rs decides when an upstream that was left alone is tried: by the rest it had, by whether the request can be sent again, by the room of trusted upstreams and by the share of failures. Each request takes part in a trial with a probability that leaves one trial in 300 ms for the fleet. The mean fault is 12 s in place of 5 s. Three tests of placement replay the herd and the need; the case of a forgotten upstream names the trial that it takes part in.

Ruled out: trying all suspects while a tenth of the attempts fail.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -7,7 +7,9 @@
 //! * how many requests each upstream has in flight from the whole fleet ([`load`]),
 //! * how likely each upstream is to be faulty ([`suspicion`]), leaving out what instances with
 //!   bad links say ([`observers`]),
-//! * how many attempts beyond the first one the fleet has made ([`budget`]).
+//! * how many attempts beyond the first one the fleet has made ([`budget`]),
+//! * how many attempts a service gets and how many of them fail ([`recent`]), from which follows
+//!   when upstreams that were left alone are tried again ([`trial`]).
 //!
 //! [`placement`] and [`admission`] decide on single requests with that view. [`catalog`] keeps the
 //! listed upstreams, and [`discovery`] is the border to whatever lists them. A few instances watch
@@ -24,7 +26,9 @@
 pub mod observers;
 pub mod peers;
 pub mod placement;
+pub mod recent;
 pub mod relay;
 pub mod split;
 pub mod suspicion;
+pub mod trial;
 pub mod view;
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -8,6 +8,8 @@
 
 use cactustrack_types::RequestClass;
 
+use crate::trial::Trial;
+
 /// Probability of a fault up to which upstreams count as equally sound.
 const TRUSTED_PROBABILITY: f64 = 0.08;
 
@@ -17,14 +19,6 @@
 /// Loss if a faulty upstream gets a request that can be sent again, in time and retry budget.
 const LOSS_REPEATABLE: f64 = 0.65;
 
-/// Gain of an upstream that got no request from any instance for [`UNUSED_LIMIT`]. Without it, an
-/// upstream whose fault has ended would never show that it has.
-const GAIN_UNUSED: f64 = 0.3;
-const UNUSED_LIMIT: Duration = Duration::from_secs(3);
-
-/// Time without requests from which the gain grows.
-const UNUSED_GRACE: Duration = Duration::from_secs(1);
-
 /// Loss of an answer that is late by the latency target.
 const LOSS_PER_TARGET: f64 = 0.8;
 
@@ -81,9 +75,16 @@
     pub target_left: Duration,
     /// Uniform from 0 to 1, another one for each upstream.
     pub draw: f64,
+    /// How the request tries an upstream that is unused, if it does.
+    pub trial: Option<Trial>,
 }
 
 impl Prospect {
+    /// Returns true if the upstream counts as sound.
+    pub fn is_trusted(&self) -> bool {
+        self.fault.max(self.own_fault) <= TRUSTED_PROBABILITY
+    }
+
     /// Expected wait for a slot.
     pub fn wait(&self, service_time: Duration) -> Duration {
         let slots = self.slots.max(1);
@@ -97,7 +98,8 @@
     pub fn loss(&self, request: &Request) -> f64 {
         let load = f64::from(self.in_flight) / f64::from(self.slots.max(1));
         let mut loss = self.fault_loss(request) + self.time_loss(request);
-        loss += load * LOSS_PER_LOAD + request.draw * LOSS_JITTER - self.unused_gain();
+        loss += load * LOSS_PER_LOAD + request.draw * LOSS_JITTER;
+        loss -= request.trial.map_or(0.0, |trial| trial.gain(self.unused));
         if !self.has_connection {
             loss += LOSS_NEW_CONNECTION;
         }
@@ -121,10 +123,4 @@
         let cold = if self.is_cold { service * (COLD_FACTOR - 1.0) } else { 0.0 };
         LOSS_PER_TARGET * (wait + cold) / request.target_left.as_secs_f64().max(0.1)
     }
-
-    fn unused_gain(&self) -> f64 {
-        let unused = self.unused.unwrap_or(UNUSED_LIMIT).saturating_sub(UNUSED_GRACE);
-        let full = UNUSED_LIMIT - UNUSED_GRACE;
-        GAIN_UNUSED * (unused.as_secs_f64() / full.as_secs_f64()).min(1.0)
-    }
 }
--- a/crates/fleet/src/suspicion.rs
+++ b/crates/fleet/src/suspicion.rs
@@ -11,10 +11,10 @@
 use crate::message::Observation;
 
 /// Mean time until a sound upstream turns faulty.
-const MEAN_SOUND: Duration = Duration::from_secs(35);
+const MEAN_SOUND: Duration = Duration::from_secs(36);
 
 /// Mean length of a fault.
-const MEAN_FAULT: Duration = Duration::from_secs(5);
+const MEAN_FAULT: Duration = Duration::from_secs(12);
 
 /// Largest probability. It keeps a long series of failures from outlasting the fault by much.
 const MAX_PROBABILITY: f64 = 0.995;
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -9,6 +9,7 @@
 use crate::load::FleetLoad;
 use crate::message::{Event, InFlight, Notice, Observation, short_upstream, to_ms};
 use crate::observers::Observers;
+use crate::recent::Recent;
 use crate::suspicion::{Suspicion, long_run_mean};
 
 /// Service time that is assumed before the first answer.
@@ -43,6 +44,7 @@
     observers: Observers,
     budgets: HashMap<ServiceId, RetryBudget>,
     service_times: HashMap<ServiceId, Duration>,
+    recent: HashMap<ServiceId, Recent>,
 }
 
 impl FleetView {
@@ -58,6 +60,7 @@
             observers: Observers::default(),
             budgets: HashMap::new(),
             service_times: HashMap::new(),
+            recent: HashMap::new(),
         }
     }
 
@@ -77,6 +80,7 @@
         let in_flight = self.load.start(upstream);
         self.last_used.insert(upstream.clone(), now);
         self.budgets.entry(service.clone()).or_default().on_own(now, extra);
+        self.recent.entry(service.clone()).or_default().on_start(now);
         let event = Event::Started { extra };
         Notice { upstream: short_upstream(upstream), in_flight, event }
     }
@@ -91,6 +95,7 @@
     ) -> Notice {
         let in_flight = self.load.finish(upstream);
         if let Some(observed) = ended.observed {
+            self.recent.entry(service.clone()).or_default().on_end(now, observed.is_failure());
             let seen = self.seen.entry(upstream.clone()).or_insert_with(|| Suspicion::new(now));
             seen.observe(now, observed, 1.0);
             let own = self.own.clone();
@@ -119,11 +124,14 @@
             Event::Started { extra } => {
                 let budget = self.budgets.entry(service.clone()).or_default();
                 budget.on_fleet(now, extra);
+                self.recent.entry(service.clone()).or_default().on_start(now);
                 self.last_used.insert(upstream.clone(), now);
             }
             Event::Ended { observed, .. } => {
                 self.learn_service_time(service, notice.event);
                 if let Some(observed) = observed {
+                    let recent = self.recent.entry(service.clone()).or_default();
+                    recent.on_end(now, observed.is_failure());
                     self.observe(now, from, upstream, observed);
                 }
             }
@@ -180,6 +188,11 @@
         self.observers.is_doubted(&self.own)
     }
 
+    /// Recent attempts of the fleet at a service.
+    pub fn recent(&self, service: &str) -> Recent {
+        self.recent.get(service).copied().unwrap_or_default()
+    }
+
     /// Mean time in which upstreams of a service answer when they have a slot free.
     pub fn service_time(&self, service: &str) -> Duration {
         self.service_times.get(service).copied().unwrap_or(INITIAL_SERVICE_TIME)
--- a/src/node/policy.rs
+++ b/src/node/policy.rs
@@ -9,6 +9,7 @@
 use cactustrack_fleet::message::Observation;
 use cactustrack_fleet::placement::{Prospect, Request};
 use cactustrack_fleet::split;
+use cactustrack_fleet::trial::{self, Need};
 use cactustrack_fleet::view::Ended;
 use cactustrack_platform::PlatformDialect;
 use cactustrack_proxy::{
@@ -104,23 +105,27 @@
         let state = self.state.borrow();
         let service_time = state.view.service_time(&routed.service);
         let target_left = target_left(now, routed);
+        let is_last_attempt = is_last_attempt(routed, exclude);
         let usable = state.catalog.usable(now, &routed.service);
-        let usable: Vec<_> = usable.filter(|upstream| !exclude.contains(&upstream.id)).collect();
+        let usable = usable.filter(|upstream| !exclude.contains(&upstream.id));
+        let prospects: Vec<(&ListedUpstream, Prospect)> = usable
+            .map(|upstream| (upstream, self.prospect(&state, now, routed, upstream)))
+            .collect();
+        let need = need(&state, now, &routed.service, &prospects);
         let mut best: Option<(f64, &ListedUpstream, Basis)> = None;
         let mut shortest_wait = Duration::MAX;
-        for upstream in usable {
-            let prospect = self.prospect(&state, now, routed, upstream);
-            let wait = prospect.wait(service_time);
-            shortest_wait = shortest_wait.min(wait);
+        for (upstream, prospect) in &prospects {
+            shortest_wait = shortest_wait.min(prospect.wait(service_time));
             let loss = prospect.loss(&Request {
                 class: routed.class,
-                is_last_attempt: is_last_attempt(routed, exclude),
+                is_last_attempt,
                 service_time,
                 target_left,
                 draw: rand::random(),
+                trial: need.trial(is_last_attempt, rand::random()),
             });
             if best.is_none_or(|(least, ..)| loss < least) {
-                best = Some((loss, upstream, basis_of(&prospect)));
+                best = Some((loss, upstream, basis_of(prospect)));
             }
         }
         let Some((_, upstream, basis)) = best else { return Err(no_upstream()) };
@@ -348,6 +353,28 @@
     !routed.class.is_repeatable() || routed.max_attempts.is_some_and(|most| sent >= most)
 }
 
+/// How much a service needs the upstreams that it leaves alone.
+fn need(
+    state: &State,
+    now: Instant,
+    service: &ServiceId,
+    prospects: &[(&ListedUpstream, Prospect)],
+) -> Need {
+    let trusted = prospects.iter().filter(|(_, prospect)| prospect.is_trusted());
+    let (in_flight, slots) = trusted.fold((0, 0), |(in_flight, slots), (_, prospect)| {
+        (in_flight + prospect.in_flight, slots + prospect.slots)
+    });
+    let is_used = |unused: Option<Duration>| unused.is_some_and(|unused| unused < trial::IN_USE);
+    let used = prospects.iter().filter(|(_, prospect)| is_used(prospect.unused)).count();
+    let recent = state.view.recent(service);
+    Need {
+        failures: recent.failures(now),
+        trusted_load: f64::from(in_flight) / f64::from(slots.max(1)),
+        used_share: used as f64 / prospects.len().max(1) as f64,
+        request_rate: recent.rate(now),
+    }
+}
+
 fn basis_of(prospect: &Prospect) -> Basis {
     let fault = prospect.fault.max(prospect.own_fault);
     Basis { fault_permille: (fault * 1_000.0) as u16, in_flight: prospect.in_flight }
--- a/tests/all/sharing/placement.rs
+++ b/tests/all/sharing/placement.rs
@@ -3,7 +3,10 @@
 use std::time::Duration;
 
 use cactustrack_fleet::placement::{Prospect, Request};
+use cactustrack_fleet::trial::{Need, Trial};
 use cactustrack_types::RequestClass;
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
 
 const SERVICE_TIME: Duration = Duration::from_millis(300);
 const TARGET: Duration = Duration::from_millis(1_000);
@@ -20,6 +23,10 @@
     unused: Some(Duration::ZERO),
 };
 
+/// Trials of services that are short of room, and of services that lose many requests.
+const USUAL: Option<Trial> = Some(Trial { rest: Duration::from_secs(3), gain: 0.3 });
+const PRESSED: Option<Trial> = Some(Trial { rest: Duration::from_millis(900), gain: 1.2 });
+
 /// Guards against a choice that callers would not make.
 #[test]
 fn the_better_of_two_upstreams_is_chosen() {
@@ -27,39 +34,183 @@
         better: Prospect,
         worse: Prospect,
         class: RequestClass,
+        trial: Option<Trial>,
     }
     use RequestClass::{Idempotent, Large, NonIdempotent};
     let suspect = Prospect { fault: 0.8, ..IDLE };
     // Its fault may have ended, and nobody would find out. Failed as FLOOR in the users' bench: 26
     // of 85 sound upstreams got nothing for two seconds.
     let forgotten = Prospect { fault: 0.35, unused: Some(Duration::from_secs(3)), ..IDLE };
+    let certain = Prospect { fault: 0.99, unused: Some(Duration::from_secs(1)), ..IDLE };
+    let never_used = Prospect { fault: 0.25, unused: None, ..IDLE };
     let busy = Prospect { in_flight: 3, ..IDLE };
     let queued = Prospect { in_flight: 8, ..IDLE };
     let far = Prospect { is_near: false, ..IDLE };
     let cases = [
-        Case { better: IDLE, worse: suspect, class: NonIdempotent },
-        Case { better: forgotten, worse: IDLE, class: NonIdempotent },
-        Case { better: busy, worse: suspect, class: NonIdempotent },
+        Case { better: IDLE, worse: suspect, class: NonIdempotent, trial: None },
+        Case { better: forgotten, worse: IDLE, class: NonIdempotent, trial: USUAL },
+        Case { better: IDLE, worse: forgotten, class: NonIdempotent, trial: None },
+        // A service that loses many requests needs all its upstreams.
+        Case { better: certain, worse: IDLE, class: NonIdempotent, trial: PRESSED },
+        Case { better: never_used, worse: IDLE, class: NonIdempotent, trial: USUAL },
+        Case { better: busy, worse: suspect, class: NonIdempotent, trial: None },
         // Waiting for a slot is better than losing a request that cannot be sent again.
-        Case { better: queued, worse: Prospect { fault: 0.99, ..IDLE }, class: NonIdempotent },
+        Case {
+            better: queued,
+            worse: Prospect { fault: 0.99, ..IDLE },
+            class: NonIdempotent,
+            trial: None,
+        },
         // A suspect still gets work that can be sent again when the others have long queues.
-        Case { better: suspect, worse: Prospect { in_flight: 12, ..IDLE }, class: Idempotent },
-        Case { better: IDLE, worse: busy, class: Idempotent },
-        Case { better: far, worse: queued, class: Idempotent },
-        Case { better: busy, worse: far, class: Large },
-        Case { better: IDLE, worse: Prospect { is_cold: true, ..IDLE }, class: Idempotent },
-        Case { better: IDLE, worse: Prospect { is_full: true, ..IDLE }, class: Idempotent },
-        Case { better: IDLE, worse: Prospect { own_fault: 0.9, ..IDLE }, class: Idempotent },
+        Case {
+            better: suspect,
+            worse: Prospect { in_flight: 12, ..IDLE },
+            class: Idempotent,
+            trial: None,
+        },
+        Case { better: IDLE, worse: busy, class: Idempotent, trial: None },
+        Case { better: far, worse: queued, class: Idempotent, trial: None },
+        Case { better: busy, worse: far, class: Large, trial: None },
+        Case {
+            better: IDLE,
+            worse: Prospect { is_cold: true, ..IDLE },
+            class: Idempotent,
+            trial: None,
+        },
+        Case {
+            better: IDLE,
+            worse: Prospect { is_full: true, ..IDLE },
+            class: Idempotent,
+            trial: None,
+        },
+        Case {
+            better: IDLE,
+            worse: Prospect { own_fault: 0.9, ..IDLE },
+            class: Idempotent,
+            trial: None,
+        },
     ];
-    for Case { better, worse, class } in cases {
+    for Case { better, worse, class, trial } in cases {
         let request = Request {
             class,
             is_last_attempt: !class.is_repeatable(),
             service_time: SERVICE_TIME,
             target_left: TARGET,
             draw: 0.5,
+            trial,
         };
         let (better_loss, worse_loss) = (better.loss(&request), worse.loss(&request));
         assert!(better_loss < worse_loss, "{class}: {better:?} before {worse:?}");
     }
 }
+
+/// Replays 4 s of the grown sinar-backup: 500 requests a second from 113 instances that hear of each
+/// other's requests after 70 ms, and one suspect whose rest has ended. Guards against instances that
+/// all try it at the same moment: 19 requests that could not be sent again met the same fault.
+#[test]
+fn a_suspect_is_tried_by_few_requests_at_a_time() {
+    const NOTICE_DELAY: f64 = 0.07;
+    let rate = 500.0;
+    let need = Need { failures: 0.03, trusted_load: 0.3, used_share: 0.7, request_rate: rate };
+    let suspect = Prospect { fault: 0.35, unused: Some(Duration::from_secs(10)), ..IDLE };
+    let mut rng = SmallRng::seed_from_u64(7);
+    let mut herds = Vec::new();
+    for _ in 0..200 {
+        let mut first: Option<f64> = None;
+        let mut herd = 0;
+        for number in 0..2_000 {
+            let at = f64::from(number) / rate;
+            if first.is_some_and(|first| at > first + NOTICE_DELAY) {
+                break;
+            }
+            let request = Request {
+                class: RequestClass::NonIdempotent,
+                is_last_attempt: true,
+                service_time: SERVICE_TIME,
+                target_left: TARGET,
+                draw: 0.5,
+                trial: need.trial(true, rng.random()),
+            };
+            if suspect.loss(&request) < IDLE.loss(&request) {
+                first = first.or(Some(at));
+                herd += 1;
+            }
+        }
+        assert!(first.is_some(), "the suspect is tried within the 4 s of the replay");
+        herds.push(herd);
+    }
+    let mean = f64::from(herds.iter().sum::<i32>()) / herds.len() as f64;
+    assert!(mean <= 1.5, "{mean} requests at a time");
+    assert!(herds.iter().all(|herd| *herd <= 5), "{herds:?}");
+}
+
+/// Guards against a service that leaves sound upstreams alone while it loses many requests, and
+/// against requests that are spent on suspects which nobody needs.
+#[test]
+fn upstreams_are_tried_as_soon_as_the_service_needs_them() {
+    struct Case {
+        failures: f64,
+        trusted_load: f64,
+        used_share: f64,
+        is_last_attempt: bool,
+        rest: Duration,
+    }
+    let cases = [
+        Case {
+            failures: 0.03,
+            trusted_load: 0.3,
+            used_share: 0.7,
+            is_last_attempt: true,
+            rest: secs(10),
+        },
+        Case {
+            failures: 0.03,
+            trusted_load: 0.3,
+            used_share: 0.7,
+            is_last_attempt: false,
+            rest: secs(3),
+        },
+        Case {
+            failures: 0.03,
+            trusted_load: 0.7,
+            used_share: 0.7,
+            is_last_attempt: true,
+            rest: secs(3),
+        },
+        // Healthy upstreams must be in use while a tenth of the requests is lost.
+        Case {
+            failures: 0.1,
+            trusted_load: 0.3,
+            used_share: 0.7,
+            is_last_attempt: true,
+            rest: secs(1),
+        },
+        Case {
+            failures: 0.1,
+            trusted_load: 0.9,
+            used_share: 0.7,
+            is_last_attempt: false,
+            rest: secs(1),
+        },
+        // Enough of them are in use. Failures of trials do not cause more trials: 77 suspects of
+        // 256 upstreams kept a tenth of the requests failing.
+        Case {
+            failures: 0.1,
+            trusted_load: 0.3,
+            used_share: 0.8,
+            is_last_attempt: true,
+            rest: secs(10),
+        },
+    ];
+    for Case { failures, trusted_load, used_share, is_last_attempt, rest } in cases {
+        let need = Need { failures, trusted_load, used_share, request_rate: 3.0 };
+        let trial = need.trial(is_last_attempt, 0.0).expect("a trial");
+        assert!(trial.rest <= rest && trial.rest * 2 > rest, "{need:?}: {trial:?}");
+        assert!(trial.gain(Some(trial.rest)) > 0.2);
+        assert_eq!(trial.gain(Some(trial.rest / 2)), 0.0);
+    }
+}
+
+fn secs(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
