Keep the floor by few trials, and tell of attempts that wait for too long

Any moment can turn out to be one in which a tenth of the requests is lost, so the floor has to hold at all times. A hanging upstream got requests until the first one was given up, after 2.5 s.

Change: while fewer than four fifths of the upstreams are in use, as many requests as are missing try suspects; those that can be sent again do so up to nine tenths. Attempts that wait for 3.5 mean service times are told as overdue.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -6,10 +6,10 @@
 //!
 //! * how many requests each upstream has in flight from the whole fleet ([`load`]),
 //! * how likely each upstream is to be faulty ([`suspicion`]), leaving out what instances with
-//!   bad links say ([`observers`]),
+//!   bad links say ([`observers`]), and with attempts that wait for too long ([`waiting`]),
 //! * how many attempts beyond the first one the fleet has made ([`budget`]),
-//! * how many attempts a service gets and how many of them fail ([`recent`]), from which follows
-//!   when upstreams that were left alone are tried again ([`trial`]).
+//! * how many attempts a service gets ([`recent`]), from which follows when upstreams that were
+//!   left alone are tried again ([`trial`]).
 //!
 //! [`placement`] and [`admission`] decide on single requests with that view. [`catalog`] keeps the
 //! listed upstreams, and [`discovery`] is the border to whatever lists them. A few instances watch
@@ -32,3 +32,4 @@
 pub mod suspicion;
 pub mod trial;
 pub mod view;
+pub mod waiting;
--- a/crates/fleet/src/load.rs
+++ b/crates/fleet/src/load.rs
@@ -109,6 +109,11 @@
         self.totals.get(upstream).copied().unwrap_or_default()
     }
 
+    /// Requests of this instance in flight at an upstream.
+    pub fn own_at(&self, upstream: &str) -> u16 {
+        self.own.get(upstream).copied().unwrap_or_default()
+    }
+
     /// What this instance has in flight.
     pub fn own(&self) -> Vec<InFlight> {
         let entry = |(upstream, count): (&UpstreamId, &u16)| InFlight {
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -13,7 +13,7 @@
 use crate::discovery::{Revision, Topic};
 
 /// Version of the encoding. Datagrams of another version are ignored.
-pub const FORMAT: u8 = 5;
+pub const FORMAT: u8 = 6;
 
 /// Largest datagram, in bytes. It stays below the usual MTU of 1,500 bytes.
 pub const MAX_DATAGRAM_BYTES: usize = 1_400;
@@ -222,6 +222,8 @@
         /// True if the upstream had a slot free when the attempt started.
         unqueued: bool,
     },
+    /// An attempt has waited for an answer for far longer than usual.
+    Overdue,
 }
 
 /// What an attempt says about its upstream.
@@ -245,6 +247,9 @@
     /// No connection could be opened.
     #[display("unreachable")]
     Unreachable,
+    /// An attempt still waits for an answer after far longer than usual.
+    #[display("overdue")]
+    Overdue,
     /// No answer came for many times the usual time.
     #[display("no answer")]
     NoAnswer,
@@ -254,6 +259,11 @@
 }
 
 impl Observation {
+    /// Returns true if the upstream took far longer than usual.
+    pub fn is_late(self) -> bool {
+        matches!(self, Self::Slow | Self::Overdue | Self::NoAnswer)
+    }
+
     /// Returns true if the upstream did not do its work.
     pub fn is_failure(self) -> bool {
         !matches!(self, Self::Served | Self::Slow)
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -11,6 +11,7 @@
 use crate::observers::Observers;
 use crate::recent::Recent;
 use crate::suspicion::{Suspicion, long_run_mean};
+use crate::waiting::{Overdue, Waiting};
 
 /// Service time that is assumed before the first answer.
 const INITIAL_SERVICE_TIME: Duration = Duration::from_millis(300);
@@ -45,6 +46,7 @@
     budgets: HashMap<ServiceId, RetryBudget>,
     service_times: HashMap<ServiceId, Duration>,
     recent: HashMap<ServiceId, Recent>,
+    waiting: Waiting,
 }
 
 impl FleetView {
@@ -61,6 +63,7 @@
             budgets: HashMap::new(),
             service_times: HashMap::new(),
             recent: HashMap::new(),
+            waiting: Waiting::default(),
         }
     }
 
@@ -81,6 +84,7 @@
         self.last_used.insert(upstream.clone(), now);
         self.budgets.entry(service.clone()).or_default().on_own(now, extra);
         self.recent.entry(service.clone()).or_default().on_start(now);
+        self.waiting.on_start(now, service, upstream);
         let event = Event::Started { extra };
         Notice { upstream: short_upstream(upstream), in_flight, event }
     }
@@ -94,18 +98,16 @@
         ended: Ended,
     ) -> Notice {
         let in_flight = self.load.finish(upstream);
-        if let Some(observed) = ended.observed {
-            self.recent.entry(service.clone()).or_default().on_end(now, observed.is_failure());
+        let was_told = self.waiting.on_end(upstream, ended.has_head);
+        let observed = ended.observed.filter(|observed| !(was_told && observed.is_late()));
+        if let Some(observed) = observed {
             let seen = self.seen.entry(upstream.clone()).or_insert_with(|| Suspicion::new(now));
             seen.observe(now, observed, 1.0);
             let own = self.own.clone();
             self.observe(now, &own, upstream, observed);
         }
-        let event = Event::Ended {
-            observed: ended.observed,
-            latency_ms: to_ms(ended.latency),
-            unqueued: ended.unqueued,
-        };
+        let event =
+            Event::Ended { observed, latency_ms: to_ms(ended.latency), unqueued: ended.unqueued };
         self.learn_service_time(service, event);
         Notice { upstream: short_upstream(upstream), in_flight, event }
     }
@@ -130,14 +132,38 @@
             Event::Ended { observed, .. } => {
                 self.learn_service_time(service, notice.event);
                 if let Some(observed) = observed {
-                    let recent = self.recent.entry(service.clone()).or_default();
-                    recent.on_end(now, observed.is_failure());
                     self.observe(now, from, upstream, observed);
                 }
             }
+            Event::Overdue => self.observe(now, from, upstream, Observation::Overdue),
         }
     }
 
+    /// Notes the head of an answer to an attempt of this instance.
+    pub fn on_head(&mut self, upstream: &str) {
+        self.waiting.on_head(upstream);
+    }
+
+    /// Finds attempts of this instance that wait for longer than usual, and returns what the others
+    /// have to know.
+    pub fn take_overdue(&mut self, now: Instant) -> Vec<Notice> {
+        let mut waiting = std::mem::take(&mut self.waiting);
+        let limit = |service: &ServiceId| self.service_time(service).mul_f64(SLOW_FACTOR);
+        let overdue = waiting.take_overdue(now, limit);
+        self.waiting = waiting;
+        let tell = |Overdue { upstream, .. }| self.tell_overdue(now, &upstream);
+        overdue.into_iter().map(tell).collect()
+    }
+
+    fn tell_overdue(&mut self, now: Instant, upstream: &UpstreamId) -> Notice {
+        let seen = self.seen.entry(upstream.clone()).or_insert_with(|| Suspicion::new(now));
+        seen.observe(now, Observation::Overdue, 1.0);
+        let own = self.own.clone();
+        self.observe(now, &own, upstream, Observation::Overdue);
+        let in_flight = self.load.own_at(upstream);
+        Notice { upstream: short_upstream(upstream), in_flight, event: Event::Overdue }
+    }
+
     /// Takes the counts of another instance into account.
     pub fn on_heartbeat(&mut self, now: Instant, from: &InstanceId, in_flight: &[InFlight]) {
         self.load.replace_peer(now, from, in_flight);
@@ -266,4 +292,6 @@
     pub latency: Duration,
     /// True if the upstream had a slot free when the attempt started.
     pub unqueued: bool,
+    /// True if the head of an answer arrived.
+    pub has_head: bool,
 }
--- a/src/node/exchange.rs
+++ b/src/node/exchange.rs
@@ -23,6 +23,9 @@
 /// Interval of heartbeats.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Interval of looks at attempts that wait for an answer.
+const WAITING_INTERVAL: Duration = Duration::from_millis(200);
+
 /// Most notices in a datagram. With the longest usual names it stays below the size limit.
 const MAX_NOTICES: usize = 16;
 
@@ -96,6 +99,7 @@
         let socket = compio::net::UdpSocket::from_std(self.socket.try_clone()?)?;
         compio::runtime::spawn(Rc::clone(self).receive(socket)).detach();
         compio::runtime::spawn(Rc::clone(self).beat()).detach();
+        compio::runtime::spawn(Rc::clone(self).watch_waiting()).detach();
         Ok(())
     }
 
@@ -232,6 +236,15 @@
         }
     }
 
+    /// Tells the others of attempts that wait for longer than usual.
+    async fn watch_waiting(self: Rc<Self>) {
+        loop {
+            compio::time::sleep(WAITING_INTERVAL).await;
+            let overdue = self.state.borrow_mut().view.take_overdue(Instant::now());
+            overdue.into_iter().for_each(|notice| self.push(notice));
+        }
+    }
+
     fn expire(&self) {
         let now = Instant::now();
         let mut state = self.state.borrow_mut();
--- a/src/node/policy.rs
+++ b/src/node/policy.rs
@@ -112,6 +112,7 @@
             .map(|upstream| (upstream, self.prospect(&state, now, routed, upstream)))
             .collect();
         let need = need(&state, now, &routed.service, &prospects);
+        let floor_trial = need.floor_trial(is_last_attempt, rand::random());
         let mut best: Option<(f64, &ListedUpstream, Basis)> = None;
         let mut shortest_wait = Duration::MAX;
         for (upstream, prospect) in &prospects {
@@ -122,7 +123,7 @@
                 service_time,
                 target_left,
                 draw: rand::random(),
-                trial: need.trial(is_last_attempt, rand::random()),
+                trial: floor_trial.or_else(|| need.trial(is_last_attempt, rand::random())),
             });
             if best.is_none_or(|(least, ..)| loss < least) {
                 best = Some((loss, upstream, basis_of(prospect)));
@@ -176,7 +177,9 @@
         self.notices.push(notice);
     }
 
-    fn on_response_head(&self, _now: Instant, _target: &Target, _headers: &HeaderMap) {}
+    fn on_response_head(&self, _now: Instant, target: &Target, _headers: &HeaderMap) {
+        self.state.borrow_mut().view.on_head(&target.upstream);
+    }
 
     fn on_finish(
         &self,
@@ -186,7 +189,7 @@
         latency: Option<Duration>,
     ) {
         let observed = self.observe(target, outcome, latency);
-        self.finish(now, target, observed, latency.unwrap_or_default());
+        self.finish(now, target, observed, latency);
     }
 
     fn on_cancel(&self, now: Instant, target: &Target, elapsed: Duration) {
@@ -198,7 +201,7 @@
         } else {
             None
         };
-        self.finish(now, target, observed, elapsed);
+        self.finish(now, target, observed, None);
     }
 
     fn on_overtaken(&self, now: Instant, target: &Target, elapsed: Duration) {
@@ -322,13 +325,15 @@
         now: Instant,
         target: &Target,
         observed: Option<Observation>,
-        latency: Duration,
+        latency: Option<Duration>,
     ) {
         let unqueued = self.has_room(target);
         let notice = {
             let mut state = self.state.borrow_mut();
             let (before, _) = state.view.fault(now, &target.upstream);
-            let ended = Ended { observed, latency, unqueued };
+            let has_head = latency.is_some();
+            let latency = latency.unwrap_or_default();
+            let ended = Ended { observed, latency, unqueued, has_head };
             let notice = state.view.finish(now, &target.service, &target.upstream, ended);
             let (after, _) = state.view.fault(now, &target.upstream);
             self.tell_belief(target, observed, before, after);
@@ -366,12 +371,11 @@
     });
     let is_used = |unused: Option<Duration>| unused.is_some_and(|unused| unused < trial::IN_USE);
     let used = prospects.iter().filter(|(_, prospect)| is_used(prospect.unused)).count();
-    let recent = state.view.recent(service);
     Need {
-        failures: recent.failures(now),
+        upstreams: prospects.len(),
+        used,
         trusted_load: f64::from(in_flight) / f64::from(slots.max(1)),
-        used_share: used as f64 / prospects.len().max(1) as f64,
-        request_rate: recent.rate(now),
+        request_rate: state.view.recent(service).rate(now),
     }
 }
 
--- a/tests/all/sharing.rs
+++ b/tests/all/sharing.rs
@@ -8,3 +8,4 @@
 mod placement;
 mod relay;
 mod suspicion;
+mod waiting;
