--- a/examples/soak/run.rs
+++ b/examples/soak/run.rs
@@ -50,6 +50,7 @@
 }
 
 /// What is due at a time.
+#[derive(Clone, Copy)]
 enum Due {
     Begin(usize),
     End(usize),
--- a/tests/all/sharing/placement.rs
+++ b/tests/all/sharing/placement.rs
@@ -181,7 +181,7 @@
     let mut rng = SmallRng::seed_from_u64(3);
     // When each suspect last got a request, and when instances hear of it.
     let mut last = [0.0_f64; SUSPECTS];
-    let mut lost = 0;
+    let mut lost = 0_u32;
     let mut lowest: usize = UPSTREAMS;
     for number in 0..16_000_u32 {
         let now = f64::from(number) / RATE;
@@ -198,13 +198,17 @@
             let rested = last.iter().position(|at| is_heard(*at) && now - at > 0.9);
             let Some(chosen) = rested else { continue };
             last[chosen] = now;
-            lost += usize::from(is_last_attempt);
+            lost += u32::from(is_last_attempt);
         }
     }
     let share = lowest as f64 / UPSTREAMS as f64;
     // Seven tenths are promised of the sound ones, and a twentieth is left to chance.
     assert!(share >= 0.75, "{share} of the upstreams in use");
-    assert!(lost <= 160, "{lost} of 16,000 requests are spent");
+    // Keeping four fifths in use takes so many trials, some of them by requests that can be sent
+    // again.
+    let kept = 0.8 * UPSTREAMS as f64 - (UPSTREAMS - SUSPECTS) as f64;
+    let needed = kept / IN_USE.as_secs_f64() * 16_000.0 / RATE;
+    assert!(f64::from(lost) < needed, "{lost} requests are spent, {needed} trials are needed");
 }
 
 fn secs(seconds: u64) -> Duration {
--- a/tests/all/sharing/waiting.rs
+++ b/tests/all/sharing/waiting.rs
@@ -79,7 +79,7 @@
     let at = now + Duration::from_millis(1_100);
     let own = view.take_overdue(at);
     let expected = Notice { upstream: short_upstream("up"), in_flight: 1, event: Event::Overdue };
-    assert_eq!(own, [expected.clone()]);
+    assert_eq!(own, std::slice::from_ref(&expected));
     let (after_one, _) = view.fault(at, "up");
     assert!(after_one > 0.5, "{after_one}");
     view.on_notice(at, &"edge-1".into(), &expected, &service, &upstream);
