Read the list of upstreams stale at the start and fetch what changed since

Change: the first read of the list may be stale, which costs a tenth, and a watch from its revision brings it up to date before the instance is ready. If that history is gone, the newest list is read.

Result: the new test of the platform fails without the watch and passes with it.

--- a/crates/fleet/src/discovery.rs
+++ b/crates/fleet/src/discovery.rs
@@ -60,6 +60,15 @@
     Unlisted(UpstreamId, Revision),
 }
 
+/// How recent a read has to be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Freshness {
+    /// The newest state.
+    Newest,
+    /// May be some seconds old, which costs the keeper a tenth.
+    Stale,
+}
+
 /// State of a topic at a revision.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Snapshot {
@@ -107,7 +116,11 @@
 /// The keeper of the configuration, of the list of upstreams and of the list of instances.
 pub trait Discovery {
     /// Reads a topic.
-    fn read(&self, topic: Topic) -> LocalFuture<'_, Result<Snapshot, DiscoveryError>>;
+    fn read(
+        &self,
+        topic: Topic,
+        freshness: Freshness,
+    ) -> LocalFuture<'_, Result<Snapshot, DiscoveryError>>;
 
     /// Waits for changes of a topic after a revision, at most for `wait`.
     fn watch(
--- a/src/node/sync.rs
+++ b/src/node/sync.rs
@@ -4,7 +4,9 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use cactustrack_fleet::discovery::{Discovery, DiscoveryError, Revision, Topic, Watched};
+use cactustrack_fleet::discovery::{
+    Discovery, DiscoveryError, Freshness, Revision, Topic, Watched,
+};
 use cactustrack_fleet::message::Delta;
 use cactustrack_fleet::relay;
 use cactustrack_observe::Metrics;
@@ -155,8 +157,13 @@
         }
     }
 
+    /// Reads a topic as a whole.
     async fn read(&self, topic: Topic) -> Result<(), DiscoveryError> {
-        let read = self.discovery.read(topic).await;
+        let is_first = self.state.borrow().revision(topic).is_none();
+        if topic == Topic::Upstreams && is_first && self.read_stale_upstreams().await? {
+            return Ok(());
+        }
+        let read = self.discovery.read(topic, Freshness::Newest).await;
         self.count("read", read.is_ok());
         let snapshot = read?;
         let now = Instant::now();
@@ -175,6 +182,29 @@
         Ok(())
     }
 
+    /// Reads the upstreams as they were some seconds ago and then what has changed since. The list
+    /// takes many calls, and after a loss of power all instances read it at once. Returns false if
+    /// the changes can no longer be had.
+    async fn read_stale_upstreams(&self) -> Result<bool, DiscoveryError> {
+        let topic = Topic::Upstreams;
+        let read = self.discovery.read(topic, Freshness::Stale).await;
+        self.count("read_stale", read.is_ok());
+        let listed = read?;
+        let watched = self.discovery.watch(topic, listed.revision, CATCH_UP_WAIT).await;
+        self.count("watch", watched.is_ok());
+        let Watched::Changes(later) = watched? else { return Ok(false) };
+        let now = Instant::now();
+        let mut state = self.state.borrow_mut();
+        state.replace_upstreams(now, listed.changes);
+        for change in later.changes {
+            state.apply(now, change);
+        }
+        state.advance(topic, later.revision.max(listed.revision));
+        drop(state);
+        self.end_outage(topic);
+        Ok(true)
+    }
+
     async fn watch(
         &self,
         topic: Topic,
--- a/tests/all/platform/rig.rs
+++ b/tests/all/platform/rig.rs
@@ -135,7 +135,7 @@
 impl Process {
     /// Starts an instance. Another process may take a port between its choice and its use, so an
     /// instance that ends at once is started again with other ports.
-    fn start(number: usize, store: SocketAddr) -> Self {
+    pub(super) fn start(number: usize, store: SocketAddr) -> Self {
         loop {
             let mut process = Self::spawn(number, store);
             let mut has_ended = false;
--- a/tests/all/platform/store.rs
+++ b/tests/all/platform/store.rs
@@ -53,6 +53,8 @@
     leases: HashMap<u64, Instant>,
     mode: Mode,
     calls: HashMap<String, u64>,
+    /// What reads that may be stale show, the current state if nothing is set.
+    stale: Option<(u64, BTreeMap<String, Entry>)>,
 }
 
 /// A store on a thread of its own. Dropping it stops it.
@@ -105,6 +107,12 @@
         lock(&self.content).mode = mode;
     }
 
+    /// Reads that may be stale show the state as it is now from here on.
+    pub(super) fn hold_stale_reads(&self) {
+        let mut content = lock(&self.content);
+        content.stale = Some((content.rev, content.entries.clone()));
+    }
+
     /// Forgets all changes up to now.
     pub(super) fn drop_history(&self) {
         let mut content = lock(&self.content);
@@ -190,10 +198,13 @@
         }
     }
 
-    fn range(&self, prefix: &str) -> Value {
-        let under = self.entries.iter().filter(|(key, _)| key.starts_with(prefix));
+    fn range(&self, prefix: &str, is_stale: bool) -> Value {
+        let current = (self.rev, &self.entries);
+        let stale = self.stale.as_ref().filter(|_| is_stale);
+        let (rev, entries) = stale.map_or(current, |(rev, entries)| (*rev, entries));
+        let under = entries.iter().filter(|(key, _)| key.starts_with(prefix));
         let items: Vec<_> = under.map(|(key, entry)| entry.item(key)).collect();
-        json!({"items": items, "has-more": false, "as-of": self.rev})
+        json!({"items": items, "has-more": false, "as-of": rev})
     }
 
     fn events(&self, prefix: &str, after: u64) -> Vec<Value> {
@@ -273,7 +284,8 @@
     let lease_of = |prefix: &str| path.strip_prefix(prefix)?.parse::<u64>().ok();
     match (method.as_str(), path) {
         ("GET", "/cactustrack/kv-range") => {
-            (StatusCode::OK, content.range(&query(uri, "path-prefix")))
+            let is_stale = query(uri, "serializable") == "1";
+            (StatusCode::OK, content.range(&query(uri, "path-prefix"), is_stale))
         }
         ("POST", "/cactustrack/kv-txn") => content.txn(body),
         ("POST", "/cactustrack/kv-lease") => {
--- a/tests/all/platform/store_outage.rs
+++ b/tests/all/platform/store_outage.rs
@@ -6,7 +6,7 @@
 use cactustrack_test_support::caller::Call;
 use http::StatusCode;
 
-use super::rig::{HOST, Rig, RouteCase, SEARCH, request, wait_for};
+use super::rig::{HOST, Process, Rig, RouteCase, SEARCH, request, wait_for};
 
 const DEADLINE: Duration = Duration::from_secs(3);
 
@@ -80,3 +80,27 @@
     rig.store.end_all_leases();
     wait_for("the registration to return", || rig.store.keys("instances/").len() == 1);
 }
+
+/// Guards against an instance that starts with a list that is seconds old: it would send work to
+/// upstreams that have left, and none to those that joined. Also with the history between gone.
+#[test]
+fn a_stale_list_is_brought_up_to_date_before_it_is_used() {
+    for is_history_dropped in [false, true] {
+        let mut rig = Rig::start(2, 0, &[SEARCH]);
+        rig.store.remove("servers/up-1");
+        rig.store.hold_stale_reads();
+        rig.store.remove("servers/up-0");
+        rig.list(1, "ready");
+        if is_history_dropped {
+            rig.store.drop_history();
+        }
+        rig.instances.push(Process::start(0, rig.store.address));
+        wait_for("the instance to be ready", || rig.instances[0].is_ready());
+        for number in 0..10 {
+            let call = request(Call::get(HOST, "/search/x"), &format!("id-{number}"), DEADLINE);
+            assert_eq!(rig.call(0, &call).status, StatusCode::OK);
+        }
+        let requests = |number: usize| rig.upstreams.all[number].control.requests();
+        assert_eq!((requests(0), requests(1)), (0, 10), "dropped: {is_history_dropped}");
+    }
+}
