Share the rejections of both policies, split the choice of an upstream, rename Sync

Cause: src/daemon/policy.rs and src/node/policy.rs made the same four rejections each, pick held the whole choice, and Sync reads like the standard trait.

Change: Rejection has constructors for them and a conversion from RouteError; choose() finds the upstream; Sync is Follower. An overdue attempt is logged.

--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -144,14 +144,17 @@
         self.waiting.on_head(upstream);
     }
 
-    /// Finds attempts of this instance that wait for longer than usual, and returns what the others
-    /// have to know.
-    pub fn take_overdue(&mut self, now: Instant) -> Vec<Notice> {
+    /// Finds attempts of this instance that wait for longer than usual, and returns them with what
+    /// the others have to know.
+    pub fn take_overdue(&mut self, now: Instant) -> Vec<(Overdue, Notice)> {
         let mut waiting = std::mem::take(&mut self.waiting);
         let limit = |service: &ServiceId| self.service_time(service).mul_f64(SLOW_FACTOR);
         let overdue = waiting.take_overdue(now, limit);
         self.waiting = waiting;
-        let tell = |Overdue { upstream, .. }| self.tell_overdue(now, &upstream);
+        let tell = |overdue: Overdue| {
+            let notice = self.tell_overdue(now, &overdue.upstream);
+            (overdue, notice)
+        };
         overdue.into_iter().map(tell).collect()
     }
 
--- a/crates/proxy/src/reject.rs
+++ b/crates/proxy/src/reject.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use cactustrack_routing::route::RouteError;
 use cactustrack_types::Execution;
 use derive_more::{Display, Error};
 use http::{HeaderValue, Response, StatusCode, header};
@@ -95,6 +96,26 @@
         Self { reason, status, execution, detail, retry_after: None, recorded_status: None }
     }
 
+    /// Creates the rejection of a request for which no configuration is in force.
+    pub fn not_configured(retry_after: Duration) -> Self {
+        let detail = "the instance has no configuration for this request yet";
+        Self::not_run(Reason::NotConfigured, StatusCode::SERVICE_UNAVAILABLE, detail)
+            .with_retry_after(retry_after)
+    }
+
+    /// Creates the rejection of a request that no upstream of its service can take.
+    pub fn no_upstream(retry_after: Duration) -> Self {
+        let detail = "no upstream of the service can take the request";
+        Self::not_run(Reason::NoUpstream, StatusCode::SERVICE_UNAVAILABLE, detail)
+            .with_retry_after(retry_after)
+    }
+
+    /// Creates the rejection of a request for which there is no room.
+    pub fn overloaded(detail: impl Into<String>, retry_after: Duration) -> Self {
+        Self::not_run(Reason::Overloaded, StatusCode::SERVICE_UNAVAILABLE, detail)
+            .with_retry_after(retry_after)
+    }
+
     /// Sets when it makes sense to ask again.
     pub fn with_retry_after(mut self, retry_after: Duration) -> Self {
         self.retry_after = Some(retry_after);
@@ -143,3 +164,17 @@
         Bytes::from(Value::Object(problem).to_string())
     }
 }
+
+impl From<RouteError> for Rejection {
+    fn from(error: RouteError) -> Self {
+        let status = StatusCode::from_u16(error.status()).unwrap_or(StatusCode::BAD_REQUEST);
+        let reason = match error {
+            RouteError::NoRoute => Reason::NoRoute,
+            RouteError::MissingHost | RouteError::DuplicateHost | RouteError::InvalidHost => {
+                Reason::Malformed
+            }
+            _ => Reason::UnacceptablePath,
+        };
+        Self::not_run(reason, status, error.to_string())
+    }
+}
--- a/src/daemon/policy.rs
+++ b/src/daemon/policy.rs
@@ -13,7 +13,6 @@
 use cactustrack_routing::deadline::Deadline;
 use cactustrack_routing::headers;
 use cactustrack_routing::limits::{self, Completion, RefuseReason};
-use cactustrack_routing::route::RouteError;
 use cactustrack_types::{Outcome, RequestClass, ServiceId, UpstreamId};
 use futures::FutureExt;
 use futures::channel::oneshot;
@@ -66,7 +65,7 @@
             Some(in_force) => Rc::clone(&in_force.routes),
             None => return Err(not_configured()),
         };
-        let route = routes.find(host, path).map_err(route_rejection)?;
+        let route = routes.find(host, path)?;
         let deadline = Deadline::from_headers(now, headers, &route).map_err(|error| {
             Rejection::not_run(Reason::Malformed, StatusCode::BAD_REQUEST, error.to_string())
         })?;
@@ -104,7 +103,8 @@
         let mut rng = self.rng.borrow_mut();
         let picked = service.balancer.pick(now, &mut *rng, &service.candidates, request);
         let id = picked.map_err(|error| pick_rejection(now, error))?;
-        let view = board.upstreams.get(&id).ok_or_else(no_upstream)?;
+        let view =
+            board.upstreams.get(&id).ok_or_else(|| Rejection::no_upstream(DEFAULT_RETRY_AFTER))?;
         let candidate = service.candidates.iter().find(|candidate| candidate.id == id);
         let max_connections = candidate.map_or(1, |candidate| candidate.max_connections);
         Ok(Target {
@@ -327,43 +327,22 @@
 }
 
 fn not_configured() -> Rejection {
-    let detail = "the instance has no configuration for this request yet";
-    Rejection::not_run(Reason::NotConfigured, StatusCode::SERVICE_UNAVAILABLE, detail)
-        .with_retry_after(DEFAULT_RETRY_AFTER)
-}
-
-fn no_upstream() -> Rejection {
-    let detail = "no upstream of the service can take the request";
-    Rejection::not_run(Reason::NoUpstream, StatusCode::SERVICE_UNAVAILABLE, detail)
-        .with_retry_after(DEFAULT_RETRY_AFTER)
+    Rejection::not_configured(DEFAULT_RETRY_AFTER)
 }
 
 fn overloaded(reason: RefuseReason, retry_after: Duration) -> Rejection {
-    let detail = format!("the service is overloaded: {reason}");
-    Rejection::not_run(Reason::Overloaded, StatusCode::SERVICE_UNAVAILABLE, detail)
-        .with_retry_after(retry_after)
+    Rejection::overloaded(format!("the service is overloaded: {reason}"), retry_after)
 }
 
 fn pick_rejection(now: Instant, error: PickError) -> Rejection {
     match error {
-        PickError::NoneInService | PickError::AllTried => no_upstream(),
+        PickError::NoneInService | PickError::AllTried => {
+            Rejection::no_upstream(DEFAULT_RETRY_AFTER)
+        }
         PickError::Busy { shed_until } => {
             let wait = shed_until.map(|until| until.saturating_duration_since(now));
             let detail = "all upstreams of the service are at their limits";
-            Rejection::not_run(Reason::Overloaded, StatusCode::SERVICE_UNAVAILABLE, detail)
-                .with_retry_after(wait.unwrap_or(DEFAULT_RETRY_AFTER))
+            Rejection::overloaded(detail, wait.unwrap_or(DEFAULT_RETRY_AFTER))
         }
     }
 }
-
-fn route_rejection(error: RouteError) -> Rejection {
-    let status = StatusCode::from_u16(error.status()).unwrap_or(StatusCode::BAD_REQUEST);
-    let reason = match error {
-        RouteError::NoRoute => Reason::NoRoute,
-        RouteError::MissingHost | RouteError::DuplicateHost | RouteError::InvalidHost => {
-            Reason::Malformed
-        }
-        _ => Reason::UnacceptablePath,
-    };
-    Rejection::not_run(reason, status, error.to_string())
-}
--- a/src/node/exchange.rs
+++ b/src/node/exchange.rs
@@ -241,7 +241,11 @@
         loop {
             compio::time::sleep(WAITING_INTERVAL).await;
             let overdue = self.state.borrow_mut().view.take_overdue(Instant::now());
-            overdue.into_iter().for_each(|notice| self.push(notice));
+            for (attempt, notice) in overdue {
+                slog::info!(self.log, "health: an attempt is overdue";
+                    "upstream" => &*attempt.upstream, "service" => &*attempt.service);
+                self.push(notice);
+            }
         }
     }
 
--- a/src/node/sync.rs
+++ b/src/node/follower.rs
@@ -60,7 +60,7 @@
 const MAX_RETRY_PAUSE: Duration = Duration::from_millis(600);
 
 /// Keeps the state up to date with discovery.
-pub(crate) struct Sync {
+pub(crate) struct Follower {
     pub(crate) discovery: Rc<dyn Discovery>,
     pub(crate) state: SharedState,
     pub(crate) link: StoreLink,
@@ -100,7 +100,7 @@
     Rest,
 }
 
-impl Sync {
+impl Follower {
     /// Follows a topic until the process ends.
     pub(crate) async fn follow(self: Rc<Self>, topic: Topic) {
         let mut backoff = Backoff::new();
--- a/src/node/instance.rs
+++ b/src/node/instance.rs
@@ -18,11 +18,11 @@
 
 use super::behind::Behind;
 use super::exchange::Exchange;
+use super::follower::Follower;
 use super::link::StoreLink;
 use super::policy::NodePolicy;
 use super::state::{SharedState, State};
 use super::status::NodeStatus;
-use super::sync::Sync;
 use crate::daemon::admin::{Access, Admin};
 
 /// Time that an idle connection of a caller stays open. Callers state no limit of their own, and
@@ -110,7 +110,7 @@
         let proxy = Proxy::new(parts, life.0);
         let (server, shutdown) = bind_callers(settings, &proxy).await?;
         bind_admin(settings, &state, &metrics).await?;
-        let sync = Sync {
+        let follower = Follower {
             discovery: Rc::clone(&discovery),
             state: Rc::clone(&state),
             link: StoreLink::new(),
@@ -121,7 +121,7 @@
             metrics,
             log: log.clone(),
         };
-        start_sync(Rc::new(sync), settings);
+        start_following(Rc::new(follower), settings);
         let (tx, stop) = oneshot::channel();
         let grace = settings.bounds.stop_grace;
         let instance =
@@ -231,13 +231,13 @@
     Ok(())
 }
 
-fn start_sync(sync: Rc<Sync>, settings: &Settings) {
+fn start_following(follower: Rc<Follower>, settings: &Settings) {
     for topic in [Topic::Configuration, Topic::Upstreams] {
-        compio::runtime::spawn(Rc::clone(&sync).follow(topic)).detach();
+        compio::runtime::spawn(Rc::clone(&follower).follow(topic)).detach();
     }
     let address = settings.listen.peers;
-    compio::runtime::spawn(Rc::clone(&sync).keep_registered(address)).detach();
-    compio::runtime::spawn(sync.follow_instances(address)).detach();
+    compio::runtime::spawn(Rc::clone(&follower).keep_registered(address)).detach();
+    compio::runtime::spawn(follower.follow_instances(address)).detach();
 }
 
 fn close_expired(pool: Pool) {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -6,13 +6,13 @@
 
 mod behind;
 mod exchange;
+mod follower;
 mod instance;
 mod link;
 mod policy;
 mod run;
 mod state;
 mod status;
-mod sync;
 
 pub use instance::{Instance, StopHandle};
 pub use run::{check, run};
--- a/src/node/policy.rs
+++ b/src/node/policy.rs
@@ -12,13 +12,10 @@
 use cactustrack_fleet::trial::{self, Need};
 use cactustrack_fleet::view::Ended;
 use cactustrack_platform::PlatformDialect;
-use cactustrack_proxy::{
-    Admission, Basis, Extra, Pool, Reason, Rejection, Routed, Target, TrafficPolicy,
-};
-use cactustrack_routing::route::RouteError;
+use cactustrack_proxy::{Admission, Basis, Extra, Pool, Rejection, Routed, Target, TrafficPolicy};
 use cactustrack_types::{FailureDomain, Outcome, RequestClass, ServiceId, UpstreamId};
 use futures::FutureExt;
-use http::{HeaderMap, StatusCode};
+use http::HeaderMap;
 use slog::Logger;
 
 use super::exchange::NoticeSink;
@@ -72,8 +69,9 @@
         headers: &HeaderMap,
     ) -> Result<Routed, Rejection> {
         let state = self.state.borrow();
-        let in_force = state.in_force.as_ref().ok_or_else(not_configured)?;
-        let route = in_force.routes.find(host, path).map_err(route_rejection)?;
+        let in_force = state.in_force.as_ref();
+        let in_force = in_force.ok_or_else(|| Rejection::not_configured(NOT_READY_RETRY_AFTER))?;
+        let route = in_force.routes.find(host, path)?;
         let requested = PlatformDialect::requested_timeout(headers);
         let timeout = requested.unwrap_or(route.timeout).min(route.max_timeout);
         let service = split::choose(&route.delivery.split, rand::random()).cloned();
@@ -103,33 +101,18 @@
         exclude: &[UpstreamId],
     ) -> Result<Target, Rejection> {
         let state = self.state.borrow();
-        let service_time = state.view.service_time(&routed.service);
-        let target_left = target_left(now, routed);
-        let is_last_attempt = is_last_attempt(routed, exclude);
         let usable = state.catalog.usable(now, &routed.service);
         let usable = usable.filter(|upstream| !exclude.contains(&upstream.id));
         let prospects: Vec<(&ListedUpstream, Prospect)> = usable
             .map(|upstream| (upstream, self.prospect(&state, now, routed, upstream)))
             .collect();
-        let need = need(&state, now, &routed.service, &prospects);
-        let floor_trial = need.floor_trial(is_last_attempt, rand::random());
-        let mut best: Option<(f64, &ListedUpstream, Basis)> = None;
-        let mut shortest_wait = Duration::MAX;
-        for (upstream, prospect) in &prospects {
-            shortest_wait = shortest_wait.min(prospect.wait(service_time));
-            let loss = prospect.loss(&Request {
-                class: routed.class,
-                is_last_attempt,
-                service_time,
-                target_left,
-                draw: rand::random(),
-                trial: floor_trial.or_else(|| need.trial(is_last_attempt, rand::random())),
-            });
-            if best.is_none_or(|(least, ..)| loss < least) {
-                best = Some((loss, upstream, basis_of(prospect)));
-            }
-        }
-        let Some((_, upstream, basis)) = best else { return Err(no_upstream()) };
+        let best = choose(&state, now, routed, is_last_attempt(routed, exclude), &prospects);
+        let Some((upstream, prospect)) = best else {
+            return Err(Rejection::no_upstream(NOT_READY_RETRY_AFTER));
+        };
+        let service_time = state.view.service_time(&routed.service);
+        let waits = prospects.iter().map(|(_, prospect)| prospect.wait(service_time));
+        let shortest_wait = waits.min().unwrap_or_default();
         self.check_wait(&state, now, routed, shortest_wait)?;
         Ok(Target {
             service: routed.service.clone(),
@@ -138,7 +121,7 @@
             address: upstream.address,
             max_connections: max_connections(&state, &routed.service),
             is_extra: !exclude.is_empty(),
-            basis,
+            basis: basis_of(prospect),
         })
     }
 
@@ -262,7 +245,7 @@
             return Ok(());
         }
         let retry_after = admission::retry_after(wait - limit, remaining, rand::random());
-        Err(overloaded(retry_after))
+        Err(Rejection::overloaded("the upstreams of the service have no room in time", retry_after))
     }
 
     /// Writes a line when an observation of this instance changes what it believes of an upstream.
@@ -358,6 +341,31 @@
     !routed.class.is_repeatable() || routed.max_attempts.is_some_and(|most| sent >= most)
 }
 
+/// The upstream with the smallest expected loss.
+fn choose<'a>(
+    state: &State,
+    now: Instant,
+    routed: &Routed,
+    is_last_attempt: bool,
+    prospects: &'a [(&'a ListedUpstream, Prospect)],
+) -> Option<(&'a ListedUpstream, &'a Prospect)> {
+    let need = need(state, now, &routed.service, prospects);
+    let floor_trial = need.floor_trial(is_last_attempt, rand::random());
+    let loss = |prospect: &Prospect| {
+        prospect.loss(&Request {
+            class: routed.class,
+            is_last_attempt,
+            service_time: state.view.service_time(&routed.service),
+            target_left: target_left(now, routed),
+            draw: rand::random(),
+            trial: floor_trial.or_else(|| need.trial(is_last_attempt, rand::random())),
+        })
+    };
+    let losses = prospects.iter().map(|(upstream, prospect)| (loss(prospect), *upstream, prospect));
+    let best = losses.min_by(|(one, ..), (other, ..)| one.total_cmp(other));
+    best.map(|(_, upstream, prospect)| (upstream, prospect))
+}
+
 /// How much a service needs the upstreams that it leaves alone.
 fn need(
     state: &State,
@@ -387,33 +395,3 @@
 fn target_left(now: Instant, routed: &Routed) -> Duration {
     routed.target.unwrap_or(routed.deadline).saturating_duration_since(now)
 }
-
-fn not_configured() -> Rejection {
-    let detail = "the instance has no configuration for this request yet";
-    Rejection::not_run(Reason::NotConfigured, StatusCode::SERVICE_UNAVAILABLE, detail)
-        .with_retry_after(NOT_READY_RETRY_AFTER)
-}
-
-fn no_upstream() -> Rejection {
-    let detail = "no upstream of the service can take the request";
-    Rejection::not_run(Reason::NoUpstream, StatusCode::SERVICE_UNAVAILABLE, detail)
-        .with_retry_after(NOT_READY_RETRY_AFTER)
-}
-
-fn overloaded(retry_after: Duration) -> Rejection {
-    let detail = "the upstreams of the service have no room in time";
-    Rejection::not_run(Reason::Overloaded, StatusCode::SERVICE_UNAVAILABLE, detail)
-        .with_retry_after(retry_after)
-}
-
-fn route_rejection(error: RouteError) -> Rejection {
-    let status = StatusCode::from_u16(error.status()).unwrap_or(StatusCode::BAD_REQUEST);
-    let reason = match error {
-        RouteError::NoRoute => Reason::NoRoute,
-        RouteError::MissingHost | RouteError::DuplicateHost | RouteError::InvalidHost => {
-            Reason::Malformed
-        }
-        _ => Reason::UnacceptablePath,
-    };
-    Rejection::not_run(reason, status, error.to_string())
-}
--- a/tests/all/sharing/waiting.rs
+++ b/tests/all/sharing/waiting.rs
@@ -4,7 +4,7 @@
 
 use cactustrack_fleet::message::{Event, Notice, Observation, short_upstream};
 use cactustrack_fleet::view::{Ended, FleetView};
-use cactustrack_fleet::waiting::Waiting;
+use cactustrack_fleet::waiting::{Overdue, Waiting};
 use cactustrack_types::{ServiceId, UpstreamId};
 
 const LIMIT: Duration = Duration::from_secs(1);
@@ -75,11 +75,12 @@
     view.start(now, &service, &upstream, false);
     // The mean service time is 300 ms before the first answer.
     let early = view.take_overdue(now + Duration::from_millis(900));
-    assert_eq!(early, []);
+    assert_eq!(early, Vec::new());
     let at = now + Duration::from_millis(1_100);
     let own = view.take_overdue(at);
     let expected = Notice { upstream: short_upstream("up"), in_flight: 1, event: Event::Overdue };
-    assert_eq!(own, std::slice::from_ref(&expected));
+    let overdue = Overdue { service: service.clone(), upstream: upstream.clone() };
+    assert_eq!(own, [(overdue, expected.clone())]);
     let (after_one, _) = view.fault(at, "up");
     assert!(after_one > 0.5, "{after_one}");
     view.on_notice(at, &"edge-1".into(), &expected, &service, &upstream);
