Keep the platform's documents for tests in one place, used by the rig and the soak

Cause: the soak wrote configuration, entries and settings of the platform itself, with the platform's words outside its folder and its tests. Change: tests/all/platform/documents.rs has them for both.

--- a/examples/soak/fleet.rs
+++ b/examples/soak/fleet.rs
@@ -11,13 +11,12 @@
 use cactustrack_test_support::upstream::{Behaviour, Upstreams};
 use eyre::{Result, WrapErr, ensure, eyre};
 use http::StatusCode;
-use serde_json::json;
 
+use crate::documents::{self, InstanceSettings, RouteEntry, UpstreamEntry};
 use crate::plan::Size;
 use crate::store::PlatformStore;
 
-/// Host of all routes.
-pub(crate) const HOST: &str = "shop.example";
+pub(crate) use crate::documents::HOST;
 
 const DOMAINS: [&str; 3] = ["domain-a", "domain-b", "domain-c"];
 
@@ -29,6 +28,9 @@
 /// Requests that an upstream is listed to work on at a time.
 const SLOTS: u32 = 4;
 
+/// Window of the retry budget.
+const BUDGET_WINDOW: Duration = Duration::from_secs(10);
+
 /// Versions whose routes stay in the configuration.
 const KEPT_VERSIONS: u64 = 12;
 
@@ -83,22 +85,27 @@
     pub(crate) fn accept(&self, version: u64) {
         let kept = version.saturating_sub(KEPT_VERSIONS).max(1)..=version;
         let added = kept.map(|version| format!("/v{version}/"));
-        let mut rows: Vec<_> = added.map(|prefix| row(&prefix, "idempotent")).collect();
-        rows.push(row("/search/", "idempotent"));
-        rows.push(row("/orders/", "non_idempotent"));
-        rows.push(row("/bytes/", "download"));
-        let columns = ["name", "host", "path-prefix", "kind", "timeout-s", "attempts", "service"];
-        let services = json!({"columns": ["name", "max-connections"], "rows": [[SERVICE, 300]]});
-        let configuration = json!({"version": version, "services": services,
-            "routes": {"columns": columns, "rows": rows}});
-        self.store.put("op/config", configuration.to_string().as_bytes());
+        let stable = [("/search/", "idempotent"), ("/orders/", "non_idempotent")];
+        let stable = stable.into_iter().chain([("/bytes/", "download")]);
+        let stable = stable.map(|(prefix, kind)| (prefix.to_owned(), kind));
+        let routes = added.map(|prefix| (prefix, "idempotent")).chain(stable);
+        let entry = |(prefix, kind)| RouteEntry { prefix, kind, service: SERVICE, timeout_s: 4.0 };
+        let routes: Vec<_> = routes.map(entry).collect();
+        let configuration = documents::configuration(version, SERVICE, &routes);
+        self.store.put(documents::CONFIGURATION_KEY, configuration.to_string().as_bytes());
     }
 
     /// Writes the entry of an upstream in one of its lives.
     pub(crate) fn list(&self, number: usize, life: u64, state: &str) {
-        let entry = json!({"service": SERVICE, "address": self.links[number].address.to_string(),
-            "zone": DOMAINS[number % DOMAINS.len()], "version": "v1", "capacity": SLOTS,
-            "state": state, "warmup-left-s": 0, "seq": 1, "born": life});
+        let entry = UpstreamEntry {
+            service: SERVICE,
+            address: self.links[number].address,
+            failure_domain: DOMAINS[number % DOMAINS.len()],
+            slots: SLOTS,
+            state,
+            life,
+        };
+        let entry = entry.to_json();
         self.store.put(&entry_key(number), entry.to_string().as_bytes());
     }
 
@@ -123,15 +130,16 @@
         let name = format!("edge-{number}");
         let (callers, admin, peers) = (free_port()?, free_port()?, free_udp_port()?);
         let store = Link::spawn(store);
-        let (port, domain) = (peers.port(), DOMAINS[number % DOMAINS.len()]);
-        let text = format!(
-            "node-name = \"{name}\"\nip = \"127.0.0.1\"\nzone = \"{domain}\"\n\
-             internal-port-range = [{port},{port}]\nseeds = []\n\
-             bounds = [\"grace-s=6\",\"retry-budget-ratio=0.2\",\"budget-window-s=10\",\
-             \"budget-slack=64\"]\n[listen]\nfront = \"{callers}\"\nreadiness = \"{admin}\"\n\
-             [limits]\nmax-fds = 4100\n[provider]\naddress = \"{}\"\n",
-            store.address
-        );
+        let text = InstanceSettings {
+            name: &name,
+            failure_domain: DOMAINS[number % DOMAINS.len()],
+            callers,
+            admin,
+            peers,
+            store: store.address,
+            budget_window: BUDGET_WINDOW,
+        };
+        let text = text.to_toml();
         let settings = dir.join(format!("{name}.toml"));
         fs::write(&settings, text).wrap_err("cannot write the settings of an instance")?;
         let log = dir.join(format!("{name}.log"));
@@ -215,11 +223,7 @@
 }
 
 fn entry_key(number: usize) -> String {
-    format!("servers/up-{number}")
-}
-
-fn row(prefix: &str, kind: &str) -> serde_json::Value {
-    json!([prefix, HOST, prefix, kind, 4.0, 2, SERVICE])
+    documents::upstream_key(&format!("up-{number}"))
 }
 
 /// The program under test, which cargo puts beside the folder of the examples.
--- a/examples/soak/main.rs
+++ b/examples/soak/main.rs
@@ -10,6 +10,8 @@
 //! broken; the log of each instance is then kept.
 
 mod callers;
+#[path = "../../tests/all/platform/documents.rs"]
+mod documents;
 mod fleet;
 mod plan;
 mod run;
--- a/tests/all/platform.rs
+++ b/tests/all/platform.rs
@@ -2,6 +2,7 @@
 
 mod decoding;
 mod dialect;
+mod documents;
 mod examples;
 mod relaying;
 mod rig;
--- a/tests/all/platform/rig.rs
+++ b/tests/all/platform/rig.rs
@@ -10,13 +10,13 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use super::documents::{self, InstanceSettings, RouteEntry, UpstreamEntry};
 use super::store::PlatformStore;
 use cactustrack_test_support::caller::{Call, Reply};
 use cactustrack_test_support::upstream::{Behaviour, Upstreams};
 use http::StatusCode;
-use serde_json::json;
 
-pub(super) const HOST: &str = "shop.example";
+pub(super) use super::documents::HOST;
 
 /// Failure domains of the instances, in turn.
 const DOMAINS: [&str; 3] = ["domain-a", "domain-b", "domain-c"];
@@ -81,48 +81,30 @@
 
     /// Writes a version of the configuration.
     pub(super) fn configure(&self, version: u64, routes: &[RouteCase]) {
-        let rows: Vec<_> = routes
-            .iter()
-            .map(|case| {
-                json!([
-                    case.prefix,
-                    HOST,
-                    case.prefix,
-                    case.kind,
-                    case.timeout_s,
-                    1.0,
-                    1,
-                    null,
-                    2,
-                    case.service
-                ])
-            })
-            .collect();
-        let columns = json!([
-            "name",
-            "host",
-            "path-prefix",
-            "kind",
-            "timeout-s",
-            "target-latency-s",
-            "priority",
-            "traffic-split",
-            "attempts",
-            "service"
-        ]);
-        let services = json!({"columns": ["name", "max-connections"], "rows": [["svc-a", 300]]});
-        let configuration = json!({"version": version, "services": services,
-            "routes": {"columns": columns, "rows": rows}});
-        self.store.put("op/config", configuration.to_string().as_bytes());
+        let entry = |case: &RouteCase| RouteEntry {
+            prefix: case.prefix.to_owned(),
+            kind: case.kind,
+            service: case.service,
+            timeout_s: case.timeout_s,
+        };
+        let routes: Vec<_> = routes.iter().map(entry).collect();
+        let configuration = documents::configuration(version, "svc-a", &routes);
+        self.store.put(documents::CONFIGURATION_KEY, configuration.to_string().as_bytes());
     }
 
     /// Writes the entry of an upstream.
     pub(super) fn list(&self, number: usize, state: &str) {
         let upstream = &self.upstreams.all[number];
-        let entry = json!({"service": "svc-a", "address": upstream.address.to_string(),
-            "zone": "domain-a", "version": "v1", "capacity": 4, "state": state,
-            "warmup-left-s": 0, "seq": 1, "born": 1});
-        self.store.put(&format!("servers/{}", upstream.id), entry.to_string().as_bytes());
+        let entry = UpstreamEntry {
+            service: "svc-a",
+            address: upstream.address,
+            failure_domain: "domain-a",
+            slots: 4,
+            state,
+            life: 1,
+        };
+        let entry = entry.to_json();
+        self.store.put(&documents::upstream_key(&upstream.id), entry.to_string().as_bytes());
     }
 
     /// Sends a request to an instance.
@@ -155,7 +137,16 @@
         let settings = std::env::temp_dir()
             .join(format!("cactustrack-platform-{}-{unique}.toml", std::process::id()));
         let (callers, admin, peers) = (free_port(), free_port(), free_udp_port());
-        let text = settings_text(number, callers, admin, peers, store);
+        let instance = InstanceSettings {
+            name: &format!("edge-{number}"),
+            failure_domain: DOMAINS[number % DOMAINS.len()],
+            callers,
+            admin,
+            peers,
+            store,
+            budget_window: BUDGET_WINDOW,
+        };
+        let text = instance.to_toml();
         fs::write(&settings, text).expect("a settings file");
         let mut child = Command::new(env!("CARGO_BIN_EXE_cactustrackd"))
             .arg("platform")
@@ -202,24 +193,6 @@
     }
 }
 
-fn settings_text(
-    number: usize,
-    callers: SocketAddr,
-    admin: SocketAddr,
-    peers: SocketAddr,
-    store: SocketAddr,
-) -> String {
-    let (port, window) = (peers.port(), BUDGET_WINDOW.as_secs_f64());
-    let domain = DOMAINS[number % DOMAINS.len()];
-    format!(
-        "node-name = \"edge-{number}\"\nip = \"127.0.0.1\"\nzone = \"{domain}\"\n\
-         internal-port-range = [{port},{port}]\nseeds = []\n\
-         bounds = [\"grace-s=6\",\"retry-budget-ratio=0.2\",\"budget-window-s={window}\",\
-         \"budget-slack=64\"]\n[listen]\nfront = \"{callers}\"\nreadiness = \"{admin}\"\n\
-         [limits]\nmax-fds = 4100\n[provider]\naddress = \"{store}\"\n"
-    )
-}
-
 fn free_port() -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
     listener.local_addr().expect("its address")
