--- a/crates/health/src/collector.rs
+++ b/crates/health/src/collector.rs
@@ -8,6 +8,7 @@
     VerdictHealth,
 };
 
+use crate::alarm::Alarm;
 use crate::baseline::{Answers, baseline, contemporary_rate, trimmed_rate};
 use crate::cusum::{FAULT_RATES, Group, KINDS, log_likelihood_ratio};
 use crate::evidence::EXCHANGE_INTERVAL;
@@ -15,7 +16,7 @@
 use crate::observers::{Admitted, Observers};
 use crate::readmission::TRIAL_GOOD_ANSWERS;
 use crate::report::{Report, ReportEntry};
-use crate::upstream::{APPEARS_FAULTY, Alarm, Status, Tests, Upstream};
+use crate::upstream::{APPEARS_FAULTY, Status, Tests, Upstream};
 use crate::window::MAX_SPAN;
 
 /// Upstreams kept for a service. Evidence about further ones is dropped.
--- a/crates/health/src/lib.rs
+++ b/crates/health/src/lib.rs
@@ -9,6 +9,7 @@
 //!   taking the service below its floor.
 //! * [`Decisions`] keeps the explanations of recent decisions.
 
+mod alarm;
 mod baseline;
 mod collector;
 mod cusum;
