Log the retry budget behind each extra attempt, and count ignored notices

They show each attempt, but not which counts of the retry budget allowed it, nor how many notices of other instances an instance ignores.

Change: the access log has the decisions on extra attempts with the known extra attempts, requests and the limit; `cactustrack trace` shows them. No decision changes.

--- a/crates/fleet/src/budget.rs
+++ b/crates/fleet/src/budget.rs
@@ -27,6 +27,24 @@
     pub uptime: Duration,
 }
 
+/// Usage of a retry budget as one instance knows it.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct BudgetUsage {
+    /// Requests in the window.
+    pub requests: usize,
+    /// Extra attempts in the window.
+    pub extras: usize,
+    /// Largest number of extra attempts that the instance may bring the window to.
+    pub limit: f64,
+}
+
+impl BudgetUsage {
+    /// Returns true if another extra attempt stays within the limit.
+    pub fn allows_another(&self) -> bool {
+        (self.extras + 1) as f64 <= self.limit
+    }
+}
+
 #[derive(Debug, Default)]
 struct WindowCounter {
     events: VecDeque<Instant>,
@@ -69,13 +87,18 @@
         counter.add(now);
     }
 
-    /// Returns true if the budget allows another extra attempt.
+    /// Returns the usage and the limit of the budget.
     ///
     /// An instance that does not receive the notices of most of the fleet cannot count the attempts
     /// of the others, so it is limited to a share of its own requests. An instance that started
     /// less than one window ago cannot know the attempts before its start, so it does not use the
     /// slack.
-    pub fn allows(&mut self, now: Instant, limits: BudgetLimits, coverage: FleetCoverage) -> bool {
+    pub fn usage(
+        &mut self,
+        now: Instant,
+        limits: BudgetLimits,
+        coverage: FleetCoverage,
+    ) -> BudgetUsage {
         let (requests, extras) = if coverage.is_connected {
             let requests = self.fleet_requests.count(now, limits.window);
             (requests, self.fleet_extras.count(now, limits.window))
@@ -86,6 +109,6 @@
         let knows_window = coverage.is_connected && coverage.uptime >= limits.window;
         let slack = if knows_window { limits.slack } else { 0.0 };
         let limit = USABLE_SHARE * (limits.ratio * requests as f64 + slack);
-        (extras + 1) as f64 <= limit
+        BudgetUsage { requests, extras, limit }
     }
 }
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -1,10 +1,12 @@
 //! Known peers (other instances of the fleet) and selection of relays and hubs among them.
 
+use std::cmp::Ordering;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use cactustrack_types::{FailureDomain, Incarnation, InstanceId};
+use derive_more::{Display, Error};
 
 use crate::message::{Body, Datagram, Report, ShortId, StoreView, hash, short_instance_id};
 
@@ -66,6 +68,23 @@
     pub hubs: Vec<SocketAddr>,
 }
 
+/// Reason why notices of another instance are ignored.
+#[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq, PartialOrd, Ord)]
+pub enum NoticeError {
+    /// The sender is not a known peer.
+    #[display("unknown_sender")]
+    UnknownSender,
+    /// The report with the notices was recorded before.
+    #[display("duplicate")]
+    Duplicate,
+    /// A later report of the sender was recorded before.
+    #[display("out_of_order")]
+    OutOfOrder,
+    /// The upstream that the notice is about is not listed here.
+    #[display("unlisted_upstream")]
+    UnlistedUpstream,
+}
+
 /// Identity of this instance.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct LocalInstance {
@@ -196,16 +215,21 @@
         eligible.filter(|(name, _)| rank(name) < own_rank).count() < RELAYS
     }
 
-    /// Records a report that came through a hub and returns its sender. Returns `None` if this
-    /// report or a later one was recorded before, or if the sender is not a known peer.
-    pub fn accept_report(&mut self, report: &Report) -> Option<InstanceId> {
-        let name = self.by_short_id.get(&report.from)?;
+    /// Records a report that came through a hub and returns its sender.
+    ///
+    /// # Errors
+    ///
+    /// Fails if this report or a later one was recorded before, or if the sender is not a known
+    /// peer. The report must then be ignored.
+    pub fn accept_report(&mut self, report: &Report) -> Result<InstanceId, NoticeError> {
+        let name = self.by_short_id.get(&report.from).ok_or(NoticeError::UnknownSender)?;
         let last = self.last_reports.entry(report.from).or_default();
-        if report.sequence <= *last {
-            return None;
+        match report.sequence.cmp(last) {
+            Ordering::Less => return Err(NoticeError::OutOfOrder),
+            Ordering::Equal => return Err(NoticeError::Duplicate),
+            Ordering::Greater => *last = report.sequence,
         }
-        *last = report.sequence;
-        Some(name.clone())
+        Ok(name.clone())
     }
 
     /// Returns the recipients of the notices of this instance. `rotation` is a counter by which the
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -6,7 +6,7 @@
 use cactustrack_types::{Incarnation, InstanceId, ServiceId, UpstreamId};
 
 use crate::attempt_rate::AttemptRate;
-use crate::budget::{BudgetLimits, FleetCoverage, RetryBudget};
+use crate::budget::{BudgetLimits, BudgetUsage, FleetCoverage, RetryBudget};
 use crate::load::FleetLoad;
 use crate::message::{Event, InFlight, Notice, Observation, short_upstream_id, to_ms};
 use crate::observers::Observers;
@@ -252,21 +252,21 @@
         self.load.set_full(now, upstream);
     }
 
-    /// Returns true if the retry budget of a service allows another retry or hedge. Hedges may use
-    /// only a part of the budget, so that the rest remains for retries of failed requests.
-    pub fn allows_extra(
+    /// Returns the usage of the retry budget of a service by retries and hedges. Hedges may use only
+    /// a part of the budget, so that the rest remains for retries of failed requests.
+    pub fn budget_usage(
         &mut self,
         now: Instant,
         service: &ServiceId,
         limits: BudgetLimits,
         coverage: FleetCoverage,
         is_hedge: bool,
-    ) -> bool {
+    ) -> BudgetUsage {
         let share = if is_hedge { HEDGE_BUDGET_SHARE } else { 1.0 };
         let limits =
             BudgetLimits { ratio: limits.ratio * share, slack: limits.slack * share, ..limits };
         let budget = self.budgets.entry(service.clone()).or_default();
-        budget.allows(now, limits, coverage)
+        budget.usage(now, limits, coverage)
     }
 
     fn observe(
--- a/crates/observe/src/metrics.rs
+++ b/crates/observe/src/metrics.rs
@@ -55,6 +55,8 @@
     pub peer_bytes: IntCounterVec,
     /// Peer frames that were dropped, by reason.
     pub peer_frames_dropped: IntCounterVec,
+    /// Notices of other instances that were ignored, by reason.
+    pub notices_ignored: IntCounterVec,
     /// Non-idempotent requests by service and result (completed, not_run, unknown, repeat).
     pub non_idempotent: IntCounterVec,
     /// Spans that were dropped because the queue was full or the trace collector did not accept
@@ -156,6 +158,12 @@
                 "Peer frames dropped.",
                 &["reason"],
             )?,
+            notices_ignored: counters(
+                r,
+                "notices_ignored_total",
+                "Notices of other instances ignored.",
+                &["reason"],
+            )?,
             non_idempotent: counters(
                 r,
                 "non_idempotent_requests_total",
--- a/crates/proxy/src/access_log.rs
+++ b/crates/proxy/src/access_log.rs
@@ -13,7 +13,7 @@
 use http::{HeaderMap, HeaderName, StatusCode};
 use slog::Logger;
 
-use crate::{Rejection, RoutedRequest, Target};
+use crate::{BudgetBasis, ExtraAttempt, ExtraDecision, Rejection, RoutedRequest, Target};
 
 /// Maximum length of a logged request id in bytes. Callers choose the id.
 const MAX_ID_BYTES: usize = 64;
@@ -31,6 +31,8 @@
     started: Instant,
     fields: RefCell<EntryFields>,
     attempts: RefCell<String>,
+    /// Decisions on extra attempts.
+    extras: RefCell<String>,
     budget: Rc<LogBudget>,
     log: Logger,
 }
@@ -53,8 +55,9 @@
         budget: Rc<LogBudget>,
         log: Logger,
     ) -> Self {
-        let (fields, attempts) = (RefCell::default(), RefCell::default());
-        Self(Rc::new(Inner { request, trace, started, fields, attempts, budget, log }))
+        let fields = RefCell::default();
+        let (attempts, extras) = (RefCell::default(), RefCell::default());
+        Self(Rc::new(Inner { request, trace, started, fields, attempts, extras, budget, log }))
     }
 
     /// Returns the trace context of the request.
@@ -83,6 +86,20 @@
         fields.time_to_head = Some(self.0.started.elapsed());
     }
 
+    /// Records a decision on an extra attempt, with the counts of the retry budget behind it.
+    pub(crate) fn on_extra(&self, kind: ExtraAttempt, decision: ExtraDecision) {
+        let mut text = self.0.extras.borrow_mut();
+        let separator = if text.is_empty() { "" } else { "; " };
+        let result = if decision.is_allowed { "allowed" } else { "denied" };
+        let at = self.0.started.elapsed().as_millis();
+        // Writing to a string does not fail.
+        let _ = write!(text, "{separator}{kind} {result} at={at}");
+        if let Some(basis) = decision.basis {
+            let BudgetBasis { extras, requests, limit } = basis;
+            let _ = write!(text, " extras={extras} requests={requests} limit={limit}");
+        }
+    }
+
     /// Records the end of an attempt.
     pub(crate) fn on_attempt(&self, attempt: &AttemptRecord<'_>) {
         let AttemptRecord { target, outcome, started, is_reused } = *attempt;
@@ -115,10 +132,10 @@
 impl Drop for Inner {
     fn drop(&mut self) {
         let fields = self.fields.take();
-        let attempts = self.attempts.take();
+        let (attempts, extras) = (self.attempts.take(), self.extras.take());
         let is_served = fields.status.is_some_and(|status| status.as_u16() < 400);
         let priority = if is_served { LinePriority::Routine } else { LinePriority::Important };
-        let bytes = LINE_BYTES + attempts.len() + self.request.len();
+        let bytes = LINE_BYTES + attempts.len() + extras.len() + self.request.len();
         let Some(suppressed) = self.budget.allow(Instant::now(), priority, bytes) else { return };
         let ms = |time: Option<Duration>| time.map_or(-1, |time| time.as_millis() as i64);
         let (reason, execution) = fields.rejection.unwrap_or_default();
@@ -130,7 +147,7 @@
             "reason" => reason, "execution" => execution,
             "deadline_ms" => ms(fields.deadline), "answered_ms" => ms(fields.time_to_head),
             "ended_ms" => self.started.elapsed().as_millis() as u64,
-            "attempts" => attempts, "left_out" => suppressed);
+            "attempts" => attempts, "extras" => extras, "left_out" => suppressed);
     }
 }
 
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -25,7 +25,10 @@
 pub use dead_peer::enable_dead_peer_detection;
 pub use dialect::{DefaultDialect, Dialect, ResponseKind};
 pub use handler::{Proxy, ProxyParts};
-pub use policy::{Admission, ExtraAttempt, RoutedRequest, SelectionBasis, Target, TrafficPolicy};
+pub use policy::{
+    Admission, BudgetBasis, ExtraAttempt, ExtraDecision, RoutedRequest, SelectionBasis, Target,
+    TrafficPolicy,
+};
 pub use pool::{Pool, PoolLimits};
 pub use reject::{Rejection, RejectionReason};
 pub use server::{Server, ServerLimits, ServerShutdown};
--- a/crates/proxy/src/non_idempotent.rs
+++ b/crates/proxy/src/non_idempotent.rs
@@ -215,11 +215,13 @@
 
     /// Returns true if a request that was shed may be sent to another upstream.
     fn may_try_another(&self) -> bool {
-        let now = Instant::now();
-        let has_time =
-            !time_until(self.routed.deadline).is_zero() && self.upstream_request.can_send();
-        has_time
-            && self.proxy.policy().allow_extra_attempt(now, &self.routed, ExtraAttempt::Declined)
+        if time_until(self.routed.deadline).is_zero() || !self.upstream_request.can_send() {
+            return false;
+        }
+        let (policy, kind) = (self.proxy.policy(), ExtraAttempt::Declined);
+        let decision = policy.allow_extra_attempt(Instant::now(), &self.routed, kind);
+        self.log_entry.on_extra(kind, decision);
+        decision.is_allowed
     }
 
     fn forward(self) -> Result<Response<ResponseBody>, Rejection> {
--- a/crates/proxy/src/policy.rs
+++ b/crates/proxy/src/policy.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use cactustrack_types::{Incarnation, Outcome, RequestClass, ServiceId, UpstreamId};
+use derive_more::Display;
 use http::HeaderMap;
 
 use crate::Rejection;
@@ -66,19 +67,50 @@
 }
 
 /// Reason for an attempt beyond the first one of a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub enum ExtraAttempt {
     /// The previous attempt failed.
+    #[display("retry")]
     Retry,
     /// The current attempt is slow; a second one is sent in parallel.
+    #[display("hedge")]
     Hedge,
     /// The response was truncated; the remainder is fetched from another upstream.
+    #[display("resume")]
     Resume,
     /// The upstream stated that it has not executed the request, so that even a non-idempotent
     /// request may be retried.
+    #[display("declined")]
     Declined,
 }
 
+/// Decision on an attempt beyond the first one of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ExtraDecision {
+    /// True if the attempt may be started.
+    pub is_allowed: bool,
+    /// State of the retry budget on which the decision was based, if the budget was consulted.
+    pub basis: Option<BudgetBasis>,
+}
+
+impl ExtraDecision {
+    /// Creates a decision that was not based on counts of the budget.
+    pub fn without_basis(is_allowed: bool) -> Self {
+        Self { is_allowed, basis: None }
+    }
+}
+
+/// State of the retry budget of a service at the time of a decision, counted over its window.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BudgetBasis {
+    /// Known extra attempts.
+    pub extras: u64,
+    /// Known requests.
+    pub requests: u64,
+    /// Largest number of extra attempts that the decision allowed.
+    pub limit: u64,
+}
+
 /// Guard of an admitted request. Dropping it releases the request's slot.
 pub type Admission = Box<dyn Any>;
 
@@ -116,14 +148,13 @@
         exclude: &[UpstreamId],
     ) -> Result<Target, Rejection>;
 
-    /// Charges an attempt beyond the first one to the retry budget of the service. Returns false if
-    /// the budget is exhausted.
+    /// Decides whether the retry budget of the service allows an attempt beyond the first one.
     fn allow_extra_attempt(
         &self,
         now: Instant,
         routed: &RoutedRequest,
         extra: ExtraAttempt,
-    ) -> bool;
+    ) -> ExtraDecision;
 
     /// Returns the time without a response head after which a hedged attempt is started, or `None`
     /// if the request is not hedged.
--- a/crates/proxy/src/resume.rs
+++ b/crates/proxy/src/resume.rs
@@ -75,7 +75,7 @@
             request.routed.deadline = now + HEAD_TIMEOUT;
             let proxy = Rc::clone(&request.proxy);
             let target = request.try_pick()?;
-            if !proxy.policy().allow_extra_attempt(now, &request.routed, ExtraAttempt::Resume) {
+            if !request.allows_extra(ExtraAttempt::Resume) {
                 return None;
             }
             let service = &*request.routed.service;
--- a/crates/proxy/src/retryable.rs
+++ b/crates/proxy/src/retryable.rs
@@ -110,18 +110,21 @@
             return None;
         }
         let target = self.pick().ok()?;
-        let allowed = is_budget_exempt
-            || self.proxy.policy().allow_extra_attempt(
-                Instant::now(),
-                &self.routed,
-                ExtraAttempt::Retry,
-            );
+        let allowed = is_budget_exempt || self.allows_extra(ExtraAttempt::Retry);
         if !allowed {
             self.tried.pop();
         }
         allowed.then_some(target)
     }
 
+    /// Returns true if the retry budget allows an extra attempt, and logs the decision.
+    pub(crate) fn allows_extra(&self, kind: ExtraAttempt) -> bool {
+        let policy = self.proxy.policy();
+        let decision = policy.allow_extra_attempt(Instant::now(), &self.routed, kind);
+        self.log_entry.on_extra(kind, decision);
+        decision.is_allowed
+    }
+
     /// Returns true if the request was sent to the maximum number of upstreams of its route.
     fn is_attempt_limit_reached(&self) -> bool {
         self.routed.max_attempts.is_some_and(|max| self.attempts >= max)
@@ -200,11 +203,7 @@
             return None;
         }
         let target = self.pick().ok()?;
-        if !self.proxy.policy().allow_extra_attempt(
-            Instant::now(),
-            &self.routed,
-            ExtraAttempt::Hedge,
-        ) {
+        if !self.allows_extra(ExtraAttempt::Hedge) {
             self.tried.pop();
             return None;
         }
--- a/src/cli/trace.rs
+++ b/src/cli/trace.rs
@@ -142,6 +142,9 @@
         for attempt in field("attempts").split("; ").filter(|attempt| !attempt.is_empty()) {
             writeln!(out, "  attempt    {attempt}")?;
         }
+        for extra in field("extras").split("; ").filter(|extra| !extra.is_empty()) {
+            writeln!(out, "  extra      {extra}")?;
+        }
         let status = field("status");
         writeln!(out, "  response   {status} after {} ms", field("answered_ms"))?;
         if !field("reason").is_empty() {
--- a/src/daemon/policy.rs
+++ b/src/daemon/policy.rs
@@ -7,8 +7,8 @@
 
 use cactustrack_observe::Metrics;
 use cactustrack_proxy::{
-    Admission, ExtraAttempt, Rejection, RejectionReason, RoutedRequest, SelectionBasis, Target,
-    TrafficPolicy,
+    Admission, ExtraAttempt, ExtraDecision, Rejection, RejectionReason, RoutedRequest,
+    SelectionBasis, Target, TrafficPolicy,
 };
 use cactustrack_routing::balancer::{LoadReport, PickError, PickRequest};
 use cactustrack_routing::deadline::Deadline;
@@ -128,15 +128,14 @@
         _now: Instant,
         routed: &RoutedRequest,
         extra: ExtraAttempt,
-    ) -> bool {
+    ) -> ExtraDecision {
         if extra == ExtraAttempt::Declined {
-            return false;
+            return ExtraDecision::without_basis(false);
         }
         let mut board = self.board.borrow_mut();
-        board
-            .services
-            .get_mut(&routed.service)
-            .is_some_and(|service| service.retry_budget.try_take())
+        let service = board.services.get_mut(&routed.service);
+        let is_allowed = service.is_some_and(|service| service.retry_budget.try_take());
+        ExtraDecision::without_basis(is_allowed)
     }
 
     fn hedge_delay(&self, routed: &RoutedRequest) -> Option<Duration> {
--- a/src/node/messenger.rs
+++ b/src/node/messenger.rs
@@ -13,11 +13,12 @@
 use cactustrack_fleet::message::{
     Body, Bundle, Datagram, FORMAT, MAX_DATAGRAM_BYTES, Notice, Report, short_instance_id,
 };
-use cactustrack_fleet::peers::{LocalInstance, NoticeRoute};
+use cactustrack_fleet::peers::{LocalInstance, NoticeError, NoticeRoute};
 use cactustrack_observe::Metrics;
 use cactustrack_types::Incarnation;
 use slog::Logger;
 
+use super::ignored::IgnoredNotices;
 use super::lag::LagTracker;
 use super::state::SharedState;
 
@@ -58,6 +59,7 @@
     rotation: Cell<usize>,
     state: SharedState,
     lag: Rc<LagTracker>,
+    ignored: IgnoredNotices,
     metrics: Metrics,
     log: Logger,
 }
@@ -90,6 +92,7 @@
             rotation: Cell::new(0),
             state,
             lag,
+            ignored: IgnoredNotices::new(metrics.clone(), log.clone()),
             metrics,
             log,
         }))
@@ -210,10 +213,16 @@
     fn on_bundle(&self, now: Instant, bundle: Bundle) {
         let Bundle { forward, reports } = bundle;
         {
+            let own = short_instance_id(&self.own.name, self.incarnation);
             let mut state = self.state.borrow_mut();
-            for report in &reports {
-                if let Some(from) = state.peers.accept_report(report) {
-                    state.on_notices(now, &from, &report.notices);
+            // A hub also returns the reports of this instance to it.
+            for report in reports.iter().filter(|report| report.from != own) {
+                match state.peers.accept_report(report) {
+                    Ok(from) => {
+                        let unlisted = state.on_notices(now, &from, &report.notices);
+                        self.ignored.add(NoticeError::UnlistedUpstream, unlisted);
+                    }
+                    Err(error) => self.ignored.add(error, report.notices.len()),
                 }
             }
         }
@@ -259,6 +268,7 @@
 
     fn expire(&self) {
         let now = Instant::now();
+        self.ignored.log(now);
         let mut state = self.state.borrow_mut();
         for peer in state.peers.expire(now) {
             slog::info!(self.log, "members: instance timed out"; "peer" => &*peer);
@@ -359,7 +369,8 @@
         let Datagram { from, incarnation, sequence, body, .. } = datagram;
         match body {
             Body::Notices(notices) => {
-                state.on_notices(now, &from, &notices);
+                let unlisted = state.on_notices(now, &from, &notices);
+                self.ignored.add(NoticeError::UnlistedUpstream, unlisted);
                 // In a fleet with hubs, notices arrive here only because this instance is a hub.
                 if matches!(state.peers.route(now, &self.own, 0), NoticeRoute::All(_)) {
                     return;
--- a/src/node/policy.rs
+++ b/src/node/policy.rs
@@ -13,7 +13,8 @@
 use cactustrack_fleet::view::AttemptEnd;
 use cactustrack_platform::PlatformDialect;
 use cactustrack_proxy::{
-    Admission, ExtraAttempt, Pool, Rejection, RoutedRequest, SelectionBasis, Target, TrafficPolicy,
+    Admission, BudgetBasis, ExtraAttempt, ExtraDecision, Pool, Rejection, RoutedRequest,
+    SelectionBasis, Target, TrafficPolicy,
 };
 use cactustrack_types::{FailureDomain, Outcome, RequestClass, ServiceId, UpstreamId};
 use futures::FutureExt;
@@ -136,7 +137,7 @@
         now: Instant,
         routed: &RoutedRequest,
         extra: ExtraAttempt,
-    ) -> bool {
+    ) -> ExtraDecision {
         let mut state = self.state.borrow_mut();
         let coverage = FleetCoverage {
             is_connected: state.peers.is_connected(),
@@ -144,9 +145,16 @@
         };
         let is_hedge = extra == ExtraAttempt::Hedge;
         if is_hedge && self.load_share(&state, now, &routed.service) > MAX_HEDGE_LOAD {
-            return false;
+            return ExtraDecision::without_basis(false);
         }
-        state.view.allows_extra(now, &routed.service, self.budget, coverage, is_hedge)
+        let service = &routed.service;
+        let usage = state.view.budget_usage(now, service, self.budget, coverage, is_hedge);
+        let basis = BudgetBasis {
+            extras: usage.extras as u64,
+            requests: usage.requests as u64,
+            limit: usage.limit as u64,
+        };
+        ExtraDecision { is_allowed: usage.allows_another(), basis: Some(basis) }
     }
 
     fn hedge_delay(&self, routed: &RoutedRequest) -> Option<Duration> {
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -112,13 +112,24 @@
     }
 
     /// Processes notices of another instance. Notices about upstreams that are not listed here are
-    /// ignored, since those upstreams get no requests from this instance.
-    pub(crate) fn on_notices(&mut self, now: Instant, from: &InstanceId, notices: &[Notice]) {
+    /// ignored, since those upstreams get no requests from this instance. Returns the number of
+    /// ignored notices.
+    pub(crate) fn on_notices(
+        &mut self,
+        now: Instant,
+        from: &InstanceId,
+        notices: &[Notice],
+    ) -> usize {
+        let mut ignored = 0;
         for notice in notices {
-            if let Some(upstream) = self.catalog.get_by_short_id(notice.upstream) {
-                self.view.on_notice(now, from, notice, &upstream.service, &upstream.id);
+            match self.catalog.get_by_short_id(notice.upstream) {
+                Some(upstream) => {
+                    self.view.on_notice(now, from, notice, &upstream.service, &upstream.id);
+                }
+                None => ignored += 1,
             }
         }
+        ignored
     }
 
     /// Revision up to which a topic has been read, or `None` if it has not been read.
--- a/tests/all/platform/trace_command.rs
+++ b/tests/all/platform/trace_command.rs
@@ -8,7 +8,7 @@
 use cactustrack_test_support::caller::Call;
 use http::StatusCode;
 
-use super::harness::{HOST, Harness, ORDERS, request, wait_for};
+use super::harness::{HOST, Harness, ORDERS, SEARCH, request, wait_for};
 
 fn trace(harness: &Harness, id: &str) -> (Exit, String) {
     let name = format!("cactustrack-trace-{}-{id}.log", std::process::id());
@@ -80,6 +80,26 @@
     assert_eq!(trace(&harness, "never-sent").0, Exit::Findings);
 }
 
+/// Guards against a trace that does not tell on which counts of the retry budget a retry was allowed
+/// or denied.
+#[test]
+fn retries_are_explained_by_the_counts_of_the_budget() {
+    let harness = Harness::start(2, 1, &[SEARCH]);
+    for upstream in &harness.upstreams.all {
+        upstream.control.set(|up| up.abort_after_execution = true);
+    }
+    let call = request(Call::get(HOST, "/search/x"), "retried", Duration::from_secs(3));
+    assert_eq!(harness.call(0, &call).status, StatusCode::BAD_GATEWAY);
+    let has_line = || !harness.instances[0].log_lines_with("\"request\":\"retried\"").is_empty();
+    wait_for("the line", has_line);
+    let (_, output) = trace(&harness, "retried");
+    let extra = output.lines().find(|line| line.trim_start().starts_with("extra"));
+    let extra = extra.unwrap_or_else(|| panic!("no extra attempt in\n{output}"));
+    for expected in ["retry ", " at=", " extras=0 requests=1 limit="] {
+        assert!(extra.contains(expected), "{expected:?} is not in {extra}");
+    }
+}
+
 /// Guards against request ids that inject lines or fields into the log.
 #[test]
 fn request_ids_cannot_inject_log_lines_or_fields() {
--- a/tests/all/proxy/fakes.rs
+++ b/tests/all/proxy/fakes.rs
@@ -9,7 +9,8 @@
 use std::time::{Duration, Instant};
 
 use cactustrack_proxy::{
-    Admission, ExtraAttempt, Rejection, RejectionReason, RoutedRequest, Target, TrafficPolicy,
+    Admission, ExtraAttempt, ExtraDecision, Rejection, RejectionReason, RoutedRequest, Target,
+    TrafficPolicy,
 };
 use cactustrack_routing::deadline::Deadline;
 use cactustrack_routing::route::{RouteMatch, RouteTable};
@@ -143,16 +144,16 @@
         _now: Instant,
         _routed: &RoutedRequest,
         kind: ExtraAttempt,
-    ) -> bool {
+    ) -> ExtraDecision {
         // As in the policy of the daemon, a shed non-idempotent request is not retried.
         if kind == ExtraAttempt::Declined {
-            return false;
+            return ExtraDecision::without_basis(false);
         }
         let left = self.extra_attempts.get();
         let granted = left > 0;
         self.extra_attempts.set(left.saturating_sub(1));
         self.events.record(format!("extra {kind:?} granted={granted}"));
-        granted
+        ExtraDecision::without_basis(granted)
     }
 
     fn hedge_delay(&self, _routed: &RoutedRequest) -> Option<Duration> {
--- a/tests/all/sharing/budget.rs
+++ b/tests/all/sharing/budget.rs
@@ -33,7 +33,7 @@
             record(&mut budgets, own, now, false, is_connected);
             requests.push(now);
             let coverage = FleetCoverage { is_connected, uptime: now - started };
-            if budgets[own].allows(now, LIMITS, coverage) {
+            if budgets[own].usage(now, LIMITS, coverage).allows_another() {
                 record(&mut budgets, own, now, true, is_connected);
                 extras.push(now);
             }
--- a/tests/all/sharing/hubs.rs
+++ b/tests/all/sharing/hubs.rs
@@ -157,7 +157,7 @@
         let sender = short_instance_id(from, Incarnation(incarnation));
         let report = Report { from: sender, sequence, notices: Vec::new() };
         assert_eq!(
-            peers.accept_report(&report).is_some(),
+            peers.accept_report(&report).is_ok(),
             is_accepted,
             "{from} {incarnation} {sequence}"
         );
