Add a failing test: lost and reordered notices extend the retry budget

The test replays a service that rejects every attempt, in a fleet whose reports overtake each other in hubs or are lost.

--- a/tests/all/sharing.rs
+++ b/tests/all/sharing.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod budget;
+mod budget_loss;
 mod catalog;
 mod hubs;
 mod load;
