Count attempts of other instances from totals instead of single notices

Cause: the budget counted one attempt for each notice. A notice that is lost is never counted, and neither is one that a later notice of its sender overtakes in another hub, which is ignored. Where an upstream rejects a request at once, the notices of its attempts are some milliseconds apart and hubs hold them for up to 30 ms.

Change: a notice of a start and each heartbeat state how many attempts the sender has made at a service since its start. The difference to the number known before is what is new, so a lost, late or repeated datagram causes no error beyond the next one. The datagram format has a new version; instances of two versions ignore each other's datagrams during a rolling upgrade, as before.

--- a/crates/fleet/src/attempt_rate.rs
+++ b/crates/fleet/src/attempt_rate.rs
@@ -13,9 +13,9 @@
 }
 
 impl AttemptRate {
-    /// Records the start of an attempt.
-    pub fn on_start(&mut self, now: Instant) {
-        self.count = self.count * self.decay(now) + 1.0;
+    /// Records the start of attempts.
+    pub fn on_start(&mut self, now: Instant, attempts: u32) {
+        self.count = self.count * self.decay(now) + f64::from(attempts);
         self.updated_at = Some(now);
     }
 
--- a/crates/fleet/src/budget.rs
+++ b/crates/fleet/src/budget.rs
@@ -3,6 +3,8 @@
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
+use crate::attempt_totals::AttemptTotals;
+
 /// Share of the budget that may be used. The rest covers attempts that other instances start at the
 /// same time and notices that are lost.
 const USABLE_SHARE: f64 = 0.8;
@@ -31,9 +33,9 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct BudgetUsage {
     /// Requests in the window.
-    pub requests: usize,
+    pub requests: u64,
     /// Extra attempts in the window.
-    pub extras: usize,
+    pub extras: u64,
     /// Largest number of extra attempts that the instance may bring the window to.
     pub limit: f64,
 }
@@ -47,19 +49,29 @@
 
 #[derive(Debug, Default)]
 struct WindowCounter {
-    events: VecDeque<Instant>,
+    /// Numbers of events by time.
+    events: VecDeque<(Instant, u32)>,
+    /// Sum of the numbers.
+    total: u64,
 }
 
 impl WindowCounter {
-    fn add(&mut self, now: Instant) {
-        self.events.push_back(now);
+    fn add(&mut self, now: Instant, count: u32) {
+        if count > 0 {
+            self.events.push_back((now, count));
+            self.total += u64::from(count);
+        }
     }
 
-    fn count(&mut self, now: Instant, window: Duration) -> usize {
-        while self.events.front().is_some_and(|at| now.saturating_duration_since(*at) > window) {
+    fn count(&mut self, now: Instant, window: Duration) -> u64 {
+        while let Some((at, count)) = self.events.front().copied() {
+            if now.saturating_duration_since(at) <= window {
+                break;
+            }
             self.events.pop_front();
+            self.total -= u64::from(count);
         }
-        self.events.len()
+        self.total
     }
 }
 
@@ -76,15 +88,17 @@
 impl RetryBudget {
     /// Counts an attempt of this instance.
     pub fn record_own(&mut self, now: Instant, extra: bool) {
-        let counter = if extra { &mut self.own_extras } else { &mut self.own_requests };
-        counter.add(now);
-        self.record_fleet(now, extra);
+        let mut attempt = AttemptTotals::default();
+        attempt.add(extra);
+        self.own_requests.add(now, attempt.first);
+        self.own_extras.add(now, attempt.extra);
+        self.record_fleet(now, attempt);
     }
 
-    /// Counts an attempt of another instance.
-    pub fn record_fleet(&mut self, now: Instant, extra: bool) {
-        let counter = if extra { &mut self.fleet_extras } else { &mut self.fleet_requests };
-        counter.add(now);
+    /// Counts attempts of another instance.
+    pub fn record_fleet(&mut self, now: Instant, attempts: AttemptTotals) {
+        self.fleet_requests.add(now, attempts.first);
+        self.fleet_extras.add(now, attempts.extra);
     }
 
     /// Returns the usage and the limit of the budget.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -8,7 +8,8 @@
 //! * the probability that an upstream is faulty ([`suspicion`]). Failures reported by instances
 //!   with faulty links are discounted ([`observers`]), and attempts that wait for too long count as
 //!   evidence before they end ([`pending`]),
-//! * the number of retries and hedges that the fleet has sent ([`budget`]),
+//! * the number of retries and hedges that the fleet has sent ([`budget`]), from totals that the
+//!   notices state ([`attempt_totals`]),
 //! * the rate of attempts at each service ([`attempt_rate`]), which determines when upstreams
 //!   without requests are tried again ([`trial`]).
 //!
@@ -21,6 +22,7 @@
 
 pub mod admission;
 pub mod attempt_rate;
+pub mod attempt_totals;
 pub mod budget;
 pub mod catalog;
 pub mod discovery;
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -1,7 +1,8 @@
 //! Datagrams between instances.
 //!
-//! Every datagram contains absolute counts for the upstreams that it names. The next datagram thus
-//! corrects any error that a lost or duplicated one caused.
+//! Every datagram contains absolute counts for the upstreams that it names, and the total attempts at
+//! the services where one starts. The next datagram thus corrects any error that a lost, duplicated
+//! or late one caused.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -10,10 +11,11 @@
 use derive_more::{Display, Error};
 use serde::{Deserialize, Serialize};
 
+use crate::attempt_totals::{AttemptTotals, ServiceTotals};
 use crate::discovery::{Revision, Topic};
 
 /// Version of the encoding. Datagrams with another version are ignored.
-pub const FORMAT: u8 = 6;
+pub const FORMAT: u8 = 7;
 
 /// Largest datagram, in bytes. It stays below the usual MTU of 1,500 bytes.
 pub const MAX_DATAGRAM_BYTES: usize = 1_400;
@@ -55,6 +57,10 @@
         store: StoreView,
         /// Failure domain of the sender.
         failure_domain: FailureDomain,
+        /// Attempts of the sender by service. Up to
+        /// [`MAX_SERVICES_PER_HEARTBEAT`](crate::attempt_totals::MAX_SERVICES_PER_HEARTBEAT)
+        /// services are stated at a time.
+        totals: Vec<ServiceTotals>,
     },
     /// Changes to the list of upstreams, from a relay.
     Upstreams(Delta<PackedChanges>),
@@ -182,6 +188,11 @@
     fold_to_short_id(hash(upstream.bytes()))
 }
 
+/// Returns the short id of a service.
+pub fn short_service_id(service: &str) -> ShortId {
+    fold_to_short_id(hash(service.bytes()))
+}
+
 /// Returns the short id of one incarnation of an instance.
 pub fn short_instance_id(instance: &str, incarnation: Incarnation) -> ShortId {
     fold_to_short_id(hash(instance.bytes().chain(incarnation.0.to_le_bytes())))
@@ -216,6 +227,8 @@
     Started {
         /// True for a retry or hedge: the request was sent to another upstream before.
         extra: bool,
+        /// Attempts of the sender at the service so far, including this one.
+        totals: AttemptTotals,
     },
     /// The attempt ended.
     Ended {
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -8,6 +8,7 @@
 use cactustrack_types::{FailureDomain, Incarnation, InstanceId};
 use derive_more::{Display, Error};
 
+use crate::attempt_totals::Sender;
 use crate::message::{Body, Datagram, Report, ShortId, StoreView, hash, short_instance_id};
 
 /// Time without a datagram after which a peer is removed.
@@ -221,7 +222,7 @@
     ///
     /// Fails if this report or a later one was recorded before, or if the sender is not a known
     /// peer. The report must then be ignored.
-    pub fn accept_report(&mut self, report: &Report) -> Result<InstanceId, NoticeError> {
+    pub fn accept_report(&mut self, report: &Report) -> Result<Sender, NoticeError> {
         let name = self.by_short_id.get(&report.from).ok_or(NoticeError::UnknownSender)?;
         let last = self.last_reports.entry(report.from).or_default();
         match report.sequence.cmp(last) {
@@ -229,7 +230,8 @@
             Ordering::Equal => return Err(NoticeError::Duplicate),
             Ordering::Greater => *last = report.sequence,
         }
-        Ok(name.clone())
+        let known = self.known.get(name).ok_or(NoticeError::UnknownSender)?;
+        Ok(Sender { instance: name.clone(), incarnation: known.incarnation })
     }
 
     /// Returns the recipients of the notices of this instance. `rotation` is a counter by which the
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -6,9 +6,12 @@
 use cactustrack_types::{Incarnation, InstanceId, ServiceId, UpstreamId};
 
 use crate::attempt_rate::AttemptRate;
+use crate::attempt_totals::{AttemptTotals, OwnTotals, PeerTotals, Sender, ServiceTotals};
 use crate::budget::{BudgetLimits, BudgetUsage, FleetCoverage, RetryBudget};
 use crate::load::FleetLoad;
-use crate::message::{Event, InFlight, Notice, Observation, short_upstream_id, to_ms};
+use crate::message::{
+    Event, InFlight, Notice, Observation, ShortId, short_service_id, short_upstream_id, to_ms,
+};
 use crate::observers::Observers;
 use crate::pending::{OverdueAttempt, PendingAttempts};
 use crate::suspicion::{Suspicion, long_run_mean};
@@ -45,9 +48,11 @@
     /// Time of the last attempt of any instance at an upstream.
     last_used: HashMap<UpstreamId, Instant>,
     observers: Observers,
-    budgets: HashMap<ServiceId, RetryBudget>,
+    budgets: HashMap<ShortId, RetryBudget>,
     service_times: HashMap<ServiceId, Duration>,
-    attempt_rates: HashMap<ServiceId, AttemptRate>,
+    attempt_rates: HashMap<ShortId, AttemptRate>,
+    own_totals: OwnTotals,
+    peer_totals: PeerTotals,
     pending: PendingAttempts,
 }
 
@@ -65,6 +70,8 @@
             budgets: HashMap::new(),
             service_times: HashMap::new(),
             attempt_rates: HashMap::new(),
+            own_totals: OwnTotals::default(),
+            peer_totals: PeerTotals::default(),
             pending: PendingAttempts::default(),
         }
     }
@@ -84,10 +91,11 @@
     ) -> Notice {
         let in_flight = self.load.start(upstream);
         self.last_used.insert(upstream.clone(), now);
-        self.budgets.entry(service.clone()).or_default().record_own(now, extra);
-        self.attempt_rates.entry(service.clone()).or_default().on_start(now);
+        let short = short_service_id(service);
+        self.budgets.entry(short).or_default().record_own(now, extra);
+        self.attempt_rates.entry(short).or_default().on_start(now, 1);
         self.pending.on_start(now, service, upstream);
-        let event = Event::Started { extra };
+        let event = Event::Started { extra, totals: self.own_totals.add(short, extra) };
         Notice { upstream: short_upstream_id(upstream), in_flight, event }
     }
 
@@ -122,26 +130,28 @@
     pub fn on_notice(
         &mut self,
         now: Instant,
-        from: &InstanceId,
+        from: &Sender,
         notice: &Notice,
         service: &ServiceId,
         upstream: &UpstreamId,
     ) {
-        self.load.set_peer(now, from, upstream, notice.in_flight);
+        self.load.set_peer(now, &from.instance, upstream, notice.in_flight);
         match notice.event {
-            Event::Started { extra } => {
-                let budget = self.budgets.entry(service.clone()).or_default();
-                budget.record_fleet(now, extra);
-                self.attempt_rates.entry(service.clone()).or_default().on_start(now);
+            Event::Started { extra, totals } => {
+                let service = short_service_id(service);
+                let new = self.peer_totals.on_attempt(now, from, service, extra, totals);
+                self.count_peer_attempts(now, service, new);
                 self.last_used.insert(upstream.clone(), now);
             }
             Event::Ended { observed, .. } => {
                 self.update_service_time(service, notice.event);
                 if let Some(observed) = observed {
-                    self.observe(now, from, upstream, observed);
+                    self.observe(now, &from.instance, upstream, observed);
                 }
             }
-            Event::Overdue => self.observe(now, from, upstream, Observation::Overdue),
+            Event::Overdue => {
+                self.observe(now, &from.instance, upstream, Observation::Overdue);
+            }
         }
     }
 
@@ -174,9 +184,30 @@
         Notice { upstream: short_upstream_id(upstream), in_flight, event: Event::Overdue }
     }
 
-    /// Replaces the counts of requests that another instance has in flight.
-    pub fn on_heartbeat(&mut self, now: Instant, from: &InstanceId, in_flight: &[InFlight]) {
-        self.load.replace_peer(now, from, in_flight);
+    /// Replaces the counts of requests that another instance has in flight, and counts the attempts
+    /// whose notices have not been received.
+    pub fn on_heartbeat(
+        &mut self,
+        now: Instant,
+        from: &Sender,
+        in_flight: &[InFlight],
+        totals: &[ServiceTotals],
+    ) {
+        self.load.replace_peer(now, &from.instance, in_flight);
+        for ServiceTotals { service, totals } in self.peer_totals.on_heartbeat(now, from, totals) {
+            self.count_peer_attempts(now, service, totals);
+        }
+    }
+
+    /// Returns the attempts of this instance for a heartbeat.
+    pub fn next_totals(&mut self) -> Vec<ServiceTotals> {
+        self.own_totals.next_statement()
+    }
+
+    fn count_peer_attempts(&mut self, now: Instant, service: ShortId, attempts: AttemptTotals) {
+        self.budgets.entry(service).or_default().record_fleet(now, attempts);
+        let count = attempts.first.saturating_add(attempts.extra);
+        self.attempt_rates.entry(service).or_default().on_start(now, count);
     }
 
     /// Removes the counts of requests that an instance had in flight.
@@ -188,6 +219,7 @@
     pub fn expire(&mut self, now: Instant) {
         self.load.expire(now);
         self.observers.expire(now);
+        self.peer_totals.expire(now);
     }
 
     /// Sets the incarnation of an upstream. Suspicion of an earlier incarnation is removed.
@@ -233,7 +265,7 @@
 
     /// Returns the rate of attempts of the fleet at a service.
     pub fn attempt_rate(&self, service: &str) -> AttemptRate {
-        self.attempt_rates.get(service).copied().unwrap_or_default()
+        self.attempt_rates.get(&short_service_id(service)).copied().unwrap_or_default()
     }
 
     /// Returns the mean response time of upstreams of a service that have a free slot.
@@ -257,7 +289,7 @@
     pub fn budget_usage(
         &mut self,
         now: Instant,
-        service: &ServiceId,
+        service: &str,
         limits: BudgetLimits,
         coverage: FleetCoverage,
         is_hedge: bool,
@@ -265,7 +297,7 @@
         let share = if is_hedge { HEDGE_BUDGET_SHARE } else { 1.0 };
         let limits =
             BudgetLimits { ratio: limits.ratio * share, slack: limits.slack * share, ..limits };
-        let budget = self.budgets.entry(service.clone()).or_default();
+        let budget = self.budgets.entry(short_service_id(service)).or_default();
         budget.usage(now, limits, coverage)
     }
 
--- a/src/node/messenger.rs
+++ b/src/node/messenger.rs
@@ -10,6 +10,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use cactustrack_fleet::attempt_totals::Sender;
 use cactustrack_fleet::message::{
     Body, Bundle, Datagram, FORMAT, MAX_DATAGRAM_BYTES, Notice, Report, short_instance_id,
 };
@@ -287,6 +288,7 @@
                 leaving: state.stopping,
                 store: state.store_view,
                 failure_domain: self.own.failure_domain.clone(),
+                totals: state.view.next_totals(),
             }
         };
         self.send(body);
@@ -366,7 +368,8 @@
         if !state.peers.accept(now, address, &datagram) {
             return;
         }
-        let Datagram { from, incarnation, sequence, body, .. } = datagram;
+        let Datagram { from: instance, incarnation, sequence, body, .. } = datagram;
+        let from = Sender { instance, incarnation };
         match body {
             Body::Notices(notices) => {
                 let unlisted = state.on_notices(now, &from, &notices);
@@ -376,21 +379,21 @@
                     return;
                 }
                 drop(state);
-                let from = short_instance_id(&from, incarnation);
+                let from = short_instance_id(&from.instance, from.incarnation);
                 self.add_to_bundle(Report { from, sequence, notices });
             }
             Body::Bundle(bundle) => {
                 drop(state);
                 self.on_bundle(now, bundle);
             }
-            Body::Heartbeat { in_flight, peers, leaving, .. } => {
-                state.view.on_heartbeat(now, &from, &in_flight);
+            Body::Heartbeat { in_flight, peers, leaving, totals, .. } => {
+                state.view.on_heartbeat(now, &from, &in_flight, &totals);
                 let own = self.socket.local_addr().ok();
                 let others = peers.into_iter().filter(|peer| Some(*peer) != own);
                 state.peers.add_addresses(now, others);
                 if leaving && in_flight.is_empty() {
-                    state.peers.remove(&from);
-                    state.view.remove_peer(&from);
+                    state.peers.remove(&from.instance);
+                    state.view.remove_peer(&from.instance);
                 }
             }
             Body::Forward(change) => {
--- a/src/node/policy.rs
+++ b/src/node/policy.rs
@@ -150,8 +150,8 @@
         let service = &routed.service;
         let usage = state.view.budget_usage(now, service, self.budget, coverage, is_hedge);
         let basis = BudgetBasis {
-            extras: usage.extras as u64,
-            requests: usage.requests as u64,
+            extras: usage.extras,
+            requests: usage.requests,
             limit: usage.limit as u64,
         };
         ExtraDecision { is_allowed: usage.allows_another(), basis: Some(basis) }
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -7,6 +7,7 @@
 use std::rc::Rc;
 use std::time::Instant;
 
+use cactustrack_fleet::attempt_totals::Sender;
 use cactustrack_fleet::catalog::Catalog;
 use cactustrack_fleet::discovery::{Change, ListedUpstream, Revision, Topic};
 use cactustrack_fleet::message::{ConfigurationPart, Delta, Notice, PackedChanges, StoreView};
@@ -114,12 +115,7 @@
     /// Processes notices of another instance. Notices about upstreams that are not listed here are
     /// ignored, since those upstreams get no requests from this instance. Returns the number of
     /// ignored notices.
-    pub(crate) fn on_notices(
-        &mut self,
-        now: Instant,
-        from: &InstanceId,
-        notices: &[Notice],
-    ) -> usize {
+    pub(crate) fn on_notices(&mut self, now: Instant, from: &Sender, notices: &[Notice]) -> usize {
         let mut ignored = 0;
         for notice in notices {
             match self.catalog.get_by_short_id(notice.upstream) {
--- a/tests/all/sharing.rs
+++ b/tests/all/sharing.rs
@@ -1,6 +1,7 @@
 //! Load balancing, retry budget and admission control based on a view that the fleet shares.
 
 mod admission;
+mod attempt_totals;
 mod budget;
 mod budget_loss;
 mod catalog;
--- a/tests/all/sharing/budget.rs
+++ b/tests/all/sharing/budget.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use cactustrack_fleet::attempt_totals::AttemptTotals;
 use cactustrack_fleet::budget::{BudgetLimits, FleetCoverage, RetryBudget};
 
 const LIMITS: BudgetLimits =
@@ -56,7 +57,9 @@
         if number == own {
             budget.record_own(now, extra);
         } else if is_connected {
-            budget.record_fleet(now, extra);
+            let mut attempt = AttemptTotals::default();
+            attempt.add(extra);
+            budget.record_fleet(now, attempt);
         }
     }
 }
--- a/tests/all/sharing/budget_loss.rs
+++ b/tests/all/sharing/budget_loss.rs
@@ -3,6 +3,7 @@
 use std::collections::BinaryHeap;
 use std::time::{Duration, Instant};
 
+use cactustrack_fleet::attempt_totals::Sender;
 use cactustrack_fleet::budget::{BudgetLimits, FleetCoverage};
 use cactustrack_fleet::message::{
     Body, Datagram, FORMAT, Notice, Report, StoreView, short_instance_id,
@@ -250,6 +251,7 @@
                 leaving: false,
                 store: StoreView::default(),
                 failure_domain: "domain-a".into(),
+                totals: sender.view.next_totals(),
             },
         };
         let address = format!("10.0.0.{}:7540", from + 1).parse().expect("an address");
@@ -261,8 +263,9 @@
             if !receiver.peers.accept(now, address, &datagram) {
                 continue;
             }
-            let Body::Heartbeat { in_flight, .. } = &datagram.body else { continue };
-            receiver.view.on_heartbeat(now, &datagram.from, in_flight);
+            let Body::Heartbeat { in_flight, totals, .. } = &datagram.body else { continue };
+            let from = Sender { instance: datagram.from.clone(), incarnation: INCARNATION };
+            receiver.view.on_heartbeat(now, &from, in_flight, totals);
         }
     }
 
--- a/tests/all/sharing/hubs.rs
+++ b/tests/all/sharing/hubs.rs
@@ -38,6 +38,7 @@
             leaving: false,
             store: StoreView::default(),
             failure_domain: own(number).failure_domain,
+            totals: Vec::new(),
         },
     };
     let instance = |number: usize| {
--- a/tests/all/sharing/relay.rs
+++ b/tests/all/sharing/relay.rs
@@ -210,6 +210,7 @@
                     leaving: false,
                     store,
                     failure_domain: "domain-a".into(),
+                    totals: Vec::new(),
                 };
                 let address = format!("10.0.0.{other}:7540").parse().expect("an address");
                 peers.accept(now, address, &datagram(&name(other), 1, body));
@@ -237,8 +238,9 @@
     let heartbeat = |name: &str| {
         let store = StoreView { is_up: true, ..StoreView::default() };
         let failure_domain = name.rsplit_once('-').map_or("", |(domain, _)| domain).into();
-        let (in_flight, peers) = (Vec::new(), Vec::new());
-        let body = Body::Heartbeat { in_flight, peers, leaving: false, store, failure_domain };
+        let (in_flight, peers, totals) = (Vec::new(), Vec::new(), Vec::new());
+        let body =
+            Body::Heartbeat { in_flight, peers, leaving: false, store, failure_domain, totals };
         datagram(name, 1, body)
     };
     let relays = names.iter().filter(|own| {
