--- a/crates/fleet/src/budget.rs
+++ b/crates/fleet/src/budget.rs
@@ -3,6 +3,8 @@
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
+use crate::attempt_totals::AttemptTotals;
+
 /// Share of the budget that may be used. The rest covers attempts that other instances start at the
 /// same time and notices that are lost.
 const USABLE_SHARE: f64 = 0.8;
@@ -27,21 +29,49 @@
     pub uptime: Duration,
 }
 
+/// Usage of a retry budget as one instance knows it.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct BudgetUsage {
+    /// Requests in the window.
+    pub requests: u64,
+    /// Extra attempts in the window.
+    pub extras: u64,
+    /// Largest number of extra attempts that the instance may bring the window to.
+    pub limit: f64,
+}
+
+impl BudgetUsage {
+    /// Returns true if another extra attempt stays within the limit.
+    pub fn allows_another(&self) -> bool {
+        (self.extras + 1) as f64 <= self.limit
+    }
+}
+
 #[derive(Debug, Default)]
 struct WindowCounter {
-    events: VecDeque<Instant>,
+    /// Numbers of events by time.
+    events: VecDeque<(Instant, u32)>,
+    /// Sum of the numbers.
+    total: u64,
 }
 
 impl WindowCounter {
-    fn add(&mut self, now: Instant) {
-        self.events.push_back(now);
+    fn add(&mut self, now: Instant, count: u32) {
+        if count > 0 {
+            self.events.push_back((now, count));
+            self.total += u64::from(count);
+        }
     }
 
-    fn count(&mut self, now: Instant, window: Duration) -> usize {
-        while self.events.front().is_some_and(|at| now.saturating_duration_since(*at) > window) {
+    fn count(&mut self, now: Instant, window: Duration) -> u64 {
+        while let Some((at, count)) = self.events.front().copied() {
+            if now.saturating_duration_since(at) <= window {
+                break;
+            }
             self.events.pop_front();
+            self.total -= u64::from(count);
         }
-        self.events.len()
+        self.total
     }
 }
 
@@ -58,24 +88,31 @@
 impl RetryBudget {
     /// Counts an attempt of this instance.
     pub fn record_own(&mut self, now: Instant, extra: bool) {
-        let counter = if extra { &mut self.own_extras } else { &mut self.own_requests };
-        counter.add(now);
-        self.record_fleet(now, extra);
+        let mut attempt = AttemptTotals::default();
+        attempt.add(extra);
+        self.own_requests.add(now, attempt.first);
+        self.own_extras.add(now, attempt.extra);
+        self.record_fleet(now, attempt);
     }
 
-    /// Counts an attempt of another instance.
-    pub fn record_fleet(&mut self, now: Instant, extra: bool) {
-        let counter = if extra { &mut self.fleet_extras } else { &mut self.fleet_requests };
-        counter.add(now);
+    /// Counts attempts of another instance.
+    pub fn record_fleet(&mut self, now: Instant, attempts: AttemptTotals) {
+        self.fleet_requests.add(now, attempts.first);
+        self.fleet_extras.add(now, attempts.extra);
     }
 
-    /// Returns true if the budget allows another extra attempt.
+    /// Returns the usage and the limit of the budget.
     ///
     /// An instance that does not receive the notices of most of the fleet cannot count the attempts
     /// of the others, so it is limited to a share of its own requests. An instance that started
     /// less than one window ago cannot know the attempts before its start, so it does not use the
     /// slack.
-    pub fn allows(&mut self, now: Instant, limits: BudgetLimits, coverage: FleetCoverage) -> bool {
+    pub fn usage(
+        &mut self,
+        now: Instant,
+        limits: BudgetLimits,
+        coverage: FleetCoverage,
+    ) -> BudgetUsage {
         let (requests, extras) = if coverage.is_connected {
             let requests = self.fleet_requests.count(now, limits.window);
             (requests, self.fleet_extras.count(now, limits.window))
@@ -86,6 +123,6 @@
         let knows_window = coverage.is_connected && coverage.uptime >= limits.window;
         let slack = if knows_window { limits.slack } else { 0.0 };
         let limit = USABLE_SHARE * (limits.ratio * requests as f64 + slack);
-        (extras + 1) as f64 <= limit
+        BudgetUsage { requests, extras, limit }
     }
 }
--- a/tests/all/sharing/budget.rs
+++ b/tests/all/sharing/budget.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use cactustrack_fleet::attempt_totals::AttemptTotals;
 use cactustrack_fleet::budget::{BudgetLimits, FleetCoverage, RetryBudget};
 
 const LIMITS: BudgetLimits =
@@ -33,7 +34,7 @@
             record(&mut budgets, own, now, false, is_connected);
             requests.push(now);
             let coverage = FleetCoverage { is_connected, uptime: now - started };
-            if budgets[own].allows(now, LIMITS, coverage) {
+            if budgets[own].usage(now, LIMITS, coverage).allows_another() {
                 record(&mut budgets, own, now, true, is_connected);
                 extras.push(now);
             }
@@ -56,7 +57,9 @@
         if number == own {
             budget.record_own(now, extra);
         } else if is_connected {
-            budget.record_fleet(now, extra);
+            let mut attempt = AttemptTotals::default();
+            attempt.add(extra);
+            budget.record_fleet(now, attempt);
         }
     }
 }
--- a/tests/all/sharing/hubs.rs
+++ b/tests/all/sharing/hubs.rs
@@ -38,6 +38,7 @@
             leaving: false,
             store: StoreView::default(),
             failure_domain: own(number).failure_domain,
+            totals: Vec::new(),
         },
     };
     let instance = |number: usize| {
@@ -157,7 +158,7 @@
         let sender = short_instance_id(from, Incarnation(incarnation));
         let report = Report { from: sender, sequence, notices: Vec::new() };
         assert_eq!(
-            peers.accept_report(&report).is_some(),
+            peers.accept_report(&report).is_ok(),
             is_accepted,
             "{from} {incarnation} {sequence}"
         );
