Accept reports that a later one has overtaken in another hub

A report was ignored if a later report of its sender had come through a faster hub. That is right for the counts of requests in flight, which the later one replaces, but its observations about upstreams and its response times were lost with it.

Change: each of the last 128 sequence numbers of a sender is accepted once. The counts in flight of an overtaken report are ignored.

The case of an overtaken report used to expect that it is ignored; it now expects that it is accepted once and marked as overtaken, and the table checks the reason of each rejection. With the old rule put back, a_report_is_accepted_once fails; without the mark, an_overtaken_report_is_evidence_but_does_not_set_the_load fails.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod pending;
 pub mod placement;
 pub mod relay;
+mod report_window;
 pub mod split;
 pub mod suspicion;
 pub mod trial;
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -1,6 +1,5 @@
 //! Known peers (other instances of the fleet) and selection of relays and hubs among them.
 
-use std::cmp::Ordering;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -10,6 +9,7 @@
 
 use crate::attempt_totals::Sender;
 use crate::message::{Body, Datagram, Report, ShortId, StoreView, hash, short_instance_id};
+use crate::report_window::ReportWindow;
 
 /// Time without a datagram after which a peer is removed.
 const PEER_TIMEOUT: Duration = Duration::from_secs(4);
@@ -78,7 +78,7 @@
     /// The report with the notices was recorded before.
     #[display("duplicate")]
     Duplicate,
-    /// A later report of the sender was recorded before.
+    /// The report is so old that it is not known whether it was recorded before.
     #[display("out_of_order")]
     OutOfOrder,
     /// The upstream that the notice is about is not listed here.
@@ -86,6 +86,15 @@
     UnlistedUpstream,
 }
 
+/// A report that was accepted.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AcceptedReport {
+    /// The instance that sent it.
+    pub sender: Sender,
+    /// False if a later report of the sender was accepted before.
+    pub is_latest: bool,
+}
+
 /// Identity of this instance.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct LocalInstance {
@@ -101,8 +110,8 @@
     known: HashMap<InstanceId, Peer>,
     /// Addresses from which no datagram has been received, with the time at which they are dropped.
     unconfirmed: HashMap<SocketAddr, Instant>,
-    /// Sequence number of the last report of each peer that came through a hub.
-    last_reports: HashMap<ShortId, u64>,
+    /// Reports of each peer that came through hubs.
+    reports: HashMap<ShortId, ReportWindow>,
     /// Ids of the known peers by the short ids in reports.
     by_short_id: HashMap<ShortId, InstanceId>,
     /// Number of registered instances when they were last read, including this one.
@@ -171,7 +180,7 @@
         let Some(peer) = self.known.remove(name) else { return };
         let short = short_instance_id(name, peer.incarnation);
         self.by_short_id.remove(&short);
-        self.last_reports.remove(&short);
+        self.reports.remove(&short);
     }
 
     /// Returns the addresses of all peers, including unconfirmed ones.
@@ -216,22 +225,18 @@
         eligible.filter(|(name, _)| rank(name) < own_rank).count() < RELAYS
     }
 
-    /// Records a report that came through a hub and returns its sender.
+    /// Records a report that came through a hub.
     ///
     /// # Errors
     ///
-    /// Fails if this report or a later one was recorded before, or if the sender is not a known
-    /// peer. The report must then be ignored.
-    pub fn accept_report(&mut self, report: &Report) -> Result<Sender, NoticeError> {
+    /// Fails if this report was recorded before or is too old to know, or if the sender is not a
+    /// known peer. The report must then be ignored.
+    pub fn accept_report(&mut self, report: &Report) -> Result<AcceptedReport, NoticeError> {
         let name = self.by_short_id.get(&report.from).ok_or(NoticeError::UnknownSender)?;
-        let last = self.last_reports.entry(report.from).or_default();
-        match report.sequence.cmp(last) {
-            Ordering::Less => return Err(NoticeError::OutOfOrder),
-            Ordering::Equal => return Err(NoticeError::Duplicate),
-            Ordering::Greater => *last = report.sequence,
-        }
         let known = self.known.get(name).ok_or(NoticeError::UnknownSender)?;
-        Ok(Sender { instance: name.clone(), incarnation: known.incarnation })
+        let sender = Sender { instance: name.clone(), incarnation: known.incarnation };
+        let is_latest = self.reports.entry(report.from).or_default().accept(report.sequence)?;
+        Ok(AcceptedReport { sender, is_latest })
     }
 
     /// Returns the recipients of the notices of this instance. `rotation` is a counter by which the
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -13,6 +13,7 @@
     Event, InFlight, Notice, Observation, ShortId, short_service_id, short_upstream_id, to_ms,
 };
 use crate::observers::Observers;
+use crate::peers::AcceptedReport;
 use crate::pending::{OverdueAttempt, PendingAttempts};
 use crate::suspicion::{Suspicion, long_run_mean};
 
@@ -126,16 +127,20 @@
         Notice { upstream: short_upstream_id(upstream), in_flight, event }
     }
 
-    /// Applies a notice of another instance about an upstream of a service.
+    /// Applies a notice of another instance about an upstream of a service. An overtaken notice has
+    /// an outdated count of requests in flight, which is ignored.
     pub fn on_notice(
         &mut self,
         now: Instant,
-        from: &Sender,
+        report: &AcceptedReport,
         notice: &Notice,
         service: &ServiceId,
         upstream: &UpstreamId,
     ) {
-        self.load.set_peer(now, &from.instance, upstream, notice.in_flight);
+        let from = &report.sender;
+        if report.is_latest {
+            self.load.set_peer(now, &from.instance, upstream, notice.in_flight);
+        }
         match notice.event {
             Event::Started { extra, totals } => {
                 let service = short_service_id(service);
--- a/src/node/messenger.rs
+++ b/src/node/messenger.rs
@@ -14,7 +14,7 @@
 use cactustrack_fleet::message::{
     Body, Bundle, Datagram, FORMAT, MAX_DATAGRAM_BYTES, Notice, Report, short_instance_id,
 };
-use cactustrack_fleet::peers::{LocalInstance, NoticeError, NoticeRoute};
+use cactustrack_fleet::peers::{AcceptedReport, LocalInstance, NoticeError, NoticeRoute};
 use cactustrack_observe::Metrics;
 use cactustrack_types::Incarnation;
 use slog::Logger;
@@ -219,8 +219,8 @@
             // A hub also returns the reports of this instance to it.
             for report in reports.iter().filter(|report| report.from != own) {
                 match state.peers.accept_report(report) {
-                    Ok(from) => {
-                        let unlisted = state.on_notices(now, &from, &report.notices);
+                    Ok(accepted) => {
+                        let unlisted = state.on_notices(now, &accepted, &report.notices);
                         self.ignored.add(NoticeError::UnlistedUpstream, unlisted);
                     }
                     Err(error) => self.ignored.add(error, report.notices.len()),
@@ -372,7 +372,8 @@
         let from = Sender { instance, incarnation };
         match body {
             Body::Notices(notices) => {
-                let unlisted = state.on_notices(now, &from, &notices);
+                let report = AcceptedReport { sender: from.clone(), is_latest: true };
+                let unlisted = state.on_notices(now, &report, &notices);
                 self.ignored.add(NoticeError::UnlistedUpstream, unlisted);
                 // In a fleet with hubs, notices arrive here only because this instance is a hub.
                 if matches!(state.peers.route(now, &self.own, 0), NoticeRoute::All(_)) {
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -7,11 +7,10 @@
 use std::rc::Rc;
 use std::time::Instant;
 
-use cactustrack_fleet::attempt_totals::Sender;
 use cactustrack_fleet::catalog::Catalog;
 use cactustrack_fleet::discovery::{Change, ListedUpstream, Revision, Topic};
 use cactustrack_fleet::message::{ConfigurationPart, Delta, Notice, PackedChanges, StoreView};
-use cactustrack_fleet::peers::Peers;
+use cactustrack_fleet::peers::{AcceptedReport, Peers};
 use cactustrack_fleet::relay::{self, Assembly};
 use cactustrack_fleet::view::FleetView;
 use cactustrack_routing::route::RouteTable;
@@ -115,12 +114,17 @@
     /// Processes notices of another instance. Notices about upstreams that are not listed here are
     /// ignored, since those upstreams get no requests from this instance. Returns the number of
     /// ignored notices.
-    pub(crate) fn on_notices(&mut self, now: Instant, from: &Sender, notices: &[Notice]) -> usize {
+    pub(crate) fn on_notices(
+        &mut self,
+        now: Instant,
+        report: &AcceptedReport,
+        notices: &[Notice],
+    ) -> usize {
         let mut ignored = 0;
         for notice in notices {
             match self.catalog.get_by_short_id(notice.upstream) {
                 Some(upstream) => {
-                    self.view.on_notice(now, from, notice, &upstream.service, &upstream.id);
+                    self.view.on_notice(now, report, notice, &upstream.service, &upstream.id);
                 }
                 None => ignored += 1,
             }
--- a/tests/all/sharing/budget_loss.rs
+++ b/tests/all/sharing/budget_loss.rs
@@ -192,11 +192,11 @@
             }
             Event::Arrival { to, report } => {
                 let receiver = &mut self.instances[to];
-                let Ok(from) = receiver.peers.accept_report(&report) else { return };
+                let Ok(accepted) = receiver.peers.accept_report(&report) else { return };
                 for notice in &report.notices {
                     receiver.view.on_notice(
                         self.start + at,
-                        &from,
+                        &accepted,
                         notice,
                         &self.service,
                         &self.upstream,
--- a/tests/all/sharing/hubs.rs
+++ b/tests/all/sharing/hubs.rs
@@ -4,11 +4,13 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use cactustrack_fleet::attempt_totals::Sender;
 use cactustrack_fleet::message::{
     Body, Bundle, Datagram, Event, FORMAT, Notice, Observation, Report, StoreView,
-    short_instance_id,
+    short_instance_id, short_upstream_id,
 };
-use cactustrack_fleet::peers::{LocalInstance, NoticeRoute, Peers};
+use cactustrack_fleet::peers::{AcceptedReport, LocalInstance, NoticeError, NoticeRoute, Peers};
+use cactustrack_fleet::view::FleetView;
 use cactustrack_types::Incarnation;
 
 const DOMAINS: [&str; 3] = ["domain-a", "domain-b", "domain-c"];
@@ -128,9 +130,9 @@
     assert!((0..4).all(is_direct), "an instance that receives no datagrams is its own hub");
 }
 
-/// Guards against a report that counts twice because two hubs forward it, and against a report that
-/// is rejected because its sender was restarted. Reports of unknown instances and incarnations are
-/// not accepted.
+/// Guards against a report that counts twice because two hubs forward it, against one that is lost
+/// because a later one came through a faster hub, and against a report that is rejected because its
+/// sender was restarted. Reports of unknown instances and incarnations are not accepted.
 #[test]
 fn a_report_is_accepted_once() {
     let now = Instant::now();
@@ -140,31 +142,67 @@
         from: &'static str,
         incarnation: u64,
         sequence: u64,
-        is_accepted: bool,
+        /// Whether the report is the latest one, or the reason why it is ignored.
+        expected: Result<bool, NoticeError>,
     }
+    let case =
+        |from, incarnation, sequence, expected| Case { from, incarnation, sequence, expected };
+    use NoticeError::{Duplicate, OutOfOrder, UnknownSender};
     let cases = [
-        Case { from: "edge-1", incarnation: 1, sequence: 5, is_accepted: true },
-        Case { from: "edge-1", incarnation: 1, sequence: 5, is_accepted: false },
-        Case { from: "edge-1", incarnation: 1, sequence: 4, is_accepted: false },
-        Case { from: "edge-1", incarnation: 1, sequence: 6, is_accepted: true },
-        Case { from: "edge-2", incarnation: 1, sequence: 5, is_accepted: true },
+        case("edge-1", 1, 5, Ok(true)),
+        case("edge-1", 1, 5, Err(Duplicate)),
+        case("edge-1", 1, 4, Ok(false)),
+        case("edge-1", 1, 4, Err(Duplicate)),
+        case("edge-1", 1, 6, Ok(true)),
+        case("edge-1", 1, 5, Err(Duplicate)),
+        case("edge-1", 1, 100, Ok(true)),
+        case("edge-1", 1, 100, Err(Duplicate)),
+        case("edge-1", 1, 200, Ok(true)),
+        case("edge-1", 1, 100, Err(Duplicate)),
+        case("edge-1", 1, 73, Ok(false)),
+        case("edge-1", 1, 73, Err(Duplicate)),
+        // It is not known any more whether reports so far back were accepted.
+        case("edge-1", 1, 72, Err(OutOfOrder)),
+        case("edge-1", 1, 6, Err(OutOfOrder)),
+        case("edge-2", 1, 5, Ok(true)),
         // The instance or this incarnation of it is not known.
-        Case { from: "edge-1", incarnation: 2, sequence: 7, is_accepted: false },
-        Case { from: "edge-99", incarnation: 1, sequence: 1, is_accepted: false },
+        case("edge-1", 2, 7, Err(UnknownSender)),
+        case("edge-99", 1, 1, Err(UnknownSender)),
         // A report of this instance itself, sent back by a hub.
-        Case { from: "edge-0", incarnation: 1, sequence: 1, is_accepted: false },
+        case("edge-0", 1, 1, Err(UnknownSender)),
     ];
-    for Case { from, incarnation, sequence, is_accepted } in cases {
+    for Case { from, incarnation, sequence, expected } in cases {
         let sender = short_instance_id(from, Incarnation(incarnation));
         let report = Report { from: sender, sequence, notices: Vec::new() };
-        assert_eq!(
-            peers.accept_report(&report).is_ok(),
-            is_accepted,
-            "{from} {incarnation} {sequence}"
-        );
+        let accepted = peers.accept_report(&report).map(|accepted| accepted.is_latest);
+        assert_eq!(accepted, expected, "{from} {incarnation} {sequence}");
     }
 }
 
+/// Guards against evidence that is lost because its report was overtaken in a hub, and against a
+/// count of requests in flight that an overtaken report sets back.
+#[test]
+fn an_overtaken_report_is_evidence_but_does_not_set_the_load() {
+    let now = Instant::now();
+    let from = Sender { instance: "edge-1".into(), incarnation: Incarnation(1) };
+    let (service, upstream) = ("svc".into(), "up".into());
+    let notice = |in_flight, observed| {
+        let event = Event::Ended { observed, latency_ms: 5, had_free_slot: true };
+        Notice { upstream: short_upstream_id("up"), in_flight, event }
+    };
+    let mut view = FleetView::new("edge-0".into());
+    let mut apply = |notice, is_latest| {
+        let report = AcceptedReport { sender: from.clone(), is_latest };
+        view.on_notice(now, &report, &notice, &service, &upstream);
+        (view.load().in_flight("up"), view.fault_probability(now, "up").0)
+    };
+    let (in_flight, before) = apply(notice(3, None), true);
+    assert_eq!(in_flight, 3);
+    let (in_flight, after) = apply(notice(2, Some(Observation::Broken)), false);
+    assert_eq!(in_flight, 3, "the later count stays");
+    assert!(after > before + 0.2, "{before} {after}");
+}
+
 /// Guards against a hub whose link is saturated, which delays its notices and requests. The users'
 /// benchmark failed (DRAIN) with two hubs for 42 instances on links of 10 Mbit/s.
 #[test]
--- a/tests/all/sharing/pending.rs
+++ b/tests/all/sharing/pending.rs
@@ -4,6 +4,7 @@
 
 use cactustrack_fleet::attempt_totals::Sender;
 use cactustrack_fleet::message::{Event, Notice, Observation, short_upstream_id};
+use cactustrack_fleet::peers::AcceptedReport;
 use cactustrack_fleet::pending::{OverdueAttempt, PendingAttempts};
 use cactustrack_fleet::view::{AttemptEnd, FleetView};
 use cactustrack_types::{Incarnation, ServiceId, UpstreamId};
@@ -86,7 +87,8 @@
     let (after_one, _) = view.fault_probability(at, "up");
     assert!(after_one > 0.5, "{after_one}");
     let from = Sender { instance: "edge-1".into(), incarnation: Incarnation(1) };
-    view.on_notice(at, &from, &expected, &service, &upstream);
+    let report = AcceptedReport { sender: from, is_latest: true };
+    view.on_notice(at, &report, &expected, &service, &upstream);
     let (after_two, _) = view.fault_probability(at, "up");
     assert!(after_two > 0.9, "{after_two}");
     // The end of the attempt is no further evidence.
--- a/tests/all/sharing/suspicion.rs
+++ b/tests/all/sharing/suspicion.rs
@@ -4,6 +4,7 @@
 
 use cactustrack_fleet::attempt_totals::Sender;
 use cactustrack_fleet::message::{Event, Notice, Observation, short_upstream_id};
+use cactustrack_fleet::peers::AcceptedReport;
 use cactustrack_fleet::suspicion::{Suspicion, long_run_mean};
 use cactustrack_fleet::view::FleetView;
 use cactustrack_types::{Incarnation, UpstreamId};
@@ -14,7 +15,8 @@
     let event = Event::Ended { observed: Some(observed), latency_ms, had_free_slot: true };
     let notice = Notice { upstream: short_upstream_id(upstream), in_flight: 0, event };
     let from = Sender { instance: from.into(), incarnation: Incarnation(1) };
-    view.on_notice(at, &from, &notice, &"svc".into(), &upstream.into());
+    let report = AcceptedReport { sender: from, is_latest: true };
+    view.on_notice(at, &report, &notice, &"svc".into(), &upstream.into());
 }
 
 /// Guards against suspicion that comes too late, that a single error of a healthy upstream causes,
