Use the slack of the retry budget in proportion to the fleet that is heard

An instance that hears half of the fleet used the whole slack, so two halves of a partitioned fleet used it twice.

Change: the slack is multiplied by the share of the registered instances that are heard. The parts of a partition use it once together.

--- a/crates/fleet/src/budget.rs
+++ b/crates/fleet/src/budget.rs
@@ -21,14 +21,21 @@
 }
 
 /// Extent to which this instance has observed the attempts of the fleet.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct FleetCoverage {
-    /// True if the instance receives datagrams from most of the fleet.
-    pub is_connected: bool,
+    /// Share of the instances from which this instance receives datagrams, including itself.
+    pub heard_share: f64,
     /// Time since the instance started.
     pub uptime: Duration,
 }
 
+impl FleetCoverage {
+    /// Returns true if the instance receives datagrams from at least half of the fleet.
+    fn is_connected(self) -> bool {
+        self.heard_share >= 0.5
+    }
+}
+
 /// Usage of a retry budget as one instance knows it.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct BudgetUsage {
@@ -106,22 +113,23 @@
     /// An instance that does not receive the notices of most of the fleet cannot count the attempts
     /// of the others, so it is limited to a share of its own requests. An instance that started
     /// less than one window ago cannot know the attempts before its start, so it does not use the
-    /// slack.
+    /// slack. Others use the slack in proportion to the part of the fleet that they hear, so the
+    /// parts of a partitioned fleet use it once together.
     pub fn usage(
         &mut self,
         now: Instant,
         limits: BudgetLimits,
         coverage: FleetCoverage,
     ) -> BudgetUsage {
-        let (requests, extras) = if coverage.is_connected {
+        let (requests, extras) = if coverage.is_connected() {
             let requests = self.fleet_requests.count(now, limits.window);
             (requests, self.fleet_extras.count(now, limits.window))
         } else {
             let requests = self.own_requests.count(now, limits.window);
             (requests, self.own_extras.count(now, limits.window))
         };
-        let knows_window = coverage.is_connected && coverage.uptime >= limits.window;
-        let slack = if knows_window { limits.slack } else { 0.0 };
+        let knows_window = coverage.is_connected() && coverage.uptime >= limits.window;
+        let slack = if knows_window { limits.slack * coverage.heard_share } else { 0.0 };
         let limit = USABLE_SHARE * (limits.ratio * requests as f64 + slack);
         BudgetUsage { requests, extras, limit }
     }
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -318,10 +318,13 @@
         (self.known.len() + 1).max(self.registered)
     }
 
-    /// Returns true if the known peers and this instance are at least half of the fleet. Returns
-    /// false until the number of registered instances has been read.
-    pub fn is_connected(&self) -> bool {
-        self.registered > 0 && (self.known.len() + 1) * 2 >= self.registered
+    /// Returns the share of the registered instances that are known peers or this instance, zero
+    /// until the number of registered instances has been read.
+    pub fn heard_share(&self) -> f64 {
+        if self.registered == 0 {
+            return 0.0;
+        }
+        ((self.known.len() + 1) as f64 / self.registered as f64).min(1.0)
     }
 }
 
--- a/src/node/policy.rs
+++ b/src/node/policy.rs
@@ -140,7 +140,7 @@
     ) -> ExtraDecision {
         let mut state = self.state.borrow_mut();
         let coverage = FleetCoverage {
-            is_connected: state.peers.is_connected(),
+            heard_share: state.peers.heard_share(),
             uptime: now.saturating_duration_since(state.started),
         };
         let is_hedge = extra == ExtraAttempt::Hedge;
--- a/tests/all/sharing/budget_loss.rs
+++ b/tests/all/sharing/budget_loss.rs
@@ -178,7 +178,7 @@
                 let now = self.start + at;
                 let view = &mut self.instances[instance].view;
                 let mut notices = vec![view.finish(now, &self.service, &self.upstream, end)];
-                let coverage = FleetCoverage { is_connected: true, uptime: 2 * LIMITS.window };
+                let coverage = FleetCoverage { heard_share: 1.0, uptime: 2 * LIMITS.window };
                 let usage = view.budget_usage(now, &self.service, LIMITS, coverage, false);
                 if !is_extra && usage.allows_another() {
                     self.extras.push(at);
