Close upstream connections whose bytes become no response

Callers of an instance got no answer at all, whichever upstream they needed, while one upstream sent informational responses or the digits of a chunk size without end. The deadline of the request did not end it either.

Cause: hyper reads informational responses and the digits of a chunk size in a loop that ends only when a read has to wait. From an upstream that sends fast enough it never does, so the event loop ran for one connection alone.

Change: at most 256 KiB may arrive up to the end of a response head, and a body has to have a frame in 128 reads. The connection fails otherwise, which fails the attempt like a broken one.

Result: proxy::endless hung before in the cases of informational responses and of the chunk size until the test's caller gave up after 60 s, and passes after in less than a second. Endless bytes without HTTP, empty lines, status lines and headers were rejected before, too; chunk extensions and trailers were not tried before the change.

--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -133,7 +133,9 @@
         attempt.on_connection(connection.reused);
         // Opening the connection took some of the remaining time.
         dialect.prepare_attempt(req.headers_mut(), attempt.target(), time_until(deadline));
-        let Some(tx) = connection.tx() else { return Err(Failure::unsent(Cause::Connect)) };
+        let Some(tx) = connection.start_exchange() else {
+            return Err(Failure::unsent(Cause::Connect));
+        };
         let sending = tx.try_send_request(req);
         let wait = match reuse {
             Reuse::Idle { silence_timeout: Some(wait) } if connection.reused => {
@@ -144,6 +146,7 @@
         let result = compio::time::timeout(wait, sending).await;
         match result {
             Ok(Ok(res)) => {
+                connection.on_progress();
                 let (head, body) = res.into_parts();
                 attempt.on_head(&head.headers);
                 // The end of the body is uncertain if the response has two lengths or if its final
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -14,6 +14,7 @@
 mod non_idempotent;
 mod policy;
 mod pool;
+mod read_limit;
 mod reject;
 mod relay;
 mod request;
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -12,10 +12,10 @@
 use cactustrack_types::{Incarnation, UpstreamId};
 use compio::net::TcpStream;
 use compio::runtime::JoinHandle;
-use cyper_core::HyperStream;
 use derive_more::{Display, Error};
 use hyper::client::conn::http1::{self, SendRequest};
 
+use crate::read_limit::{LimitedStream, ReadLimit};
 use crate::{RequestBody, Target, enable_dead_peer_detection};
 
 /// Limits of the pool.
@@ -87,6 +87,7 @@
 
 struct ConnectionParts {
     tx: SendRequest<RequestBody>,
+    read_limit: ReadLimit,
     // Dropping the handle cancels the task, which closes the socket.
     _driver: JoinHandle<()>,
 }
@@ -210,16 +211,18 @@
         // Nagle's algorithm would delay a small request until earlier data is acknowledged.
         let _ = stream.set_nodelay(true);
         enable_dead_peer_detection(&stream).map_err(|_| ConnectError::Refused)?;
+        let read_limit = ReadLimit::new();
+        let stream = LimitedStream::new(stream, read_limit.clone());
         let (tx, connection) = http1::Builder::new()
             .max_buf_size(self.limits.buffer_bytes.max(8192))
-            .handshake::<_, RequestBody>(HyperStream::new_plain(stream))
+            .handshake::<_, RequestBody>(stream)
             .await
             .map_err(|_| ConnectError::Refused)?;
         let driver = compio::runtime::spawn(async move {
             // An error of the connection also fails the exchange on it, which reports it.
             let _ = connection.await;
         });
-        Ok(ConnectionParts { tx, _driver: driver })
+        Ok(ConnectionParts { tx, read_limit, _driver: driver })
     }
 }
 
@@ -262,9 +265,19 @@
         Self { parts: Some(parts), slot, reused }
     }
 
-    /// Returns the handle that sends requests on the connection.
-    pub(crate) fn tx(&mut self) -> Option<&mut SendRequest<RequestBody>> {
-        self.parts.as_mut().map(|parts| &mut parts.tx)
+    /// Returns the handle that sends a request on the connection, and limits the bytes that may
+    /// arrive before the response head.
+    pub(crate) fn start_exchange(&mut self) -> Option<&mut SendRequest<RequestBody>> {
+        let parts = self.parts.as_mut()?;
+        parts.read_limit.on_request();
+        Some(&mut parts.tx)
+    }
+
+    /// Records that the response head or a frame of the body has arrived.
+    pub(crate) fn on_progress(&self) {
+        if let Some(parts) = &self.parts {
+            parts.read_limit.on_progress();
+        }
     }
 
     /// Returns the connection to the pool after a completed exchange, unless it was closed.
@@ -273,6 +286,7 @@
         if parts.tx.is_closed() {
             return;
         }
+        parts.read_limit.on_end();
         self.slot.held = false;
         let mut entries = self.slot.entries.borrow_mut();
         let entry = entries.entry(self.slot.key.clone()).or_default();
--- /dev/null
+++ b/crates/proxy/src/read_limit.rs
@@ -0,0 +1,143 @@
+//! Limit on what an upstream may send without a response head or a part of the body.
+//!
+//! hyper bounds a single head, but reads any number of informational ones, and a chunk size of any
+//! length. An upstream that sends them without end would keep the event loop busy with one
+//! connection, since reading from it never has to wait.
+
+use std::cell::Cell;
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll, ready};
+
+use compio::net::TcpStream;
+use cyper_core::HyperStream;
+use derive_more::{Display, Error};
+use hyper::rt::{Read, ReadBuf, ReadBufCursor, Write};
+
+/// Maximum number of bytes up to the end of the response head, including informational responses. A
+/// single head is limited by the buffer of the connection, which is smaller.
+const MAX_HEAD_BYTES: usize = 256 * 1024;
+
+/// Largest read while a head is awaited, in bytes. Most heads are shorter.
+const HEAD_READ_BYTES: usize = 4 * 1024;
+
+/// Maximum number of reads without a frame of the body. A read usually completes a frame; the size
+/// of a chunk and its extensions may arrive in several small pieces.
+const MAX_READS_WITHOUT_FRAME: usize = 128;
+
+/// The upstream has sent bytes that become neither a response head nor a part of the body.
+#[derive(Clone, Copy, Debug, Display, Error)]
+#[display("the upstream sends bytes that are no response")]
+struct NoProgress;
+
+/// What an upstream is expected to send next.
+#[derive(Clone, Copy, Debug)]
+enum Phase {
+    /// Nothing: no request is in progress. hyper itself closes the connection if bytes arrive.
+    Idle,
+    /// The response head, within this number of bytes.
+    Head { bytes_left: usize },
+    /// The next frame of the body, within this number of reads.
+    Body { reads_left: usize },
+}
+
+/// Limit of one connection. Clones share it.
+#[derive(Clone, Debug)]
+pub(crate) struct ReadLimit(Rc<Cell<Phase>>);
+
+impl ReadLimit {
+    /// Creates a limit for a connection on which no request was sent.
+    pub(crate) fn new() -> Self {
+        Self(Rc::new(Cell::new(Phase::Idle)))
+    }
+
+    /// Records that a request is sent.
+    pub(crate) fn on_request(&self) {
+        self.0.set(Phase::Head { bytes_left: MAX_HEAD_BYTES });
+    }
+
+    /// Records that the response head or a frame of the body has arrived.
+    pub(crate) fn on_progress(&self) {
+        self.0.set(Phase::Body { reads_left: MAX_READS_WITHOUT_FRAME });
+    }
+
+    /// Records that the response is complete.
+    pub(crate) fn on_end(&self) {
+        self.0.set(Phase::Idle);
+    }
+}
+
+/// A connection to an upstream whose reads fail once the limit is exhausted.
+pub(crate) struct LimitedStream {
+    inner: HyperStream<TcpStream>,
+    limit: ReadLimit,
+}
+
+impl LimitedStream {
+    /// Wraps `stream`.
+    pub(crate) fn new(stream: TcpStream, limit: ReadLimit) -> Self {
+        Self { inner: HyperStream::new_plain(stream), limit }
+    }
+}
+
+impl Read for LimitedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        mut buf: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        let bytes_left = match self.limit.0.get() {
+            Phase::Idle => return Pin::new(&mut self.inner).poll_read(cx, buf),
+            Phase::Head { bytes_left: 0 } | Phase::Body { reads_left: 0 } => {
+                let error = io::Error::new(io::ErrorKind::InvalidData, NoProgress);
+                return Poll::Ready(Err(error));
+            }
+            Phase::Body { reads_left } => {
+                ready!(Pin::new(&mut self.inner).poll_read(cx, buf))?;
+                self.limit.0.set(Phase::Body { reads_left: reads_left - 1 });
+                return Poll::Ready(Ok(()));
+            }
+            Phase::Head { bytes_left } => bytes_left,
+        };
+        // Only a buffer of its own shows how many bytes the read adds.
+        let mut bytes = [0; HEAD_READ_BYTES];
+        let size = buf.remaining().min(bytes.len());
+        let mut read = ReadBuf::new(&mut bytes[..size]);
+        ready!(Pin::new(&mut self.inner).poll_read(cx, read.unfilled()))?;
+        let bytes_left = bytes_left.saturating_sub(read.filled().len());
+        self.limit.0.set(Phase::Head { bytes_left });
+        buf.put_slice(read.filled());
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl Write for LimitedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.inner).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_shutdown(cx)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.inner.is_write_vectored()
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.inner).poll_write_vectored(cx, bufs)
+    }
+}
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -10,7 +10,6 @@
 use futures::{FutureExt, SinkExt};
 use http_body::{Body, Frame};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 
 use crate::ResponseBody;
 use crate::body::BodyAborted;
@@ -80,9 +79,9 @@
     let service = response.attempt.target().service.clone();
     let mut offset = 0;
     loop {
-        match forward_frames(&mut response.body, first.take(), &mut tx, &mut caller, &mut offset)
-            .await
-        {
+        let forwarding =
+            forward_frames(&mut response, first.take(), &mut tx, &mut caller, &mut offset);
+        match forwarding.await {
             BodyEnd::Complete => return complete(response),
             BodyEnd::CallerDisconnected => return,
             BodyEnd::Truncated => {}
@@ -106,12 +105,13 @@
 }
 
 async fn forward_frames(
-    body: &mut Incoming,
+    response: &mut UpstreamResponse,
     mut first: Option<FrameResult>,
     tx: &mut FrameTx,
     caller: &mut oneshot::Receiver<()>,
     offset: &mut u64,
 ) -> BodyEnd {
+    let UpstreamResponse { body, connection, .. } = response;
     loop {
         let frame = if let Some(read) = first.take() {
             Some(Ok(read))
@@ -134,6 +134,7 @@
         };
         match frame {
             Ok(Some(Ok(frame))) => {
+                connection.on_progress();
                 *offset += frame.data_ref().map_or(0, |data| data.len() as u64);
                 if tx.send(Ok(frame)).await.is_err() && !body.is_end_stream() {
                     return BodyEnd::CallerDisconnected;
--- a/tests/all/proxy.rs
+++ b/tests/all/proxy.rs
@@ -3,6 +3,7 @@
 mod at_most_once;
 mod bad_input;
 mod bodies;
+mod endless;
 mod fakes;
 mod forwarding;
 mod framing;
