Add a failing test: freezes, cuts and lost notices extend the retry budget

Plays 40 random schedules of cuts, freezes, restarts, losses, delays, store outages and bursts with twelve instances in one process, at a service whose upstreams reject every attempt, and counts the extra attempts as they arrive at upstreams.

--- a/tests/all/sharing.rs
+++ b/tests/all/sharing.rs
@@ -4,6 +4,7 @@
 mod attempt_totals;
 mod budget;
 mod budget_loss;
+mod budget_schedules;
 mod catalog;
 mod hubs;
 mod load;
--- /dev/null
+++ b/tests/all/sharing/budget_schedules.rs
@@ -0,0 +1,493 @@
+//! Retry budget of a fleet under random schedules of faults.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use cactustrack_fleet::attempt_totals::{Sender, ServiceTotals};
+use cactustrack_fleet::budget::{BudgetLimits, FleetCoverage};
+use cactustrack_fleet::message::{Body, Datagram, FORMAT, InFlight, Notice, StoreView};
+use cactustrack_fleet::peers::{AcceptedReport, Peers};
+use cactustrack_fleet::view::{AttemptEnd, FleetView};
+use cactustrack_types::{Incarnation, InstanceId, ServiceId, UpstreamId};
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+
+const LIMITS: BudgetLimits =
+    BudgetLimits { ratio: 0.2, window: Duration::from_secs(10), slack: 60.0 };
+
+const INSTANCES: usize = 12;
+
+/// Requests of the fleet per second without a burst.
+const REQUESTS_PER_SECOND: f64 = 150.0;
+
+/// Step of the simulated time.
+const TICK: Duration = Duration::from_millis(5);
+
+/// Duration of a schedule.
+const DURATION: Duration = Duration::from_secs(45);
+
+/// Interval of heartbeats.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Intervals of the reads of the registered instances: the first ones after a start, and all later
+/// ones.
+const FIRST_READS: [Duration; 3] =
+    [Duration::from_secs(1), Duration::from_secs(3), Duration::from_secs(6)];
+const READ_INTERVAL: Duration = Duration::from_secs(12);
+
+/// Time after which the registration of a stopped instance expires.
+const REGISTRATION_TTL: Duration = Duration::from_secs(15);
+
+/// Time until an upstream that sheds has rejected an attempt.
+const REJECTED_AFTER: Duration = Duration::from_millis(8);
+
+/// Largest number of upstreams to which one request is sent.
+const MAX_ATTEMPTS: u32 = 3;
+
+/// Number of schedules that are played.
+const SEEDS: u64 = 40;
+
+/// What happens to a part of the fleet, or to all of it.
+#[derive(Clone, Copy, Debug)]
+enum FaultKind {
+    /// The instances neither send nor receive datagrams of the others.
+    Cut,
+    /// The processes stand still. Their sockets accept requests and datagrams.
+    Freeze,
+    /// The processes are killed, and start again at the end of the fault.
+    Restart,
+    /// A share of all datagrams is lost.
+    Loss(f64),
+    /// Datagrams are delayed by up to this time.
+    Delay(Duration),
+    /// The store does not answer.
+    StoreDown,
+    /// The rate of requests is multiplied.
+    Burst(f64),
+    /// Attempts take up to this time to arrive at an upstream.
+    SlowArrivals(Duration),
+}
+
+#[derive(Clone, Debug)]
+struct Fault {
+    kind: FaultKind,
+    from: Duration,
+    until: Duration,
+    /// The instances that it affects.
+    members: Vec<bool>,
+}
+
+impl Fault {
+    fn random(rng: &mut SmallRng) -> Self {
+        let kind = match rng.random_range(0..8) {
+            0 => FaultKind::Cut,
+            1 => FaultKind::Freeze,
+            2 => FaultKind::Restart,
+            3 => FaultKind::Loss(rng.random_range(0.1..1.0)),
+            4 => FaultKind::Delay(Duration::from_millis(rng.random_range(50..2_000))),
+            5 => FaultKind::StoreDown,
+            6 => FaultKind::Burst(rng.random_range(0.1..3.0)),
+            _ => FaultKind::SlowArrivals(Duration::from_millis(rng.random_range(10..450))),
+        };
+        let from = Duration::from_secs_f64(rng.random_range(8.0..40.0));
+        let until = from + Duration::from_secs_f64(rng.random_range(0.5..12.0));
+        let share = rng.random_range(0.2..1.0);
+        let members = (0..INSTANCES).map(|_| rng.random::<f64>() < share).collect();
+        Self { kind, from, until, members }
+    }
+
+    fn is_active(&self, at: Duration) -> bool {
+        self.from <= at && at < self.until
+    }
+}
+
+/// One process of the fleet.
+struct Instance {
+    name: InstanceId,
+    incarnation: Incarnation,
+    view: FleetView,
+    peers: Peers,
+    started: Duration,
+    sequence: u64,
+    is_running: bool,
+    is_frozen: bool,
+    /// What arrived while the process stood still.
+    backlog: Vec<Event>,
+    next_heartbeat: Duration,
+    next_read: usize,
+}
+
+impl Instance {
+    fn new(name: InstanceId, incarnation: u64, started: Duration) -> Self {
+        Self {
+            view: FleetView::new(name.clone()),
+            name,
+            incarnation: Incarnation(incarnation),
+            peers: Peers::default(),
+            started,
+            sequence: 0,
+            is_running: true,
+            is_frozen: false,
+            backlog: Vec::new(),
+            next_heartbeat: started,
+            next_read: 0,
+        }
+    }
+
+    fn read_is_due(&self, at: Duration) -> bool {
+        let uptime = at.saturating_sub(self.started);
+        let later = self.next_read.saturating_sub(FIRST_READS.len()) as u32 + 1;
+        let due = FIRST_READS.get(self.next_read).copied();
+        uptime >= due.unwrap_or(FIRST_READS[2] + READ_INTERVAL * later)
+    }
+}
+
+/// An event at an instance.
+#[derive(Clone)]
+enum Event {
+    Request,
+    /// An upstream rejects an attempt of a request after so many attempts.
+    Rejected {
+        attempts: u32,
+        incarnation: Incarnation,
+    },
+    Notices {
+        from: Sender,
+        notices: Vec<Notice>,
+    },
+    Heartbeat(Datagram),
+}
+
+/// A fleet at a service whose upstreams reject every attempt, so that each request needs as many
+/// extra attempts as the budget allows.
+struct Simulation {
+    start: Instant,
+    rng: SmallRng,
+    faults: Vec<Fault>,
+    instances: Vec<Instance>,
+    /// When the registration of each instance was last renewed.
+    renewed: Vec<Duration>,
+    queue: BTreeMap<(Duration, u64), (usize, Event)>,
+    scheduled: u64,
+    service: ServiceId,
+    upstream: UpstreamId,
+    /// Times at which callers sent requests.
+    requests: Vec<Duration>,
+    /// Times at which extra attempts arrived at an upstream.
+    arrivals: Vec<Duration>,
+}
+
+impl Simulation {
+    fn new(seed: u64) -> Self {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let count = rng.random_range(2..7);
+        let faults = (0..count).map(|_| Fault::random(&mut rng)).collect();
+        let new = |number| Instance::new(format!("edge-{number}").into(), 1, Duration::ZERO);
+        Self {
+            start: Instant::now(),
+            rng,
+            faults,
+            instances: (0..INSTANCES).map(new).collect(),
+            renewed: vec![Duration::ZERO; INSTANCES],
+            queue: BTreeMap::new(),
+            scheduled: 0,
+            service: "orders".into(),
+            upstream: "up-0".into(),
+            requests: Vec::new(),
+            arrivals: Vec::new(),
+        }
+    }
+
+    fn run(&mut self) {
+        let mut at = Duration::ZERO;
+        while at < DURATION {
+            self.apply_faults(at);
+            self.send_requests(at);
+            self.deliver(at);
+            for number in 0..INSTANCES {
+                self.tick(at, number);
+            }
+            at += TICK;
+        }
+    }
+
+    fn active(&self, at: Duration) -> impl Iterator<Item = &Fault> {
+        self.faults.iter().filter(move |fault| fault.is_active(at))
+    }
+
+    fn affects(&self, at: Duration, number: usize, is_kind: fn(FaultKind) -> bool) -> bool {
+        self.active(at).any(|fault| is_kind(fault.kind) && fault.members[number])
+    }
+
+    fn is_store_down(&self, at: Duration) -> bool {
+        self.active(at).any(|fault| matches!(fault.kind, FaultKind::StoreDown))
+    }
+
+    fn apply_faults(&mut self, at: Duration) {
+        for number in 0..INSTANCES {
+            let is_killed = self.affects(at, number, |kind| matches!(kind, FaultKind::Restart));
+            let is_frozen = self.affects(at, number, |kind| matches!(kind, FaultKind::Freeze));
+            let instance = &mut self.instances[number];
+            if is_killed {
+                instance.is_running = false;
+                instance.backlog.clear();
+            } else if !instance.is_running {
+                let incarnation = instance.incarnation.0 + 1;
+                *instance = Instance::new(instance.name.clone(), incarnation, at);
+            }
+            let instance = &mut self.instances[number];
+            let thaws = instance.is_frozen && !is_frozen;
+            instance.is_frozen = is_frozen;
+            if thaws {
+                for event in std::mem::take(&mut instance.backlog) {
+                    self.on_event(at, number, event);
+                }
+            }
+        }
+    }
+
+    fn send_requests(&mut self, at: Duration) {
+        let burst = |fault: &Fault| match fault.kind {
+            FaultKind::Burst(factor) => factor,
+            _ => 1.0,
+        };
+        let rate = REQUESTS_PER_SECOND * self.active(at).map(burst).product::<f64>();
+        let mut expected = rate * TICK.as_secs_f64();
+        while self.rng.random::<f64>() < expected {
+            expected -= 1.0;
+            let number = self.rng.random_range(0..INSTANCES);
+            self.requests.push(at);
+            self.schedule(at, number, Event::Request);
+        }
+    }
+
+    fn schedule(&mut self, at: Duration, number: usize, event: Event) {
+        self.scheduled += 1;
+        self.queue.insert((at, self.scheduled), (number, event));
+    }
+
+    fn deliver(&mut self, at: Duration) {
+        while let Some(entry) = self.queue.first_entry() {
+            if entry.key().0 > at {
+                return;
+            }
+            let (number, event) = entry.remove();
+            let instance = &mut self.instances[number];
+            if !instance.is_running {
+                continue;
+            }
+            if instance.is_frozen {
+                instance.backlog.push(event);
+                continue;
+            }
+            self.on_event(at, number, event);
+        }
+    }
+
+    fn on_event(&mut self, at: Duration, number: usize, event: Event) {
+        let now = self.start + at;
+        match event {
+            Event::Request => self.start_attempt(at, number, 1),
+            Event::Rejected { attempts, incarnation } => {
+                if incarnation == self.instances[number].incarnation {
+                    self.on_rejection(at, number, attempts);
+                }
+            }
+            Event::Notices { from, notices } => {
+                let report = AcceptedReport { sender: from, is_latest: true };
+                let view = &mut self.instances[number].view;
+                for notice in &notices {
+                    view.on_notice(now, &report, notice, &self.service, &self.upstream);
+                }
+            }
+            Event::Heartbeat(datagram) => self.on_heartbeat(now, number, &datagram),
+        }
+    }
+
+    fn on_rejection(&mut self, at: Duration, number: usize, attempts: u32) {
+        let now = self.start + at;
+        let instance = &mut self.instances[number];
+        let end = AttemptEnd {
+            observed: None,
+            latency: REJECTED_AFTER,
+            had_free_slot: false,
+            has_head: true,
+        };
+        let notice = instance.view.finish(now, &self.service, &self.upstream, end);
+        let coverage = FleetCoverage {
+            heard_share: instance.peers.heard_share(),
+            uptime: at.saturating_sub(instance.started),
+        };
+        let usage = instance.view.budget_usage(now, &self.service, LIMITS, coverage, false);
+        self.send(at, number, vec![notice]);
+        if attempts < MAX_ATTEMPTS && usage.allows_another() {
+            self.start_attempt(at, number, attempts + 1);
+        }
+    }
+
+    fn start_attempt(&mut self, at: Duration, number: usize, attempts: u32) {
+        let is_extra = attempts > 1;
+        let instance = &mut self.instances[number];
+        let incarnation = instance.incarnation;
+        let (service, upstream) = (&self.service, &self.upstream);
+        let notice = instance.view.start(self.start + at, service, upstream, is_extra);
+        self.send(at, number, vec![notice]);
+        let arrival = at
+            + self.random_delay(at, 1, |kind| match kind {
+                FaultKind::SlowArrivals(delay) => Some(delay),
+                _ => None,
+            });
+        if is_extra {
+            self.arrivals.push(arrival);
+        }
+        self.schedule(arrival + REJECTED_AFTER, number, Event::Rejected { attempts, incarnation });
+    }
+
+    /// Returns a random delay of at least `min_ms`, with the largest addition of the active faults.
+    fn random_delay(
+        &mut self,
+        at: Duration,
+        min_ms: u64,
+        addition: fn(FaultKind) -> Option<Duration>,
+    ) -> Duration {
+        let longest = self.active(at).filter_map(|fault| addition(fault.kind)).max();
+        let longest = longest.unwrap_or_default();
+        Duration::from_millis(min_ms) + longest.mul_f64(self.rng.random())
+    }
+
+    fn send(&mut self, at: Duration, number: usize, notices: Vec<Notice>) {
+        let sender = &self.instances[number];
+        let from = Sender { instance: sender.name.clone(), incarnation: sender.incarnation };
+        self.send_to_others(at, number, &Event::Notices { from, notices });
+    }
+
+    fn send_to_others(&mut self, at: Duration, number: usize, event: &Event) {
+        let is_cut = |kind| matches!(kind, FaultKind::Cut);
+        let loss = |fault: &Fault| match fault.kind {
+            FaultKind::Loss(share) => share,
+            _ => 0.0,
+        };
+        let loss = self.active(at).map(loss).fold(0.0, f64::max);
+        for other in (0..INSTANCES).filter(|other| *other != number) {
+            let is_lost = self.rng.random::<f64>() < loss;
+            if is_lost || self.affects(at, number, is_cut) != self.affects(at, other, is_cut) {
+                continue;
+            }
+            let delay = self.random_delay(at, 6, |kind| match kind {
+                FaultKind::Delay(delay) => Some(delay),
+                _ => None,
+            });
+            self.schedule(at + delay, other, event.clone());
+        }
+    }
+
+    fn on_heartbeat(&mut self, now: Instant, number: usize, datagram: &Datagram) {
+        let instance = &mut self.instances[number];
+        let address = address_of(&datagram.from);
+        if !instance.peers.accept(now, address, datagram) {
+            return;
+        }
+        let Body::Heartbeat { in_flight, totals, .. } = &datagram.body else { return };
+        let from = Sender { instance: datagram.from.clone(), incarnation: datagram.incarnation };
+        instance.view.on_heartbeat(now, &from, in_flight, totals);
+    }
+
+    /// Sends a heartbeat, expires peers, and reads the registered instances, if these are due.
+    fn tick(&mut self, at: Duration, number: usize) {
+        let is_store_up = !self.is_store_down(at);
+        let instance = &self.instances[number];
+        if !instance.is_running || instance.is_frozen {
+            return;
+        }
+        if is_store_up {
+            self.renewed[number] = at;
+        }
+        if at >= self.instances[number].next_heartbeat {
+            self.send_heartbeat(at, number);
+        }
+        if self.instances[number].read_is_due(at) && is_store_up {
+            let is_registered =
+                |at_last: &&Duration| at.saturating_sub(**at_last) < REGISTRATION_TTL;
+            let registered = self.renewed.iter().filter(is_registered).count();
+            let instance = &mut self.instances[number];
+            instance.next_read += 1;
+            instance.peers.set_registered(registered);
+        }
+    }
+
+    fn send_heartbeat(&mut self, at: Duration, number: usize) {
+        let now = self.start + at;
+        let instance = &mut self.instances[number];
+        instance.next_heartbeat = at + HEARTBEAT_INTERVAL;
+        instance.sequence += 1;
+        for peer in instance.peers.expire(now) {
+            instance.view.remove_peer(&peer);
+        }
+        instance.view.expire(now);
+        let in_flight: Vec<InFlight> = instance.view.load().own();
+        let totals: Vec<ServiceTotals> = instance.view.next_totals();
+        let body = Body::Heartbeat {
+            in_flight,
+            peers: Vec::new(),
+            leaving: false,
+            store: StoreView::default(),
+            failure_domain: "domain-a".into(),
+            totals,
+        };
+        let datagram = Datagram {
+            format: FORMAT,
+            from: instance.name.clone(),
+            incarnation: instance.incarnation,
+            sequence: instance.sequence,
+            version: 1,
+            body,
+        };
+        self.send_to_others(at, number, &Event::Heartbeat(datagram));
+    }
+
+    /// Returns the largest share of the allowed extra attempts that arrive within a window. The
+    /// requests are those of the window, of the one before it, or of the one half a window before
+    /// it, whichever has most.
+    fn peak_usage(&mut self) -> f64 {
+        self.arrivals.sort_unstable();
+        let within = |times: &[Duration], from: Duration, until: Duration| {
+            let first = times.partition_point(|at| *at < from);
+            times.partition_point(|at| *at <= until).saturating_sub(first) as f64
+        };
+        let usage = |end: &Duration| {
+            let window = |shift: Duration| {
+                let until = end.saturating_sub(shift);
+                within(&self.requests, until.saturating_sub(LIMITS.window), until)
+            };
+            let shifts = [Duration::ZERO, LIMITS.window / 2, LIMITS.window];
+            let requests = shifts.into_iter().map(window).fold(0.0, f64::max);
+            let extras = within(&self.arrivals, end.saturating_sub(LIMITS.window), *end);
+            extras / (LIMITS.ratio * requests + LIMITS.slack)
+        };
+        self.arrivals.iter().map(usage).fold(0.0, f64::max)
+    }
+}
+
+fn address_of(name: &str) -> std::net::SocketAddr {
+    let number: u8 = name.trim_start_matches("edge-").parse().expect("a number");
+    std::net::SocketAddr::from(([10, 0, 0, number], 7540))
+}
+
+/// Guards against more extra attempts than the retry budget allows, whatever notices an instance
+/// does not receive. The users' benchmark failed (BUDGET) since an instance decided from the number
+/// of attempts that it had heard of.
+#[test]
+fn extra_attempts_stay_within_the_budget_under_random_faults() {
+    let mut violations = Vec::new();
+    for seed in 0..SEEDS {
+        let mut simulation = Simulation::new(seed);
+        simulation.run();
+        assert!(simulation.arrivals.len() > 100, "seed {seed}: extra attempts are allowed");
+        let peak = simulation.peak_usage();
+        if peak > 1.0 {
+            let faults: Vec<_> = simulation.faults.iter().map(|fault| fault.kind).collect();
+            violations.push(format!("seed {seed}: {peak:.2} of the budget, faults {faults:?}"));
+        }
+    }
+    assert!(violations.is_empty(), "{}", violations.join("\n"));
+}
