Limit the extra attempts of each instance by its own requests

Cause: the budget was a count of what an instance had heard of the others. Each instance compared the same number with the same limit, so whatever it had not heard raised the sum of the fleet, and nothing bounded by how much. After a freeze the window was empty, and each instance that resumed took the budget of the whole fleet.

Change: an instance limits its extra attempts by what it knows exactly, its own requests, and by its share of the slack (slack / instances, none in the first window after a start). In each span of up to one window the attempts stay within half of the ratio for each request of the span and of the window before it. Summed over the instances, a window holds at most the slack and the ratio for the mean of the requests of two windows. No message is needed for that, so none can break it. An allowed attempt is charged when it is decided, not when it starts.

The requests that the budget keeps are bounded in time and grouped, which also ends the growth of its memory that docs/reliability.md listed.

--- a/crates/fleet/src/attempt_totals.rs
+++ b/crates/fleet/src/attempt_totals.rs
@@ -16,9 +16,8 @@
 /// Maximum number of services of which a heartbeat states the attempts. It bounds the datagram.
 pub const MAX_SERVICES_PER_HEARTBEAT: usize = 24;
 
-/// Time without a statement after which the totals of an instance are dropped. It is longer than a
-/// usual window of the retry budget, so the attempts that are not counted then are out of the
-/// window.
+/// Time without a statement after which the totals of an instance are dropped. It is far longer than
+/// the decay of the attempt rate, so the attempts that are not counted then have no weight any more.
 const TOTALS_TTL: Duration = Duration::from_secs(30);
 
 /// Numbers of attempts of an instance at a service since its start. They wrap around.
--- a/crates/fleet/src/budget.rs
+++ b/crates/fleet/src/budget.rs
@@ -1,13 +1,31 @@
 //! Retry budget: the limit on extra attempts (retries and hedges) of the whole fleet.
+//!
+//! Each instance limits its own extra attempts by its own requests, which it knows exactly, and by
+//! its share of the slack. The sum over all instances then stays within the budget whatever
+//! messages between them are lost or late.
 
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
-use crate::attempt_totals::AttemptTotals;
+/// Share of the budget that may be used. The rest covers attempts and requests whose delays on the
+/// way differ: more attempts can arrive at the upstreams within a window than started within one,
+/// and an instance that was frozen reads requests long after their callers sent them.
+const USABLE_SHARE: f64 = 0.85;
 
-/// Share of the budget that may be used. The rest covers attempts that other instances start at the
-/// same time and notices that are lost.
-const USABLE_SHARE: f64 = 0.8;
+/// Share of the usable budget up to which hedges, which may turn out to be unnecessary, are allowed.
+const HEDGE_SHARE: f64 = 0.5;
+
+/// Share of the ratio by which each request funds extra attempts in a span, see
+/// `RetryBudget::usage`.
+const FUNDING_SHARE: f64 = 0.5;
+
+/// Requests that start within this time of each other are counted as one entry, which bounds the
+/// memory of an instance with many requests.
+const REQUEST_RESOLUTION: Duration = Duration::from_millis(50);
+
+/// Time after which requests are no longer counted. A window of more than half of it has fewer extra
+/// attempts than the budget allows.
+const REQUEST_RETENTION: Duration = Duration::from_secs(60);
 
 /// Limits of the retry budget of a service.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -20,117 +38,136 @@
     pub slack: f64,
 }
 
-/// Extent to which this instance has observed the attempts of the fleet.
+/// Determines the share of the slack that one instance may use.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct FleetCoverage {
-    /// Share of the instances from which this instance receives datagrams, including itself.
-    pub heard_share: f64,
+pub struct SlackShare {
+    /// Number of instances that may use the slack, `None` if it is not known.
+    pub instances: Option<usize>,
     /// Time since the instance started.
     pub uptime: Duration,
 }
 
-impl FleetCoverage {
-    /// Returns true if the instance receives datagrams from at least half of the fleet.
-    fn is_connected(self) -> bool {
-        self.heard_share >= 0.5
+impl SlackShare {
+    /// Returns the extra attempts of the slack that the instance may make in a window.
+    ///
+    /// An instance that started less than a window ago has none, since an earlier process under the
+    /// same name, or the instance that it replaces, may have used the share in the same window.
+    fn extras(self, limits: BudgetLimits) -> f64 {
+        match self.instances {
+            Some(instances) if self.uptime >= limits.window => {
+                limits.slack / instances.max(1) as f64
+            }
+            _ => 0.0,
+        }
     }
 }
 
-/// Usage of a retry budget as one instance knows it.
+/// Usage of the retry budget by one instance, before the decision on another extra attempt.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct BudgetUsage {
-    /// Requests in the window.
+    /// Requests of the instance in the two most recent windows.
     pub requests: u64,
-    /// Extra attempts in the window.
+    /// Extra attempts of the instance in the window.
     pub extras: u64,
     /// Largest number of extra attempts that the instance may bring the window to.
     pub limit: f64,
 }
 
 impl BudgetUsage {
-    /// Returns true if another extra attempt stays within the limit.
-    pub fn allows_another(&self) -> bool {
+    /// Returns true if another retry stays within the limit.
+    fn allows_retry(&self) -> bool {
         (self.extras + 1) as f64 <= self.limit
     }
-}
 
-#[derive(Debug, Default)]
-struct WindowCounter {
-    /// Numbers of events by time.
-    events: VecDeque<(Instant, u32)>,
-    /// Sum of the numbers.
-    total: u64,
-}
-
-impl WindowCounter {
-    fn add(&mut self, now: Instant, count: u32) {
-        if count > 0 {
-            self.events.push_back((now, count));
-            self.total += u64::from(count);
-        }
+    /// Returns true if another hedge stays within the limit and leaves enough of it for retries of
+    /// failed requests.
+    fn allows_hedge(&self) -> bool {
+        let limit = (self.limit * HEDGE_SHARE).max(1.0);
+        self.allows_retry() && (self.extras + 1) as f64 <= limit
     }
+}
 
-    fn count(&mut self, now: Instant, window: Duration) -> u64 {
-        while let Some((at, count)) = self.events.front().copied() {
-            if now.saturating_duration_since(at) <= window {
-                break;
-            }
-            self.events.pop_front();
-            self.total -= u64::from(count);
-        }
-        self.total
-    }
+/// Decision on an extra attempt.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct BudgetDecision {
+    /// True if the attempt may be started. It is then already counted.
+    pub is_allowed: bool,
+    /// Usage on which the decision was based.
+    pub usage: BudgetUsage,
 }
 
-/// Requests and extra attempts of one service in the current window, counted for the whole fleet
-/// and for this instance alone.
+/// Requests and extra attempts of this instance at one service.
 #[derive(Debug, Default)]
 pub struct RetryBudget {
-    fleet_requests: WindowCounter,
-    fleet_extras: WindowCounter,
-    own_requests: WindowCounter,
-    own_extras: WindowCounter,
+    /// Numbers of requests, with the time of the first one of each entry.
+    requests: VecDeque<(Instant, u32)>,
+    /// Times of the extra attempts in the most recent window.
+    extras: VecDeque<Instant>,
 }
 
 impl RetryBudget {
-    /// Counts an attempt of this instance.
-    pub fn record_own(&mut self, now: Instant, extra: bool) {
-        let mut attempt = AttemptTotals::default();
-        attempt.add(extra);
-        self.own_requests.add(now, attempt.first);
-        self.own_extras.add(now, attempt.extra);
-        self.record_fleet(now, attempt);
+    /// Counts the first attempt of a request.
+    pub fn record_request(&mut self, now: Instant) {
+        let is_expired = |at: Instant| now.saturating_duration_since(at) > REQUEST_RETENTION;
+        while self.requests.front().is_some_and(|(at, _)| is_expired(*at)) {
+            self.requests.pop_front();
+        }
+        match self.requests.back_mut() {
+            Some((at, count)) if now.saturating_duration_since(*at) < REQUEST_RESOLUTION => {
+                *count += 1;
+            }
+            _ => self.requests.push_back((now, 1)),
+        }
     }
 
-    /// Counts attempts of another instance.
-    pub fn record_fleet(&mut self, now: Instant, attempts: AttemptTotals) {
-        self.fleet_requests.add(now, attempts.first);
-        self.fleet_extras.add(now, attempts.extra);
+    /// Decides on an extra attempt, and counts it if it is allowed. It is counted before it starts,
+    /// so that another decision in the meantime takes it into account.
+    pub fn try_extra(
+        &mut self,
+        now: Instant,
+        limits: BudgetLimits,
+        share: SlackShare,
+        is_hedge: bool,
+    ) -> BudgetDecision {
+        let usage = self.usage(now, limits, share);
+        let is_allowed = if is_hedge { usage.allows_hedge() } else { usage.allows_retry() };
+        if is_allowed {
+            self.extras.push_back(now);
+        }
+        BudgetDecision { is_allowed, usage }
     }
 
     /// Returns the usage and the limit of the budget.
     ///
-    /// An instance that does not receive the notices of most of the fleet cannot count the attempts
-    /// of the others, so it is limited to a share of its own requests. An instance that started
-    /// less than one window ago cannot know the attempts before its start, so it does not use the
-    /// slack. Others use the slack in proportion to the part of the fleet that they hear, so the
-    /// parts of a partitioned fleet use it once together.
-    pub fn usage(
-        &mut self,
-        now: Instant,
-        limits: BudgetLimits,
-        coverage: FleetCoverage,
-    ) -> BudgetUsage {
-        let (requests, extras) = if coverage.is_connected() {
-            let requests = self.fleet_requests.count(now, limits.window);
-            (requests, self.fleet_extras.count(now, limits.window))
-        } else {
-            let requests = self.own_requests.count(now, limits.window);
-            (requests, self.own_extras.count(now, limits.window))
+    /// In each span of up to one window that ends now, the extra attempts stay within the slack plus
+    /// half of the ratio for each request of the span and of the window before it. For a whole window
+    /// of the fleet, this sums up to the slack plus the ratio for the mean number of requests in
+    /// that window and the one before, wherever the window lies and however the load shifts between
+    /// instances. Comparing only the current window would let an instance that loses its callers use
+    /// the allowance of their requests in the same window as the instance that receives them.
+    fn usage(&mut self, now: Instant, limits: BudgetLimits, share: SlackShare) -> BudgetUsage {
+        let is_expired = |at: Instant| now.saturating_duration_since(at) > limits.window;
+        while self.extras.front().is_some_and(|at| is_expired(*at)) {
+            self.extras.pop_front();
+        }
+        let slack = USABLE_SHARE * share.extras(limits);
+        let funding = USABLE_SHARE * FUNDING_SHARE * limits.ratio;
+        let mut older = self.requests.iter().rev().peekable();
+        let mut requests = 0_u64;
+        let mut count_since = |start: Instant| {
+            while let Some((_, count)) = older.next_if(|(at, _)| *at + limits.window >= start) {
+                requests += u64::from(*count);
+            }
+            requests
         };
-        let knows_window = coverage.is_connected() && coverage.uptime >= limits.window;
-        let slack = if knows_window { limits.slack * coverage.heard_share } else { 0.0 };
-        let limit = USABLE_SHARE * (limits.ratio * requests as f64 + slack);
-        BudgetUsage { requests, extras, limit }
+        let mut headroom = funding * count_since(now) as f64 + slack;
+        for (later, start) in self.extras.iter().rev().enumerate() {
+            let funded = funding * count_since(*start) as f64 + slack;
+            headroom = headroom.min(funded - (later + 1) as f64);
+        }
+        let recent = self.requests.iter().filter(|(at, _)| *at + 2 * limits.window >= now);
+        let requests = recent.map(|(_, count)| u64::from(*count)).sum();
+        let extras = self.extras.len() as u64;
+        BudgetUsage { requests, extras, limit: extras as f64 + headroom }
     }
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -8,10 +8,12 @@
 //! * the probability that an upstream is faulty ([`suspicion`]). Failures reported by instances
 //!   with faulty links are discounted ([`observers`]), and attempts that wait for too long count as
 //!   evidence before they end ([`pending`]),
-//! * the number of retries and hedges that the fleet has sent ([`budget`]), from totals that the
-//!   notices state ([`attempt_totals`]),
 //! * the rate of attempts at each service ([`attempt_rate`]), which determines when upstreams
-//!   without requests are tried again ([`trial`]).
+//!   without requests are tried again ([`trial`]), from totals that the notices state
+//!   ([`attempt_totals`]).
+//!
+//! The retry budget ([`budget`]) of the fleet is kept without notices: each instance limits its
+//! retries and hedges by its own requests.
 //!
 //! [`placement`] selects an upstream for a request and [`admission`] rejects requests that would
 //! wait for too long. [`catalog`] holds the listed upstreams, and [`discovery`] is the interface to
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -1,6 +1,6 @@
 //! Known peers (other instances of the fleet) and selection of relays and hubs among them.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -40,6 +40,9 @@
 /// directly.
 const MIN_FLEET_WITH_HUBS: usize = 10;
 
+/// Number of reads of the registered instances that are kept. It covers about a minute.
+const REGISTERED_READS: usize = 5;
+
 struct Peer {
     address: SocketAddr,
     incarnation: Incarnation,
@@ -114,8 +117,8 @@
     reports: HashMap<ShortId, ReportWindow>,
     /// Ids of the known peers by the short ids in reports.
     by_short_id: HashMap<ShortId, InstanceId>,
-    /// Number of registered instances when they were last read, including this one.
-    registered: usize,
+    /// Numbers of registered instances in the last reads, including this one, the latest one last.
+    registered: VecDeque<usize>,
     /// Position of the next sample of peer addresses.
     sample_offset: usize,
 }
@@ -204,9 +207,12 @@
             .collect()
     }
 
-    /// Sets the number of registered instances, including this one.
+    /// Records the number of registered instances that was read, including this one.
     pub fn set_registered(&mut self, count: usize) {
-        self.registered = count;
+        if self.registered.len() == REGISTERED_READS {
+            self.registered.pop_front();
+        }
+        self.registered.push_back(count);
     }
 
     /// Returns true if this instance has to watch the store and relay its changes. `is_up` states
@@ -315,16 +321,16 @@
 
     /// Returns the known number of instances in the fleet, including this one.
     pub fn instances(&self) -> usize {
-        (self.known.len() + 1).max(self.registered)
+        (self.known.len() + 1).max(self.registered.back().copied().unwrap_or_default())
     }
 
-    /// Returns the share of the registered instances that are known peers or this instance, zero
-    /// until the number of registered instances has been read.
-    pub fn heard_share(&self) -> f64 {
-        if self.registered == 0 {
-            return 0.0;
-        }
-        ((self.known.len() + 1) as f64 / self.registered as f64).min(1.0)
+    /// Returns the largest number of instances, including this one, that the fleet may have, `None`
+    /// until the registered instances have been read. Registrations of live instances are missing
+    /// for a while after an outage of the store, so a smaller number counts only once it was read
+    /// several times.
+    pub fn max_instances(&self) -> Option<usize> {
+        let registered = self.registered.iter().max()?;
+        Some((self.known.len() + 1).max(*registered))
     }
 }
 
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -7,7 +7,7 @@
 
 use crate::attempt_rate::AttemptRate;
 use crate::attempt_totals::{AttemptTotals, OwnTotals, PeerTotals, Sender, ServiceTotals};
-use crate::budget::{BudgetLimits, BudgetUsage, FleetCoverage, RetryBudget};
+use crate::budget::{BudgetDecision, BudgetLimits, RetryBudget, SlackShare};
 use crate::load::FleetLoad;
 use crate::message::{
     Event, InFlight, Notice, Observation, ShortId, short_service_id, short_upstream_id, to_ms,
@@ -33,9 +33,6 @@
 /// Weight of failures that may be caused by the network path of the reporting instance.
 const PATH_FAILURE_WEIGHT: f64 = 0.6;
 
-/// Share of the retry budget that is available to hedges, which may turn out to be unnecessary.
-const HEDGE_BUDGET_SHARE: f64 = 0.5;
-
 /// Load, health and retry budgets derived from the attempts of this instance and of the others.
 pub struct FleetView {
     own: InstanceId,
@@ -93,7 +90,9 @@
         let in_flight = self.load.start(upstream);
         self.last_used.insert(upstream.clone(), now);
         let short = short_service_id(service);
-        self.budgets.entry(short).or_default().record_own(now, extra);
+        if !extra {
+            self.budgets.entry(short).or_default().record_request(now);
+        }
         self.attempt_rates.entry(short).or_default().on_start(now, 1);
         self.pending.on_start(now, service, upstream);
         let event = Event::Started { extra, totals: self.own_totals.add(short, extra) };
@@ -210,7 +209,6 @@
     }
 
     fn count_peer_attempts(&mut self, now: Instant, service: ShortId, attempts: AttemptTotals) {
-        self.budgets.entry(service).or_default().record_fleet(now, attempts);
         let count = attempts.first.saturating_add(attempts.extra);
         self.attempt_rates.entry(service).or_default().on_start(now, count);
     }
@@ -289,21 +287,18 @@
         self.load.set_full(now, upstream);
     }
 
-    /// Returns the usage of the retry budget of a service by retries and hedges. Hedges may use only
-    /// a part of the budget, so that the rest remains for retries of failed requests.
-    pub fn budget_usage(
+    /// Decides whether the retry budget of a service allows a retry or a hedge, and counts it if it
+    /// does.
+    pub fn try_extra(
         &mut self,
         now: Instant,
         service: &str,
         limits: BudgetLimits,
-        coverage: FleetCoverage,
+        share: SlackShare,
         is_hedge: bool,
-    ) -> BudgetUsage {
-        let share = if is_hedge { HEDGE_BUDGET_SHARE } else { 1.0 };
-        let limits =
-            BudgetLimits { ratio: limits.ratio * share, slack: limits.slack * share, ..limits };
+    ) -> BudgetDecision {
         let budget = self.budgets.entry(short_service_id(service)).or_default();
-        budget.usage(now, limits, coverage)
+        budget.try_extra(now, limits, share, is_hedge)
     }
 
     fn observe(
--- a/crates/proxy/src/policy.rs
+++ b/crates/proxy/src/policy.rs
@@ -100,12 +100,12 @@
     }
 }
 
-/// State of the retry budget of a service at the time of a decision, counted over its window.
+/// State of the retry budget of a service at the time of a decision, as this instance counts it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct BudgetBasis {
-    /// Known extra attempts.
+    /// Extra attempts of this instance in the window of the budget.
     pub extras: u64,
-    /// Known requests.
+    /// Requests of this instance that the limit is based on.
     pub requests: u64,
     /// Largest number of extra attempts that the decision allowed.
     pub limit: u64,
@@ -148,7 +148,8 @@
         exclude: &[UpstreamId],
     ) -> Result<Target, Rejection>;
 
-    /// Decides whether the retry budget of the service allows an attempt beyond the first one.
+    /// Decides whether the retry budget of the service allows an attempt beyond the first one. An
+    /// allowed attempt is charged to the budget at once.
     fn allow_extra_attempt(
         &self,
         now: Instant,
--- a/src/node/policy.rs
+++ b/src/node/policy.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use cactustrack_fleet::admission::{self, AdmissionRequest};
-use cactustrack_fleet::budget::{BudgetLimits, FleetCoverage};
+use cactustrack_fleet::budget::{BudgetLimits, SlackShare};
 use cactustrack_fleet::discovery::ListedUpstream;
 use cactustrack_fleet::message::Observation;
 use cactustrack_fleet::placement::{Candidate, Request};
@@ -139,8 +139,8 @@
         extra: ExtraAttempt,
     ) -> ExtraDecision {
         let mut state = self.state.borrow_mut();
-        let coverage = FleetCoverage {
-            heard_share: state.peers.heard_share(),
+        let share = SlackShare {
+            instances: state.peers.max_instances(),
             uptime: now.saturating_duration_since(state.started),
         };
         let is_hedge = extra == ExtraAttempt::Hedge;
@@ -148,13 +148,13 @@
             return ExtraDecision::without_basis(false);
         }
         let service = &routed.service;
-        let usage = state.view.budget_usage(now, service, self.budget, coverage, is_hedge);
+        let decision = state.view.try_extra(now, service, self.budget, share, is_hedge);
         let basis = BudgetBasis {
-            extras: usage.extras,
-            requests: usage.requests,
-            limit: usage.limit as u64,
+            extras: decision.usage.extras,
+            requests: decision.usage.requests,
+            limit: decision.usage.limit as u64,
         };
-        ExtraDecision { is_allowed: usage.allows_another(), basis: Some(basis) }
+        ExtraDecision { is_allowed: decision.is_allowed, basis: Some(basis) }
     }
 
     fn hedge_delay(&self, routed: &RoutedRequest) -> Option<Duration> {
