Count each upstream that a request is sent to against the limit of its route

What callers saw: one request used up the retry budget of many. A request on a route with two attempts reached five upstreams that shed it, and its budget was missing for others; upstreams got more than the operator allows.

Cause: an attempt that was shed was taken out of the count, a non-idempotent request had no limit of its own at all, and the remainder of a truncated response was fetched from any number of upstreams.

Change: each attempt of which a byte may have reached an upstream counts, in all three paths. Attempts of which nothing was sent do not.

--- a/crates/proxy/src/non_idempotent.rs
+++ b/crates/proxy/src/non_idempotent.rs
@@ -51,6 +51,8 @@
     claim: Option<Claim>,
     log_entry: AccessLogEntry,
     tried: Vec<UpstreamId>,
+    /// Number of attempts of which a byte may have reached an upstream.
+    sent_attempts: u32,
     /// The response to be forwarded.
     response: Option<UpstreamResponse>,
     /// Rejection for the last failed attempt, returned if no further one succeeds.
@@ -73,6 +75,7 @@
             claim,
             log_entry,
             tried,
+            sent_attempts: 0,
             response: None,
             last_rejection: None,
         }
@@ -167,12 +170,14 @@
         match exchange(&self.proxy, context, target, req, Reuse::Recent, deadline).await {
             Err(Failure { sent: false, cause }) => state.on(self.on_unsent(cause)),
             Err(Failure { sent: true, cause }) => {
+                self.sent_attempts += 1;
                 self.last_rejection = Some(self.rejection(cause));
                 let passed = cause == Cause::TimedOut;
                 let event = if passed { Event::DeadlinePassed } else { Event::Broken };
                 report_dispatched(state, event)
             }
             Ok(response) => {
+                self.sent_attempts += 1;
                 let event = self.on_response(response).await;
                 report_dispatched(state, event)
             }
@@ -215,7 +220,12 @@
 
     /// Returns true if a request that was shed may be sent to another upstream.
     fn may_try_another(&self) -> bool {
-        if time_until(self.routed.deadline).is_zero() || !self.upstream_request.can_send() {
+        let is_limit_reached =
+            self.routed.max_attempts.is_some_and(|max| self.sent_attempts >= max);
+        if is_limit_reached
+            || time_until(self.routed.deadline).is_zero()
+            || !self.upstream_request.can_send()
+        {
             return false;
         }
         let (policy, kind) = (self.proxy.policy(), ExtraAttempt::Declined);
--- a/crates/proxy/src/resume.rs
+++ b/crates/proxy/src/resume.rs
@@ -65,11 +65,15 @@
         }
     }
 
-    /// Sends the range request to one upstream. Returns `None` if no upstream is left or the retry
-    /// budget is exhausted, and `Some(None)` if the attempt failed.
+    /// Sends the range request to one upstream. Returns `None` if no upstream is left, the request
+    /// was sent to the maximum number of upstreams or the retry budget is exhausted, and
+    /// `Some(None)` if the attempt failed.
     async fn attempt(&self, range: &HeaderMap) -> Option<Option<UpstreamResponse>> {
         let (proxy, target, req, context) = {
             let mut request = self.request.borrow_mut();
+            if request.is_attempt_limit_reached() {
+                return None;
+            }
             let now = Instant::now();
             // The deadline of a large response covers only its head, which has already arrived.
             request.routed.deadline = now + HEAD_TIMEOUT;
@@ -78,6 +82,7 @@
             if !request.allows_extra(ExtraAttempt::Resume) {
                 return None;
             }
+            request.count_attempt();
             let service = &*request.routed.service;
             proxy.metrics().attempts.with_label_values(&[service, "resume"]).inc();
             let context = proxy.attempt_context(request.log_entry.clone());
@@ -86,7 +91,13 @@
         let deadline = Instant::now() + HEAD_TIMEOUT;
         let reuse = Reuse::Idle { silence_timeout: Some(HEAD_TIMEOUT / 2) };
         let response = exchange(&proxy, context, target, req, reuse, deadline);
-        let Ok(response) = response.await else { return Some(None) };
+        let response = match response.await {
+            Ok(response) => response,
+            Err(failure) => {
+                self.request.borrow_mut().uncount_unsent(failure);
+                return Some(None);
+            }
+        };
         if response.is_shed() || response.is_failure() {
             let outcome = if response.is_shed() { Outcome::Shed } else { Outcome::Failed };
             discard(response, outcome).await;
--- a/crates/proxy/src/retryable.rs
+++ b/crates/proxy/src/retryable.rs
@@ -28,7 +28,7 @@
     pub(crate) log_entry: AccessLogEntry,
     /// True if an upstream may have executed the request.
     sent: bool,
-    /// Number of attempts of which a byte may have reached an upstream and that were not shed.
+    /// Number of attempts of which a byte may have reached an upstream.
     attempts: u32,
 }
 
@@ -126,16 +126,27 @@
     }
 
     /// Returns true if the request was sent to the maximum number of upstreams of its route.
-    fn is_attempt_limit_reached(&self) -> bool {
+    pub(crate) fn is_attempt_limit_reached(&self) -> bool {
         self.routed.max_attempts.is_some_and(|max| self.attempts >= max)
     }
 
+    /// Counts an attempt against the limit of the route.
+    pub(crate) fn count_attempt(&mut self) {
+        self.attempts += 1;
+    }
+
+    /// Takes an attempt of which no byte was sent out of the count.
+    pub(crate) fn uncount_unsent(&mut self, failure: Failure) {
+        if !failure.sent {
+            self.attempts = self.attempts.saturating_sub(1);
+        }
+    }
+
     async fn attempt_round(&mut self, target: Target) -> RoundResult {
         match self.attempt_with_hedge(target).await {
             Ok(response) if response.is_shed() => {
                 let retry_after = retry_after(&response);
                 discard(response, Outcome::Shed).await;
-                self.attempts = self.attempts.saturating_sub(1);
                 RoundResult::Shed(retry_after)
             }
             Ok(response)
@@ -154,9 +165,7 @@
             Ok(response) => RoundResult::Usable(response),
             Err(failure) => {
                 self.sent |= failure.sent;
-                if !failure.sent {
-                    self.attempts = self.attempts.saturating_sub(1);
-                }
+                self.uncount_unsent(failure);
                 RoundResult::Failed(failure.cause)
             }
         }
@@ -167,7 +176,7 @@
         target: Target,
     ) -> Option<LocalBoxFuture<'static, Result<UpstreamResponse, Failure>>> {
         let req = self.upstream_request.build()?;
-        self.attempts += 1;
+        self.count_attempt();
         let proxy = Rc::clone(&self.proxy);
         let deadline = self.routed.deadline;
         let context = proxy.attempt_context(self.log_entry.clone());
--- a/tests/all/proxy.rs
+++ b/tests/all/proxy.rs
@@ -1,6 +1,7 @@
 //! Tests of cactustrack-proxy: the proxy with a fake policy, over real connections.
 
 mod at_most_once;
+mod attempt_limits;
 mod bad_input;
 mod bodies;
 mod endless;
--- a/tests/all/proxy/fakes.rs
+++ b/tests/all/proxy/fakes.rs
@@ -51,6 +51,8 @@
 pub(super) struct FakePolicy {
     pub(super) targets: Vec<(&'static str, SocketAddr)>,
     pub(super) extra_attempts: Cell<u32>,
+    pub(super) retries_declined: bool,
+    pub(super) max_attempts: Option<u32>,
     pub(super) hedge_delay: Option<Duration>,
     pub(super) max_connections: usize,
     pub(super) timeout: Duration,
@@ -101,7 +103,7 @@
             deadline: deadline.at,
             target: None,
             priority: 0,
-            max_attempts: None,
+            max_attempts: self.max_attempts,
         })
     }
 
@@ -145,8 +147,8 @@
         _routed: &RoutedRequest,
         kind: ExtraAttempt,
     ) -> ExtraDecision {
-        // As in the policy of the daemon, a shed non-idempotent request is not retried.
-        if kind == ExtraAttempt::Declined {
+        // In the policy of the daemon, a shed non-idempotent request is not retried.
+        if kind == ExtraAttempt::Declined && !self.retries_declined {
             return ExtraDecision::without_basis(false);
         }
         let left = self.extra_attempts.get();
--- a/tests/all/proxy/harness.rs
+++ b/tests/all/proxy/harness.rs
@@ -10,7 +10,9 @@
 use std::time::{Duration, Instant};
 
 use cactustrack_observe::{Metrics, SpanQueue};
-use cactustrack_proxy::{Pool, PoolLimits, Proxy, ProxyParts, Server, ServerLimits};
+use cactustrack_proxy::{
+    DefaultDialect, Dialect, Pool, PoolLimits, Proxy, ProxyParts, Server, ServerLimits,
+};
 use cactustrack_test_support::caller::{Call, CallResponse};
 use cactustrack_test_support::upstream::{Behaviour, FakeUpstreams};
 use slog::{Discard, Logger, o};
@@ -27,10 +29,15 @@
 pub(super) struct Setup {
     pub(super) targets: Vec<(&'static str, SocketAddr)>,
     pub(super) extra_attempts: u32,
+    /// True if a non-idempotent request that was shed may be sent to another upstream.
+    pub(super) retries_declined: bool,
+    /// Maximum number of upstreams of the routes.
+    pub(super) max_attempts: Option<u32>,
     pub(super) hedge_delay: Option<Duration>,
     pub(super) max_connections: usize,
     pub(super) timeout: Duration,
     pub(super) limits: ServerLimits,
+    pub(super) dialect: fn() -> Rc<dyn Dialect>,
 }
 
 impl Default for Setup {
@@ -40,10 +47,13 @@
         Self {
             targets,
             extra_attempts: 0,
+            retries_declined: false,
+            max_attempts: None,
             hedge_delay: None,
             max_connections: 1000,
             timeout,
             limits,
+            dialect: || Rc::new(DefaultDialect),
         }
     }
 }
@@ -100,6 +110,8 @@
         let policy = FakePolicy {
             targets: self.targets,
             extra_attempts: Cell::new(self.extra_attempts),
+            retries_declined: self.retries_declined,
+            max_attempts: self.max_attempts,
             hedge_delay: self.hedge_delay,
             max_connections: self.max_connections,
             timeout: self.timeout,
@@ -109,7 +121,7 @@
         let log = Logger::root(Discard, o!());
         let (policy, records) = (Rc::new(policy), Rc::new(records));
         let instance = "instance-0".into();
-        let dialect = Rc::new(cactustrack_proxy::DefaultDialect);
+        let dialect = (self.dialect)();
         Proxy::new(ProxyParts { instance, policy, records, dialect, pool, metrics, spans, log }, 1)
     }
 }
