Give a range request only the time that its caller still waits

Cause: the range request got a deadline of its own. That is right where the deadline covers the head of a large response only, as for the callers of docs/callers.md. On the platform the deadline covers the whole response.

Change: a dialect states whether the deadline covers the body. If it does, the range request ends with the deadline of the caller, and there is none after it.

--- a/crates/proxy/src/dialect.rs
+++ b/crates/proxy/src/dialect.rs
@@ -54,6 +54,10 @@
     /// an error.
     fn accepts_close_delimited(&self) -> bool;
 
+    /// Returns true if callers wait for the whole response until the deadline only. Otherwise the
+    /// deadline of a large response covers its head.
+    fn deadline_covers_body(&self) -> bool;
+
     /// Sets the response headers that describe a rejection.
     fn describe_rejection(
         &self,
@@ -105,6 +109,10 @@
         false
     }
 
+    fn deadline_covers_body(&self) -> bool {
+        false
+    }
+
     fn describe_rejection(
         &self,
         headers: &mut HeaderMap,
--- a/crates/proxy/src/resume.rs
+++ b/crates/proxy/src/resume.rs
@@ -11,7 +11,7 @@
 use http::HeaderMap;
 
 use crate::ExtraAttempt;
-use crate::exchange::{Reuse, UpstreamResponse, exchange};
+use crate::exchange::{Reuse, UpstreamResponse, exchange, time_until};
 use crate::relay::{Resume, discard};
 use crate::retryable::RetryableRequest;
 
@@ -21,6 +21,8 @@
 /// A large response that can be resumed from another upstream.
 pub(crate) struct RangeResume {
     request: RefCell<RetryableRequest>,
+    /// Time at which the caller stops waiting for the body. `None` if it waits as long as it takes.
+    body_deadline: Option<Instant>,
     resumable: ResumableResponse,
 }
 
@@ -42,7 +44,9 @@
             &response.head.headers,
         );
         let resumable = resumable.ok()?;
-        Some(Box::new(Self { request: RefCell::new(request), resumable }))
+        let covers_body = request.proxy.dialect().deadline_covers_body();
+        let body_deadline = covers_body.then_some(request.routed.deadline);
+        Some(Box::new(Self { request: RefCell::new(request), body_deadline, resumable }))
     }
 
     /// Requests the remainder of the body from one upstream after the other, until one returns it.
@@ -66,17 +70,20 @@
     }
 
     /// Sends the range request to one upstream. Returns `None` if no upstream is left, the request
-    /// was sent to the maximum number of upstreams or the retry budget is exhausted, and
-    /// `Some(None)` if the attempt failed.
+    /// was sent to the maximum number of upstreams, the deadline has passed or the retry budget is
+    /// exhausted, and `Some(None)` if the attempt failed.
     async fn attempt(&self, range: &HeaderMap) -> Option<Option<UpstreamResponse>> {
-        let (proxy, target, req, context) = {
+        let (proxy, target, req, context, deadline) = {
             let mut request = self.request.borrow_mut();
             if request.is_attempt_limit_reached() {
                 return None;
             }
-            let now = Instant::now();
-            // The deadline of a large response covers only its head, which has already arrived.
-            request.routed.deadline = now + HEAD_TIMEOUT;
+            let timeout = Instant::now() + HEAD_TIMEOUT;
+            let deadline = self.body_deadline.map_or(timeout, |at| at.min(timeout));
+            if time_until(deadline).is_zero() {
+                return None;
+            }
+            request.routed.deadline = deadline;
             let proxy = Rc::clone(&request.proxy);
             let target = request.try_pick()?;
             if !request.allows_extra(ExtraAttempt::Resume) {
@@ -86,9 +93,9 @@
             let service = &*request.routed.service;
             proxy.metrics().attempts.with_label_values(&[service, "resume"]).inc();
             let context = proxy.attempt_context(request.log_entry.clone());
-            (proxy, target, request.upstream_request.build_range_request(range), context)
+            let req = request.upstream_request.build_range_request(range);
+            (proxy, target, req, context, deadline)
         };
-        let deadline = Instant::now() + HEAD_TIMEOUT;
         let reuse = Reuse::Idle { silence_timeout: Some(HEAD_TIMEOUT / 2) };
         let response = exchange(&proxy, context, target, req, reuse, deadline);
         let response = match response.await {
