Attribute a refusal to a request before believing it

Callers were told that a request had not run which the upstream executed, or a non-idempotent request went to a second upstream.

Cause: on the platform, a 421 was believed before its request id was compared. In the own dialect, where responses name no request, a shed (429, or 503 with Retry-After) was believed on any connection.

Change: a 421 needs the id of the request; without any id it is believed on a new connection only, where nothing came before it. In the own dialect a shed on a reused connection may still be retried, since only repeatable requests use such connections there, but the rejection no longer states that the request has not run, and the connection, which is out of step, is closed.

--- a/crates/proxy/src/dialect.rs
+++ b/crates/proxy/src/dialect.rs
@@ -18,6 +18,9 @@
     Failed,
     /// The upstream shed the request without executing it.
     Shed,
+    /// The upstream shed a request, which may be an earlier one on the connection, so it is unknown
+    /// whether this one was executed.
+    UnattributedShed,
     /// Another process listens at the address of the upstream. It has not executed the request.
     Misdirected,
     /// The response belongs to no request or to another one, so it is unknown whether this request
@@ -30,6 +33,11 @@
     pub fn is_not_run(self) -> bool {
         matches!(self, Self::Shed | Self::Misdirected)
     }
+
+    /// Returns true if the upstream has refused a request, this one or an earlier one.
+    pub fn is_refusal(self) -> bool {
+        self.is_not_run() || self == Self::UnattributedShed
+    }
 }
 
 /// Header conventions of the callers and upstreams that an instance communicates with.
@@ -38,8 +46,15 @@
     /// deadline.
     fn prepare_attempt(&self, headers: &mut HeaderMap, target: &Target, remaining: Duration);
 
-    /// Classifies the head of the response to a request with the headers `request`.
-    fn classify(&self, request: &HeaderMap, response: &response::Parts) -> ResponseKind;
+    /// Classifies the head of a response that arrived after a request with the headers `request` was
+    /// sent. With `is_reused`, the connection carried other requests before. A faulty upstream may
+    /// repeat a response to one of them.
+    fn classify(
+        &self,
+        request: &HeaderMap,
+        response: &response::Parts,
+        is_reused: bool,
+    ) -> ResponseKind;
 
     /// Returns the load that the upstream reports in the headers of a response.
     fn load(&self, response: &HeaderMap) -> Option<LoadReport>;
@@ -80,11 +95,17 @@
         headers.insert(headers::TIMEOUT_MS, HeaderValue::from(ms));
     }
 
-    fn classify(&self, _request: &HeaderMap, response: &response::Parts) -> ResponseKind {
+    fn classify(
+        &self,
+        _request: &HeaderMap,
+        response: &response::Parts,
+        is_reused: bool,
+    ) -> ResponseKind {
         let has_retry_after = response.headers.contains_key(header::RETRY_AFTER);
+        let shed = if is_reused { ResponseKind::UnattributedShed } else { ResponseKind::Shed };
         match response.status {
-            StatusCode::TOO_MANY_REQUESTS => ResponseKind::Shed,
-            StatusCode::SERVICE_UNAVAILABLE if has_retry_after => ResponseKind::Shed,
+            StatusCode::TOO_MANY_REQUESTS => shed,
+            StatusCode::SERVICE_UNAVAILABLE if has_retry_after => shed,
             StatusCode::INTERNAL_SERVER_ERROR
             | StatusCode::BAD_GATEWAY
             | StatusCode::SERVICE_UNAVAILABLE
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -43,8 +43,13 @@
 }
 
 impl UpstreamResponse {
-    /// Returns true if the response states that the request was not executed.
+    /// Returns true if the upstream has refused a request, this one or an earlier one.
     pub(crate) fn is_shed(&self) -> bool {
+        self.kind.is_refusal()
+    }
+
+    /// Returns true if the response states that the request was not executed.
+    pub(crate) fn is_not_run(&self) -> bool {
         self.kind.is_not_run()
     }
 
@@ -155,7 +160,7 @@
                     attempt.finish(Outcome::Failed);
                     return Err(Failure::sent(Cause::Broken));
                 }
-                let kind = dialect.classify(&sent_headers, &head);
+                let kind = dialect.classify(&sent_headers, &head, connection.reused);
                 if kind == ResponseKind::Mismatched {
                     attempt.finish(Outcome::Failed);
                     return Err(Failure::sent(Cause::Broken));
--- a/crates/proxy/src/non_idempotent.rs
+++ b/crates/proxy/src/non_idempotent.rs
@@ -206,8 +206,12 @@
     async fn on_response(&mut self, mut response: UpstreamResponse) -> Event {
         let status = response.head.status.as_u16();
         if response.is_shed() {
-            let wait = retry_after(&response);
+            let (wait, is_not_run) = (retry_after(&response), response.is_not_run());
             discard(response, Outcome::Shed).await;
+            if !is_not_run {
+                self.last_rejection = Some(rejection_for(Cause::Broken, Execution::Unknown));
+                return Event::Broken;
+            }
             self.last_rejection = Some(upstream_busy(wait));
             return if self.may_try_another() { Event::Declined } else { Event::Shed { status } };
         }
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -11,11 +11,11 @@
 use http_body::{Body, Frame};
 use http_body_util::BodyExt;
 
-use crate::ResponseBody;
 use crate::body::BodyAborted;
 use crate::exchange::UpstreamResponse;
 use crate::handler::Proxy;
 use crate::retryable::retry_after;
+use crate::{ResponseBody, ResponseKind};
 
 /// Time without data from the upstream after which a body counts as truncated.
 pub(crate) const STALL_TIMEOUT: Duration = Duration::from_secs(10);
@@ -159,10 +159,12 @@
     if response.is_shed() {
         response.attempt.on_shed(retry_after(&response));
     }
+    // After a response to an earlier request, the one to this request is still to come.
+    let is_in_step = response.kind != ResponseKind::UnattributedShed;
     let UpstreamResponse { mut body, connection, attempt, .. } = response;
     attempt.finish(outcome);
     let short = body.size_hint().upper().is_some_and(|upper| upper <= DISCARD_LIMIT_BYTES);
-    if !short {
+    if !short || !is_in_step {
         return;
     }
     while let Some(Some(Ok(_))) = body.frame().now_or_never() {}
--- a/crates/proxy/src/retryable.rs
+++ b/crates/proxy/src/retryable.rs
@@ -145,6 +145,7 @@
     async fn attempt_round(&mut self, target: Target) -> RoundResult {
         match self.attempt_with_hedge(target).await {
             Ok(response) if response.is_shed() => {
+                self.sent |= !response.is_not_run();
                 let retry_after = retry_after(&response);
                 discard(response, Outcome::Shed).await;
                 RoundResult::Shed(retry_after)
--- a/tests/all/platform/dialect.rs
+++ b/tests/all/platform/dialect.rs
@@ -49,16 +49,30 @@
         Case { status: 429, headers: &[ID, NOT_EXECUTED], kind: ResponseKind::Shed },
         Case { status: 503, headers: &[ID], kind: ResponseKind::Failed },
         Case { status: 503, headers: &[OTHER_ID, NOT_EXECUTED], kind: ResponseKind::Mismatched },
-        Case { status: 421, headers: &[], kind: ResponseKind::Misdirected },
+        Case { status: 421, headers: &[ID], kind: ResponseKind::Misdirected },
+        Case { status: 421, headers: &[OTHER_ID], kind: ResponseKind::Mismatched },
         Case { status: 400, headers: &[ID], kind: ResponseKind::Mismatched },
     ];
     let request = headers(&[ID]);
     for Case { status, headers, kind } in cases {
-        let classified = PlatformDialect.classify(&request, &response_parts(status, headers));
-        assert_eq!(classified, kind, "{status} {headers:?}");
+        for is_reused in [false, true] {
+            let response = response_parts(status, headers);
+            let classified = PlatformDialect.classify(&request, &response, is_reused);
+            assert_eq!(classified, kind, "{status} {headers:?}, reused {is_reused}");
+        }
     }
 }
 
+/// Guards against a response without an id, which may be a repeated one, that passes for the
+/// response to the current request.
+#[test]
+fn a_misdirected_response_without_an_id_is_believed_on_a_new_connection_only() {
+    let (request, response) = (headers(&[ID]), response_parts(421, &[]));
+    let classify = |is_reused| PlatformDialect.classify(&request, &response, is_reused);
+    assert_eq!(classify(false), ResponseKind::Misdirected);
+    assert_eq!(classify(true), ResponseKind::Mismatched);
+}
+
 /// Guards against a deadline that exceeds the remaining time, and against a request that is
 /// executed by another process which has taken over the address of an upstream.
 #[test]
--- a/tests/all/proxy/harness.rs
+++ b/tests/all/proxy/harness.rs
@@ -35,6 +35,8 @@
     pub(super) max_attempts: Option<u32>,
     pub(super) hedge_delay: Option<Duration>,
     pub(super) max_connections: usize,
+    /// Idle time below which a connection may carry a non-idempotent request.
+    pub(super) recent_age: Duration,
     pub(super) timeout: Duration,
     pub(super) limits: ServerLimits,
     pub(super) dialect: fn() -> Rc<dyn Dialect>,
@@ -51,6 +53,7 @@
             max_attempts: None,
             hedge_delay: None,
             max_connections: 1000,
+            recent_age: Duration::ZERO,
             timeout,
             limits,
             dialect: || Rc::new(DefaultDialect),
@@ -86,7 +89,8 @@
             let runtime = compio::runtime::Runtime::new().expect("a runtime");
             runtime.block_on(async move {
                 let limits = self.limits;
-                let pool = Pool::new(PoolLimits::default());
+                let recent_age = self.recent_age;
+                let pool = Pool::new(PoolLimits { recent_age, ..PoolLimits::default() });
                 let proxy = self.proxy(pool.clone(), events, records);
                 let address = "127.0.0.1:0".parse().expect("an address");
                 let (server, _shutdown) =
--- a/tests/all/proxy/matching.rs
+++ b/tests/all/proxy/matching.rs
@@ -1,10 +1,14 @@
 //! Each caller receives the response to its own request and no other one.
 
 use std::io::Write;
+use std::rc::Rc;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::thread;
 use std::time::Duration;
 
+use cactustrack_platform::PlatformDialect;
+use cactustrack_proxy::{DefaultDialect, Dialect};
 use cactustrack_test_support::caller::Call;
 use cactustrack_test_support::upstream::Behaviour;
 
@@ -154,3 +158,91 @@
         assert_eq!((response.status.as_u16(), response.text().as_str()), (200, "ok"), "{path}");
     }
 }
+
+/// Starts an upstream that sends `response` to each request, and counts the requests `id-2`.
+fn count_second_requests(response: &'static str) -> (RawUpstream, Arc<AtomicU64>) {
+    let count = Arc::new(AtomicU64::new(0));
+    let counter = Arc::clone(&count);
+    let upstream = RawUpstream::spawn(move |_, stream| {
+        while let Some(head) = read_head(stream) {
+            counter.fetch_add(u64::from(head.contains("id-2")), Ordering::SeqCst);
+            let _ = stream.write_all(response.as_bytes());
+        }
+    });
+    (upstream, count)
+}
+
+/// Guards against a repeated refusal of an earlier request that passes for the response to the
+/// current one, which the upstream executes. The caller was then told that its request had not run,
+/// or a non-idempotent request went to a second upstream.
+#[test]
+fn a_repeated_refusal_says_nothing_about_the_next_request() {
+    struct Case {
+        name: &'static str,
+        dialect: fn() -> Rc<dyn Dialect>,
+        refusal: &'static str,
+        path: &'static str,
+        extra_attempts: u32,
+        status: u16,
+    }
+    const PLATFORM: fn() -> Rc<dyn Dialect> = || Rc::new(PlatformDialect);
+    const OWN: fn() -> Rc<dyn Dialect> = || Rc::new(DefaultDialect);
+    const MISDIRECTED: &str = "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\
+        Cactustrack-Request-Id: id-1\r\n\r\n";
+    const MISDIRECTED_WITHOUT_ID: &str =
+        "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n";
+    const NOT_EXECUTED: &str = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\
+        Cactustrack-Not-Executed: 1\r\nCactustrack-Request-Id: id-1\r\n\r\n";
+    const BUSY: &str =
+        "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nRetry-After: 1\r\n\r\n";
+    const TOO_MANY: &str = "HTTP/1.1 429 Too Many Requests\r\nContent-Length: 0\r\n\r\n";
+    let case = |name, dialect, refusal, path, extra_attempts, status| Case {
+        name,
+        dialect,
+        refusal,
+        path,
+        extra_attempts,
+        status,
+    };
+    let cases = [
+        case("421, non-idempotent", PLATFORM, MISDIRECTED, "/n", 9, 502),
+        case("421, idempotent", PLATFORM, MISDIRECTED, "/", 0, 502),
+        case("421 without id, non-idempotent", PLATFORM, MISDIRECTED_WITHOUT_ID, "/n", 9, 502),
+        case("421 without id, idempotent", PLATFORM, MISDIRECTED_WITHOUT_ID, "/", 0, 502),
+        case("not executed, non-idempotent", PLATFORM, NOT_EXECUTED, "/n", 9, 502),
+        case("not executed, idempotent", PLATFORM, NOT_EXECUTED, "/", 0, 502),
+        case("busy, non-idempotent", OWN, BUSY, "/n", 9, 502),
+        case("busy, idempotent", OWN, BUSY, "/", 0, 503),
+        case("too many, non-idempotent", OWN, TOO_MANY, "/n", 9, 502),
+        case("too many, idempotent", OWN, TOO_MANY, "/", 0, 503),
+    ];
+    let mut wrong = Vec::new();
+    for Case { name, dialect, refusal, path, extra_attempts, status } in cases {
+        let (repeating, repeating_count) = count_second_requests(refusal);
+        let ok = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+        let (other, other_count) = count_second_requests(ok);
+        let setup = Setup {
+            dialect,
+            extra_attempts,
+            retries_declined: true,
+            recent_age: Duration::from_secs(30),
+            ..Setup::with(&[("up-0", repeating.address), ("up-1", other.address)])
+        };
+        let harness = setup.start();
+        let call = |id| Call::get("a", path).with_header("cactustrack-request-id", id);
+        harness.call(&call("id-1"));
+        harness.wait_for_event("finish up-0 shed");
+        // The connection is reused shortly after the end of the response.
+        thread::sleep(Duration::from_millis(50));
+        let response = harness.call(&call("id-2"));
+        assert_eq!(repeating.connections(), 1, "{name}: the connection is kept");
+        assert_eq!(repeating_count.load(Ordering::SeqCst), 1, "{name}: it is executed");
+        let is_promised = response.execution() == Some("not_run");
+        let elsewhere = other_count.load(Ordering::SeqCst);
+        if response.status != status || is_promised || elsewhere > 0 {
+            let (got, execution) = (response.status, response.execution());
+            wrong.push(format!("{name}: {got} {execution:?}, {elsewhere} at the other upstream"));
+        }
+    }
+    assert!(wrong.is_empty(), "{}", wrong.join("\n"));
+}
