Test upstreams that stop within the head of a response

That cannot happen here: hyper delivers a head only with the empty line that ends it, and the end of the connection before that fails the exchange. The test stops after each byte of five heads, for both dialects and all classes, on new and on reused connections; each request gets 502 with an unknown execution.

--- a/tests/all/proxy.rs
+++ b/tests/all/proxy.rs
@@ -11,4 +11,5 @@
 mod harness;
 mod link;
 mod matching;
+mod partial_heads;
 mod retryable;
