Send no status that denies a request which may have run

What callers saw: a 503 for a repeatable request that an upstream had run.

Cause: the rejection states its execution in a header of the own dialect. On the platform the status is all that callers see, and it was taken from the last attempt.

Change: the dialect may replace the status.

The fake upstream sheds as the platform does when the request has a request id (id and Cactustrack-Not-Executed).

--- a/crates/proxy/src/dialect.rs
+++ b/crates/proxy/src/dialect.rs
@@ -73,6 +73,12 @@
     /// deadline of a large response covers its head.
     fn deadline_covers_body(&self) -> bool;
 
+    /// Returns the status of a rejection, which may differ from `status` if that would state that
+    /// the request has not run.
+    fn rejection_status(&self, status: StatusCode, _execution: Execution) -> StatusCode {
+        status
+    }
+
     /// Sets the response headers that describe a rejection.
     fn describe_rejection(
         &self,
--- a/crates/proxy/src/reject.rs
+++ b/crates/proxy/src/reject.rs
@@ -135,7 +135,8 @@
     }
 
     /// Creates the response to the caller.
-    pub fn into_response(self, dialect: &dyn Dialect) -> Response<ResponseBody> {
+    pub fn into_response(mut self, dialect: &dyn Dialect) -> Response<ResponseBody> {
+        self.status = dialect.rejection_status(self.status, self.execution);
         let mut response = Response::new(ResponseBody::full(self.problem()));
         *response.status_mut() = self.status;
         let headers = response.headers_mut();
--- a/crates/test-support/src/upstream.rs
+++ b/crates/test-support/src/upstream.rs
@@ -34,6 +34,7 @@
 const REQUEST_ID: &str = "cactustrack-request-id";
 const TARGET_INSTANCE: &str = "cactustrack-target-instance";
 const SIGNATURE: &str = "cactustrack-backend-signature";
+const NOT_EXECUTED: &str = "cactustrack-not-executed";
 
 /// Behaviour of a fake upstream.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -227,9 +228,7 @@
         futures::future::pending::<Infallible>().await;
     }
     if behaviour.shed {
-        let mut response = short_response(StatusCode::SERVICE_UNAVAILABLE, "busy");
-        response.headers_mut().insert(header::RETRY_AFTER, HeaderValue::from_static("1"));
-        return Ok(response);
+        return Ok(shed_response(&req));
     }
     let (head, body) = req.into_parts();
     let request_id = head.headers.get(REQUEST_ID).cloned();
@@ -271,6 +270,17 @@
     Ok(response)
 }
 
+fn shed_response(req: &Request<Incoming>) -> Response<Chunks> {
+    let mut response = short_response(StatusCode::SERVICE_UNAVAILABLE, "busy");
+    let headers = response.headers_mut();
+    headers.insert(header::RETRY_AFTER, HeaderValue::from_static("1"));
+    if let Some(request_id) = req.headers().get(REQUEST_ID) {
+        headers.insert(REQUEST_ID, request_id.clone());
+        headers.insert(NOT_EXECUTED, HeaderValue::from_static("1"));
+    }
+    response
+}
+
 fn short_response(status: StatusCode, text: &str) -> Response<Chunks> {
     let bytes = Bytes::copy_from_slice(text.as_bytes());
     let length = HeaderValue::from(bytes.len());
--- a/tests/all/proxy/matching.rs
+++ b/tests/all/proxy/matching.rs
@@ -12,7 +12,7 @@
 use cactustrack_test_support::caller::Call;
 use cactustrack_test_support::upstream::Behaviour;
 
-use super::harness::{RawUpstream, Setup, read_head, upstreams, wait_until};
+use super::harness::{RawUpstream, Setup, read_head, refusing_address, upstreams, wait_until};
 
 /// Guards against responses that are swapped between callers when connections are reused.
 #[test]
@@ -246,3 +246,30 @@
     }
     assert!(wrong.is_empty(), "{}", wrong.join("\n"));
 }
+
+/// Guards against a status that promises that a request has not run, although an earlier attempt may
+/// have run it. On the platform the status is all that tells the caller.
+#[test]
+fn a_request_that_may_have_run_gets_no_status_that_denies_it() {
+    const SHED: &str = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\
+        Cactustrack-Not-Executed: 1\r\nCactustrack-Request-Id: id-1\r\n\r\n";
+    struct Case {
+        name: &'static str,
+        /// Upstream that is tried second. It refuses connections if it is `None`.
+        second: Option<&'static str>,
+    }
+    let cases =
+        [Case { name: "shed", second: Some(SHED) }, Case { name: "no connection", second: None }];
+    for Case { name, second } in cases {
+        let executing = RawUpstream::spawn(|_, stream| {
+            read_head(stream);
+        });
+        let second = second.map(RawUpstream::responding);
+        let address = second.as_ref().map_or(refusing_address(), |upstream| upstream.address);
+        let targets = [("up-0", executing.address), ("up-1", address)];
+        let dialect: fn() -> Rc<dyn Dialect> = || Rc::new(PlatformDialect);
+        let harness = Setup { dialect, ..Setup::with(&targets) }.start();
+        let call = Call::get("a", "/").with_header("cactustrack-request-id", "id-1");
+        assert_eq!(harness.call(&call).status, 502, "{name}");
+    }
+}
