Reject requests that come late in a planned stop, and answer those that remain

What callers saw (report of another operator): in a planned stop, in calm, requests that came late in the grace period were taken and sent to an upstream, and cut without a response at its end, among them orders that must not be repeated (LOST).

Cause: the shutdown closed idle connections 2.8 s after the signal, but a request whose head or body was still on its way then was sent to an upstream whenever it was complete, with the deadline of its caller, though the process ends 5.5 s after the signal. What was in flight by then got no response.

Change: once the listener is closed, a request that was not sent yet gets 503 (not run) at once. A request that comes between the signal and that moment has to end before the instance does. Half a second before the end of the grace period the requests left get 502 with an unknown execution.

--- a/crates/proxy/src/handler.rs
+++ b/crates/proxy/src/handler.rs
@@ -12,6 +12,9 @@
 use cactustrack_routing::route::request_host;
 use cactustrack_store::{Claim, IdempotencyRecords};
 use cactustrack_types::{InstanceId, RequestClass};
+use futures::FutureExt;
+use futures::channel::oneshot;
+use futures::future::{Either, Shared, select};
 use http::request::Parts;
 use http::{HeaderMap, Request, Response, StatusCode, Uri, Version, header};
 use hyper::body::{Body, Incoming};
@@ -62,6 +65,9 @@
     incarnation: u64,
     /// Number of non-idempotent requests in progress, including those whose caller disconnected.
     running: Rc<Cell<usize>>,
+    /// Aborts the requests in flight when it is taken.
+    abort: RefCell<Option<oneshot::Sender<()>>>,
+    aborted: Shared<oneshot::Receiver<()>>,
     log_limits: RefCell<HashMap<&'static str, RateLimit>>,
     /// Limits the volume of access log lines.
     log_budget: Rc<LogBudget>,
@@ -72,11 +78,14 @@
     /// same id, so that claim ids are unique.
     pub fn new(parts: ProxyParts, incarnation: u64) -> Rc<Self> {
         let (next_claim, running) = (Cell::new(0), Rc::default());
+        let (abort, aborted) = oneshot::channel();
         Rc::new(Self {
             parts,
             next_claim,
             incarnation,
             running,
+            abort: RefCell::new(Some(abort)),
+            aborted: aborted.shared(),
             log_limits: RefCell::default(),
             log_budget: Rc::default(),
         })
@@ -125,6 +134,12 @@
         self.running.get()
     }
 
+    /// Aborts the requests whose response head has not arrived. Their callers get a response which
+    /// states that the outcome is unknown.
+    pub fn abort_requests(&self) {
+        self.abort.borrow_mut().take();
+    }
+
     /// Counts a non-idempotent request as in progress until the returned guard is dropped.
     pub(crate) fn start_task(&self) -> RunningTask {
         self.running.set(self.running.get() + 1);
@@ -175,7 +190,13 @@
             Err(rejection) => return (None, Err(rejection)),
         };
         log_entry.on_routed(&routed);
-        let result = self.forward(&routed, head, body, log_entry).await;
+        let result = {
+            let forwarding = std::pin::pin!(self.forward(&routed, head, body, log_entry));
+            match select(forwarding, self.aborted.clone()).await {
+                Either::Left((result, _)) => result,
+                Either::Right(_) => Err(Rejection::aborted_by_shutdown()),
+            }
+        };
         (Some(routed), result)
     }
 
--- a/crates/proxy/src/reject.rs
+++ b/crates/proxy/src/reject.rs
@@ -103,6 +103,20 @@
             .with_retry_after(retry_after)
     }
 
+    /// Creates the rejection of a request that came too late in the shutdown of the instance.
+    pub fn stopping(retry_after: Duration) -> Self {
+        let detail = "the instance is shutting down";
+        Self::not_run(RejectionReason::Stopping, StatusCode::SERVICE_UNAVAILABLE, detail)
+            .with_retry_after(retry_after)
+    }
+
+    /// Creates the rejection of a request that is aborted at the end of a shutdown. It may have been
+    /// executed.
+    pub(crate) fn aborted_by_shutdown() -> Self {
+        let detail = "the instance ended before the upstream responded";
+        Self::new(RejectionReason::Stopping, StatusCode::BAD_GATEWAY, Execution::Unknown, detail)
+    }
+
     /// Creates the rejection of a request that no upstream of its service can take.
     pub fn no_upstream(retry_after: Duration) -> Self {
         let detail = "no upstream of the service can take the request";
--- a/src/node/discovery_sync.rs
+++ b/src/node/discovery_sync.rs
@@ -260,6 +260,10 @@
         }
     }
 
+    fn is_stopping(&self) -> bool {
+        self.state.borrow().shutdown.is_some()
+    }
+
     /// Keeps the instance registered and tracks whether the store is available.
     pub(crate) async fn keep_registered(self: Rc<Self>, address: SocketAddr) {
         let mut backoff = Backoff::new();
@@ -274,7 +278,7 @@
             match result {
                 Ok(()) => self.on_store_available(),
                 // The graceful shutdown has removed the registration.
-                Err(DiscoveryError::RegistrationExpired) if self.state.borrow().stopping => return,
+                Err(DiscoveryError::RegistrationExpired) if self.is_stopping() => return,
                 Err(DiscoveryError::RegistrationExpired) => {
                     slog::info!(self.log, "members: registration expired; registering again");
                     is_registered = false;
--- a/src/node/instance.rs
+++ b/src/node/instance.rs
@@ -22,6 +22,7 @@
 use super::lag::LagTracker;
 use super::messenger::PeerMessenger;
 use super::policy::NodePolicy;
+use super::shutdown::ShutdownPlan;
 use super::state::{SharedState, State};
 use super::status::NodeStatus;
 use super::store_availability::StoreAvailability;
@@ -44,14 +45,6 @@
 /// File descriptors reserved for purposes other than caller connections.
 const RESERVED_FILE_DESCRIPTORS: usize = 300;
 
-/// Time between the stop signal and the close of the caller listener. The load balancer needs it
-/// to detect that the instance is no longer ready.
-const READINESS_DRAIN_TIME: Duration = Duration::from_millis(2_800);
-
-/// Time before the end of the grace period at which the shutdown ends even if requests are still
-/// in flight.
-const SHUTDOWN_MARGIN: Duration = Duration::from_millis(500);
-
 /// Interval at which expired idle connections are closed.
 const POOL_CLEANUP_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -134,7 +127,7 @@
     }
 
     /// Serves requests until the shutdown handle is used, then waits for the requests in flight for
-    /// at most the grace period.
+    /// at most the grace period. Those that take longer are aborted with a response.
     pub async fn run(self) {
         let Self { server, shutdown, stop, grace, state, messenger, discovery, proxy, log } = self;
         let serving = compio::runtime::spawn(server.run());
@@ -143,27 +136,33 @@
             futures::future::pending::<()>().await;
         }
         let stop_started = Instant::now();
+        let plan = ShutdownPlan::new(stop_started, grace);
         slog::info!(log, "proxy: stopping"; "grace_ms" => grace.as_millis() as u64);
-        state.borrow_mut().stopping = true;
+        state.borrow_mut().shutdown = Some(plan);
         messenger.announce();
         let unregistering = async {
             if let Err(error) = discovery.unregister().await {
                 slog::debug!(log, "members: cannot remove the registration"; "error" => %error);
             }
         };
-        let draining =
-            futures::future::join(unregistering, compio::time::sleep(READINESS_DRAIN_TIME));
+        let draining = futures::future::join(unregistering, sleep_until(plan.accepts_until));
         draining.await;
         shutdown.start();
-        let remaining =
-            grace.saturating_sub(SHUTDOWN_MARGIN).saturating_sub(stop_started.elapsed());
         let finishing = async {
             let _ = serving.await;
             while proxy.running_tasks() > 0 {
                 compio::time::sleep(Duration::from_millis(20)).await;
             }
         };
-        let is_finished = compio::time::timeout(remaining, finishing).await.is_ok();
+        let mut finishing = std::pin::pin!(finishing);
+        let aborts_in = plan.aborts_at.saturating_duration_since(Instant::now());
+        let is_finished = compio::time::timeout(aborts_in, finishing.as_mut()).await.is_ok();
+        if !is_finished {
+            proxy.abort_requests();
+            let ends_in = plan.ends_at().saturating_duration_since(Instant::now());
+            // The process ends whether or not all responses are written by then.
+            let _ = compio::time::timeout(ends_in, finishing).await;
+        }
         messenger.announce();
         slog::info!(log, "proxy: stopped"; "finished" => is_finished,
             "ms" => stop_started.elapsed().as_millis() as u64);
@@ -255,6 +254,10 @@
     compio::runtime::spawn(task).detach();
 }
 
+async fn sleep_until(at: Instant) {
+    compio::time::sleep(at.saturating_duration_since(Instant::now())).await;
+}
+
 fn new_incarnation() -> Incarnation {
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     let start_ms = u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX);
--- a/src/node/messenger.rs
+++ b/src/node/messenger.rs
@@ -285,7 +285,7 @@
             Body::Heartbeat {
                 in_flight: state.view.load().own(),
                 peers: state.peers.sample_addresses(),
-                leaving: state.stopping,
+                leaving: state.shutdown.is_some(),
                 store: state.store_view,
                 failure_domain: self.own.failure_domain.clone(),
                 totals: state.view.next_totals(),
--- a/src/node/policy.rs
+++ b/src/node/policy.rs
@@ -27,6 +27,10 @@
 /// `Retry-After` sent to callers while the instance has no configuration or no usable upstream.
 const UNAVAILABLE_RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// `Retry-After` sent to callers whose request came too late in a shutdown. Another instance takes
+/// it at once.
+const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(50);
+
 /// Delay of a hedge, a parallel second attempt, in mean service times.
 const HEDGE_DELAY_FACTOR: f64 = 2.5;
 
@@ -79,11 +83,13 @@
         let route = in_force.routes.find(host, path)?;
         let requested = PlatformDialect::requested_timeout(headers);
         let timeout = requested.unwrap_or(route.timeout).min(route.max_timeout);
+        let deadline = now + timeout;
+        let deadline = state.shutdown.map_or(deadline, |plan| plan.limit_deadline(deadline));
         let service = split::choose(&route.delivery.split, rand::random()).cloned();
         Ok(RoutedRequest {
             service: service.unwrap_or(route.service),
             class: route.class,
-            deadline: now + timeout,
+            deadline,
             target: route.delivery.latency_target.map(|target| now + target.0),
             priority: route.delivery.priority,
             max_attempts: route.delivery.max_attempts,
@@ -107,6 +113,10 @@
         exclude: &[UpstreamId],
     ) -> Result<Target, Rejection> {
         let state = self.state.borrow();
+        let is_first = exclude.is_empty();
+        if is_first && state.shutdown.is_some_and(|plan| plan.rejects_new(now)) {
+            return Err(Rejection::stopping(STOPPING_RETRY_AFTER));
+        }
         let usable = state.catalog.usable(now, &routed.service);
         let usable = usable.filter(|upstream| !exclude.contains(&upstream.id));
         let candidates: Vec<(&ListedUpstream, Candidate)> = usable
@@ -127,7 +137,7 @@
             incarnation: upstream.incarnation,
             address: upstream.address,
             max_connections: max_connections(&state, &routed.service),
-            is_extra_attempt: !exclude.is_empty(),
+            is_extra_attempt: !is_first,
             basis: basis_of(candidate),
         })
     }
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -17,6 +17,8 @@
 use cactustrack_types::{Configuration, InstanceId, ServiceId, Version};
 use slog::Logger;
 
+use super::shutdown::ShutdownPlan;
+
 /// The state, shared by all tasks of the instance.
 pub(crate) type SharedState = Rc<RefCell<State>>;
 
@@ -74,8 +76,8 @@
     pub(crate) assembly: Assembly,
     /// Start time of the instance.
     pub(crate) started: Instant,
-    /// True once the graceful shutdown has started.
-    pub(crate) stopping: bool,
+    /// The graceful shutdown, once it has started.
+    pub(crate) shutdown: Option<ShutdownPlan>,
     log: Logger,
 }
 
@@ -91,7 +93,7 @@
             store_view: StoreView { is_up: true, ..StoreView::default() },
             assembly: Assembly::default(),
             started: Instant::now(),
-            stopping: false,
+            shutdown: None,
             log,
         }
     }
@@ -205,7 +207,7 @@
 
     /// Returns an error with the reason if the instance is not ready to take requests.
     pub(crate) fn readiness(&self) -> Result<(), &'static str> {
-        if self.stopping {
+        if self.shutdown.is_some() {
             return Err("the instance is stopping");
         }
         if self.in_force.is_none() {
--- a/src/node/status.rs
+++ b/src/node/status.rs
@@ -22,7 +22,7 @@
             "configuration_version": state.in_force.as_ref().map(|in_force| in_force.version),
             "upstreams": state.catalog.len(),
             "instances_heard": state.peers.instances(),
-            "stopping": state.stopping,
+            "stopping": state.shutdown.is_some(),
         })
     }
 
--- a/tests/all/proxy.rs
+++ b/tests/all/proxy.rs
@@ -8,7 +8,7 @@
 mod fakes;
 mod forwarding;
 mod framing;
-mod harness;
+pub(crate) mod harness;
 mod link;
 mod matching;
 mod partial_heads;
--- a/tests/all/proxy/harness.rs
+++ b/tests/all/proxy/harness.rs
@@ -262,7 +262,7 @@
     SocketAddr::from(([127, 0, 0, 1], 1))
 }
 
-pub(super) fn connect(address: SocketAddr) -> TcpStream {
+pub(crate) fn connect(address: SocketAddr) -> TcpStream {
     let stream = TcpStream::connect(address).expect("a connection");
     stream.set_read_timeout(Some(WAIT_TIMEOUT)).expect("a timeout");
     stream.set_write_timeout(Some(WAIT_TIMEOUT)).expect("a timeout");
@@ -270,7 +270,7 @@
 }
 
 /// Reads a head up to the empty line that ends it. Returns `None` if the connection ends first.
-pub(super) fn read_head(stream: &mut TcpStream) -> Option<String> {
+pub(crate) fn read_head(stream: &mut TcpStream) -> Option<String> {
     let (mut head, mut byte) = (Vec::new(), [0]);
     while !head.ends_with(b"\r\n\r\n") {
         if stream.read(&mut byte).ok()? == 0 {
@@ -281,7 +281,7 @@
     Some(String::from_utf8_lossy(&head).into_owned())
 }
 
-pub(super) fn read_all(stream: &mut TcpStream) -> String {
+pub(crate) fn read_all(stream: &mut TcpStream) -> String {
     let mut bytes = Vec::new();
     let _ = stream.read_to_end(&mut bytes);
     String::from_utf8_lossy(&bytes).into_owned()
