Stop sending requests to an upstream that announces its shutdown

Cause: the header was not read on the platform. Requests went on until the entry in the store changed.

Change: the dialect reads the announcement, also for the own dialect, whose daemon looked at it before the response was attributed; another process at the address (421) no longer counts as the upstream. The catalog takes the incarnation out of use at once.

Evidence: platform::traffic::an_upstream_that_is_leaving_by_its_response_ gets_no_new_requests failed before (200 from the leaving upstream, whose entry was unchanged); sharing::catalog has the cases of the entry.

--- a/crates/fleet/src/catalog.rs
+++ b/crates/fleet/src/catalog.rs
@@ -7,10 +7,11 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
-use cactustrack_types::{ServiceId, UpstreamId};
+use cactustrack_types::{Incarnation, ServiceId, UpstreamId};
 
 use crate::discovery::{ListedUpstream, Revision};
 use crate::message::{ShortId, short_upstream_id};
+use crate::withdrawal::Withdrawals;
 
 /// Time after the end of an outage of the store by which expired entries of live upstreams are
 /// listed again. This takes about two seconds, part of which passes before the instance detects the
@@ -27,6 +28,8 @@
     pending_removals: HashMap<UpstreamId, Instant>,
     /// Upstreams whose address belongs to another process, with the revision of the entry.
     misdirected: HashMap<UpstreamId, u64>,
+    /// What upstreams stated in responses.
+    withdrawals: Withdrawals,
     outage: Outage,
 }
 
@@ -99,13 +102,21 @@
         self.misdirected.insert(id.clone(), revision);
     }
 
-    /// Applies the delayed removals that are due.
+    /// Records that an upstream has announced its shutdown in a response. It gets no more requests.
+    /// Returns false if that was known.
+    pub fn set_leaving(&mut self, now: Instant, id: &UpstreamId, incarnation: Incarnation) -> bool {
+        self.withdrawals.set_leaving(now, id, incarnation)
+    }
+
+    /// Applies the delayed removals that are due, and forgets what is no longer needed.
     pub fn expire(&mut self, now: Instant) {
         let due = self.pending_removals.iter().filter(|(_, until)| **until <= now);
         let due: Vec<_> = due.map(|(id, _)| id.clone()).collect();
         for id in due {
             self.remove_entry(&id);
         }
+        let listed = &self.listed;
+        self.withdrawals.expire(now, |id| listed.get(id).map(|upstream| upstream.incarnation));
     }
 
     /// Returns the entry of an upstream.
@@ -130,6 +141,7 @@
             upstream.service == *service
                 && !upstream.leaving
                 && !is_removed
+                && self.withdrawals.allows(&upstream.id, upstream.incarnation)
                 && !self.misdirected.contains_key(&upstream.id)
         };
         self.listed.values().filter(is_usable)
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -16,7 +16,8 @@
 //! retries and hedges by its own requests.
 //!
 //! [`placement`] selects an upstream for a request and [`admission`] rejects requests that would
-//! wait for too long. [`catalog`] holds the listed upstreams, and [`discovery`] is the interface to
+//! wait for too long. [`catalog`] holds the listed upstreams and those that
+//! take no requests by their own word ([`withdrawal`]), and [`discovery`] is the interface to
 //! the store that lists them. A few instances watch the store and [`relay`] its changes to the
 //! others.
 //!
@@ -40,3 +41,4 @@
 pub mod suspicion;
 pub mod trial;
 pub mod view;
+pub mod withdrawal;
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -81,6 +81,11 @@
         self.context.policy.on_cancel(Instant::now(), &self.target, Duration::ZERO);
     }
 
+    /// Records that the upstream has announced its shutdown.
+    pub(crate) fn on_leaving(&self) {
+        self.context.policy.on_leaving(Instant::now(), &self.target);
+    }
+
     /// Records that another process listens at the address of the upstream.
     pub(crate) fn on_misdirected(&self) {
         self.context.policy.on_misdirected(Instant::now(), &self.target);
--- a/crates/proxy/src/dialect.rs
+++ b/crates/proxy/src/dialect.rs
@@ -56,6 +56,9 @@
         is_reused: bool,
     ) -> ResponseKind;
 
+    /// Returns true if the upstream announces in a response that it is about to stop.
+    fn announces_shutdown(&self, response: &HeaderMap) -> bool;
+
     /// Returns the load that the upstream reports in the headers of a response.
     fn load(&self, response: &HeaderMap) -> Option<LoadReport>;
 
@@ -120,6 +123,10 @@
         }
     }
 
+    fn announces_shutdown(&self, response: &HeaderMap) -> bool {
+        headers::announces_drain(response)
+    }
+
     fn load(&self, response: &HeaderMap) -> Option<LoadReport> {
         LoadReport::parse(response.get(headers::LOAD)?.to_str().ok()?)
     }
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -167,6 +167,8 @@
                 }
                 if kind == ResponseKind::Misdirected {
                     attempt.on_misdirected();
+                } else if dialect.announces_shutdown(&head.headers) {
+                    attempt.on_leaving();
                 }
                 let outcome = Outcome::Ok;
                 return Ok(UpstreamResponse { head, body, connection, attempt, kind, outcome });
--- a/crates/proxy/src/policy.rs
+++ b/crates/proxy/src/policy.rs
@@ -176,8 +176,7 @@
     /// Records the start of an attempt.
     fn on_start(&self, now: Instant, target: &Target);
 
-    /// Records the head of a response, which may report load, a graceful shutdown or a new
-    /// incarnation.
+    /// Records the head of a response, which may report load or a new incarnation.
     fn on_response_head(&self, now: Instant, target: &Target, headers: &HeaderMap);
 
     /// Records the end of an attempt. `latency` is the time to the response head, if there was one.
@@ -196,6 +195,9 @@
         self.on_finish(now, target, Outcome::Silent, None);
     }
 
+    /// Records that an upstream has announced its shutdown. It should get no more requests.
+    fn on_leaving(&self, _now: Instant, _target: &Target) {}
+
     /// Records that another process responded at the address of an upstream.
     fn on_misdirected(&self, _now: Instant, _target: &Target) {}
 
--- a/crates/test-support/src/upstream.rs
+++ b/crates/test-support/src/upstream.rs
@@ -47,6 +47,8 @@
     pub hang: bool,
     /// Rejects requests as busy, without executing them.
     pub shed: bool,
+    /// `Retry-After` of the rejections on the platform, where it is optional.
+    pub retry_after: Option<&'static str>,
     /// Closes the connection after this many bytes of a generated body.
     pub truncate_after: Option<u64>,
     /// Executes the request, then closes the connection without a response.
@@ -228,7 +230,7 @@
         futures::future::pending::<Infallible>().await;
     }
     if behaviour.shed {
-        return Ok(shed_response(&req));
+        return Ok(shed_response(&req, &behaviour));
     }
     let (head, body) = req.into_parts();
     let request_id = head.headers.get(REQUEST_ID).cloned();
@@ -265,16 +267,21 @@
     if behaviour.draining {
         let headers = response.headers_mut();
         headers.insert("cactustrack-draining", HeaderValue::from_static("1"));
+        headers.insert("server-leaving", HeaderValue::from_static("1"));
         headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
     Ok(response)
 }
 
-fn shed_response(req: &Request<Incoming>) -> Response<Chunks> {
+fn shed_response(req: &Request<Incoming>, behaviour: &Behaviour) -> Response<Chunks> {
     let mut response = short_response(StatusCode::SERVICE_UNAVAILABLE, "busy");
     let headers = response.headers_mut();
-    headers.insert(header::RETRY_AFTER, HeaderValue::from_static("1"));
-    if let Some(request_id) = req.headers().get(REQUEST_ID) {
+    let request_id = req.headers().get(REQUEST_ID);
+    let retry_after = if request_id.is_some() { behaviour.retry_after } else { Some("1") };
+    if let Some(retry_after) = retry_after {
+        headers.insert(header::RETRY_AFTER, HeaderValue::from_static(retry_after));
+    }
+    if let Some(request_id) = request_id {
         headers.insert(REQUEST_ID, request_id.clone());
         headers.insert(NOT_EXECUTED, HeaderValue::from_static("1"));
     }
--- a/src/daemon/policy.rs
+++ b/src/daemon/policy.rs
@@ -159,13 +159,6 @@
         if let (Some(load), Some(service)) = (load, board.services.get_mut(&target.service)) {
             service.balancer.on_load_report(now, &target.upstream, load);
         }
-        if headers::announces_drain(headers)
-            && board.set_leaving(&target.upstream, target.incarnation)
-        {
-            slog::info!(self.log, "health: upstream announced its shutdown";
-                "service" => &*target.service, "upstream" => &*target.upstream);
-            health::replan_service(board, now, &target.service);
-        }
         let boot_id = headers.get(headers::BOOT_ID).and_then(|value| value.to_str().ok());
         if let Some(boot_id) = boot_id {
             self.update_boot_id(board, now, target, boot_id);
@@ -194,6 +187,15 @@
         self.record(board, now, target, classified);
     }
 
+    fn on_leaving(&self, now: Instant, target: &Target) {
+        let mut board = self.board.borrow_mut();
+        if board.set_leaving(&target.upstream, target.incarnation) {
+            slog::info!(self.log, "health: upstream announced its shutdown";
+                "service" => &*target.service, "upstream" => &*target.upstream);
+            health::replan_service(&mut board, now, &target.service);
+        }
+    }
+
     fn on_shed(&self, now: Instant, target: &Target, retry_after: Duration) {
         if let Some(service) = self.board.borrow_mut().services.get_mut(&target.service) {
             service.balancer.on_shed(now, &target.upstream, Some(retry_after));
--- a/src/node/policy.rs
+++ b/src/node/policy.rs
@@ -224,6 +224,14 @@
         self.state.borrow_mut().catalog.set_misdirected(&target.upstream);
     }
 
+    fn on_leaving(&self, now: Instant, target: &Target) {
+        let mut state = self.state.borrow_mut();
+        if state.catalog.set_leaving(now, &target.upstream, target.incarnation) {
+            slog::info!(self.log, "members: upstream announced its shutdown";
+                "upstream" => &*target.upstream, "service" => &*target.service);
+        }
+    }
+
     fn on_shed(&self, now: Instant, target: &Target, _retry_after: Duration) {
         if !self.has_free_slot(target) {
             self.state.borrow_mut().view.set_full(now, &target.upstream);
--- a/tests/all/platform/harness.rs
+++ b/tests/all/platform/harness.rs
@@ -93,8 +93,13 @@
         self.store.put(documents::CONFIGURATION_KEY, configuration.to_string().as_bytes());
     }
 
-    /// Writes the entry of an upstream.
+    /// Writes the entry of the first incarnation of an upstream.
     pub(super) fn put_upstream(&self, number: usize, state: &str) {
+        self.put_upstream_incarnation(number, state, 1);
+    }
+
+    /// Writes the entry of an upstream.
+    pub(super) fn put_upstream_incarnation(&self, number: usize, state: &str, incarnation: u64) {
         let upstream = &self.upstreams.all[number];
         let entry = UpstreamEntry {
             service: "svc-a",
@@ -102,7 +107,7 @@
             failure_domain: "domain-a",
             slots: 4,
             state,
-            incarnation: 1,
+            incarnation,
         };
         let entry = entry.to_json();
         self.store.put(&documents::upstream_key(&upstream.id), entry.to_string().as_bytes());
--- a/tests/all/platform/traffic.rs
+++ b/tests/all/platform/traffic.rs
@@ -1,5 +1,6 @@
 //! Forwarding of requests on the users' platform.
 
+use std::thread;
 use std::time::{Duration, Instant};
 
 use cactustrack_test_support::caller::Call;
@@ -126,6 +127,31 @@
     assert_eq!(harness.upstreams.all[0].control.requests(), before);
 }
 
+/// Guards against new requests to an upstream that announces its shutdown in a response, before its
+/// entry changes. A new process under the same id is used again.
+#[test]
+fn an_upstream_that_is_leaving_by_its_response_gets_no_new_requests() {
+    for route in [SEARCH, ORDERS] {
+        let harness = Harness::start(1, 1, &[route]);
+        let control = &harness.upstreams.all[0].control;
+        control.set(|behaviour| behaviour.draining = true);
+        let path = format!("{}x", route.prefix);
+        let call = || harness.call(0, &request(Call::post(HOST, &path), "id", DEADLINE)).status;
+        assert_eq!(call(), StatusCode::OK);
+        for _ in 0..5 {
+            assert_eq!(call(), StatusCode::SERVICE_UNAVAILABLE, "{}", route.prefix);
+        }
+        assert_eq!(control.requests(), 1, "{}: one response tells that it leaves", route.prefix);
+        // Another write of the same process changes nothing.
+        harness.put_upstream(0, "ready");
+        thread::sleep(Duration::from_millis(300));
+        assert_eq!(call(), StatusCode::SERVICE_UNAVAILABLE, "{}", route.prefix);
+        control.set(|behaviour| behaviour.draining = false);
+        harness.put_upstream_incarnation(0, "ready", 2);
+        wait_for("the new incarnation to be used", || call() == StatusCode::OK);
+    }
+}
+
 /// Guards against a fault that is known only to the instance that observed it.
 #[test]
 fn a_failure_seen_by_one_instance_is_shared_with_the_others() {
--- a/tests/all/sharing/catalog.rs
+++ b/tests/all/sharing/catalog.rs
@@ -90,3 +90,52 @@
     catalog.upsert(listed("a", 2));
     assert_eq!(usable(&catalog, now), ["a"]);
 }
+
+/// Guards against an announced shutdown that is forgotten while its upstream is still leaving, for
+/// example because its entry expired in an outage of the store and is written again, and against one
+/// that is applied to the next process under the same id.
+#[test]
+fn an_announced_shutdown_holds_for_one_incarnation() {
+    struct Case {
+        name: &'static str,
+        change: fn(&mut Catalog, Instant),
+        used: bool,
+    }
+    let cases = [
+        Case { name: "no change", change: |_, _| {}, used: false },
+        Case {
+            name: "written again",
+            change: |catalog, _| {
+                catalog.upsert(listed("a", 5));
+            },
+            used: false,
+        },
+        Case {
+            name: "removed, and written again",
+            change: |catalog, now| {
+                catalog.remove(now, &"a".into(), 5);
+                catalog.expire(now + Duration::from_secs(20));
+                catalog.upsert(listed("a", 6));
+            },
+            used: false,
+        },
+        Case {
+            name: "next process",
+            change: |catalog, _| {
+                catalog.upsert(ListedUpstream { incarnation: Incarnation(2), ..listed("a", 5) });
+            },
+            used: true,
+        },
+    ];
+    for Case { name, change, used } in cases {
+        let now = Instant::now();
+        let mut catalog = Catalog::default();
+        catalog.upsert(listed("a", 1));
+        assert!(catalog.set_leaving(now, &"a".into(), Incarnation(1)), "{name}");
+        assert!(!catalog.set_leaving(now, &"a".into(), Incarnation(1)), "{name}: known");
+        change(&mut catalog, now);
+        catalog.expire(now + Duration::from_secs(30));
+        let later = now + Duration::from_secs(30);
+        assert_eq!(usable(&catalog, later), if used { vec!["a"] } else { vec![] }, "{name}");
+    }
+}
