Leave an upstream alone for as long as it asks for

Cause: on the platform the value was dropped. The upstream counted as full for 300 ms, or not at all if its load report showed a free slot, and a value with a fraction of a second was not even parsed.

Change: the dialect reads the time, the catalog takes the incarnation out of use for this instance until it is over, at most an hour. If no upstream is left, requests are rejected at once. The caller of a request that was shed is no longer told the time that the upstream stated for this instance: another instance or upstream may serve it, so it is asked to come again while it still waits.

Evidence: platform::traffic::an_upstream_gets_no_requests_in_the_time_for_ which_it_wants_none failed before (used again 1.7 s after it had asked for 3 s), and a_request_is_rejected_at_once_if_all_upstreams_want_none (callers were told 60 s). sharing::catalog and platform::dialect have the cases of the time and of the header.

--- a/crates/fleet/src/catalog.rs
+++ b/crates/fleet/src/catalog.rs
@@ -108,6 +108,18 @@
         self.withdrawals.set_leaving(now, id, incarnation)
     }
 
+    /// Records that an upstream wants no requests from this instance for some time. Returns false if
+    /// it wanted none before.
+    pub fn set_back_off(
+        &mut self,
+        now: Instant,
+        id: &UpstreamId,
+        incarnation: Incarnation,
+        wait: Duration,
+    ) -> bool {
+        self.withdrawals.set_back_off(now, id, incarnation, wait)
+    }
+
     /// Applies the delayed removals that are due, and forgets what is no longer needed.
     pub fn expire(&mut self, now: Instant) {
         let due = self.pending_removals.iter().filter(|(_, until)| **until <= now);
@@ -141,7 +153,7 @@
             upstream.service == *service
                 && !upstream.leaving
                 && !is_removed
-                && self.withdrawals.allows(&upstream.id, upstream.incarnation)
+                && self.withdrawals.allows(now, &upstream.id, upstream.incarnation)
                 && !self.misdirected.contains_key(&upstream.id)
         };
         self.listed.values().filter(is_usable)
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -86,6 +86,11 @@
         self.context.policy.on_leaving(Instant::now(), &self.target);
     }
 
+    /// Records that the upstream wants no requests from this instance for the time `wait`.
+    pub(crate) fn on_back_off(&self, wait: Duration) {
+        self.context.policy.on_back_off(Instant::now(), &self.target, wait);
+    }
+
     /// Records that another process listens at the address of the upstream.
     pub(crate) fn on_misdirected(&self) {
         self.context.policy.on_misdirected(Instant::now(), &self.target);
--- a/crates/proxy/src/dialect.rs
+++ b/crates/proxy/src/dialect.rs
@@ -9,6 +9,13 @@
 
 use crate::Target;
 
+/// Returns the `Retry-After` of a response in seconds, which may have fractions. `None` if there is
+/// none, or if it is a date or no number.
+pub fn retry_after(headers: &HeaderMap) -> Option<Duration> {
+    let seconds = headers.get(header::RETRY_AFTER)?.to_str().ok()?.trim().parse().ok()?;
+    Duration::try_from_secs_f64(seconds).ok()
+}
+
 /// Meaning of an upstream's response for the request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ResponseKind {
@@ -59,6 +66,12 @@
     /// Returns true if the upstream announces in a response that it is about to stop.
     fn announces_shutdown(&self, response: &HeaderMap) -> bool;
 
+    /// Returns the time for which the upstream wants no requests from this instance at all, if it
+    /// states one.
+    fn back_off(&self, _response: &response::Parts) -> Option<Duration> {
+        None
+    }
+
     /// Returns the load that the upstream reports in the headers of a response.
     fn load(&self, response: &HeaderMap) -> Option<LoadReport>;
 
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -10,7 +10,7 @@
 use crate::attempt::{Attempt, AttemptContext};
 use crate::body::UploadState;
 use crate::pool::{ConnectError, Connection};
-use crate::{Pool, Proxy, RequestBody, ResponseKind, Target};
+use crate::{Dialect, Pool, Proxy, RequestBody, ResponseKind, Target};
 
 /// W3C Trace Context header.
 pub(crate) const TRACEPARENT: HeaderName = HeaderName::from_static("traceparent");
@@ -165,11 +165,7 @@
                     attempt.finish(Outcome::Failed);
                     return Err(Failure::sent(Cause::Broken));
                 }
-                if kind == ResponseKind::Misdirected {
-                    attempt.on_misdirected();
-                } else if dialect.announces_shutdown(&head.headers) {
-                    attempt.on_leaving();
-                }
+                report_availability(dialect, &attempt, kind, &head);
                 let outcome = Outcome::Ok;
                 return Ok(UpstreamResponse { head, body, connection, attempt, kind, outcome });
             }
@@ -192,6 +188,25 @@
     }
 }
 
+/// Reports what the head of a response states about further requests to its upstream.
+fn report_availability(
+    dialect: &dyn Dialect,
+    attempt: &Attempt,
+    kind: ResponseKind,
+    head: &response::Parts,
+) {
+    if kind == ResponseKind::Misdirected {
+        attempt.on_misdirected();
+        return;
+    }
+    if dialect.announces_shutdown(&head.headers) {
+        attempt.on_leaving();
+    }
+    if let Some(wait) = dialect.back_off(head) {
+        attempt.on_back_off(wait);
+    }
+}
+
 async fn connect(
     pool: &Pool,
     attempt: &Attempt,
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -24,7 +24,7 @@
 
 pub use body::{RequestBody, ResponseBody};
 pub use dead_peer::enable_dead_peer_detection;
-pub use dialect::{DefaultDialect, Dialect, ResponseKind};
+pub use dialect::{DefaultDialect, Dialect, ResponseKind, retry_after};
 pub use handler::{Proxy, ProxyParts};
 pub use policy::{
     Admission, BudgetBasis, ExtraAttempt, ExtraDecision, RoutedRequest, SelectionBasis, Target,
--- a/crates/proxy/src/non_idempotent.rs
+++ b/crates/proxy/src/non_idempotent.rs
@@ -212,6 +212,8 @@
                 self.last_rejection = Some(rejection_for(Cause::Broken, Execution::Unknown));
                 return Event::Broken;
             }
+            let policy = self.proxy.policy();
+            let wait = policy.retry_after_shed(Instant::now(), &self.routed, wait);
             self.last_rejection = Some(upstream_busy(wait));
             return if self.may_try_another() { Event::Declined } else { Event::Shed { status } };
         }
--- a/crates/proxy/src/policy.rs
+++ b/crates/proxy/src/policy.rs
@@ -198,6 +198,20 @@
     /// Records that an upstream has announced its shutdown. It should get no more requests.
     fn on_leaving(&self, _now: Instant, _target: &Target) {}
 
+    /// Records that an upstream wants no requests from this instance for the time `wait`.
+    fn on_back_off(&self, _now: Instant, _target: &Target, _wait: Duration) {}
+
+    /// Returns the time after which the caller of a request that was shed may come again. `stated`
+    /// is the one that the upstream stated for itself.
+    fn retry_after_shed(
+        &self,
+        _now: Instant,
+        _routed: &RoutedRequest,
+        stated: Duration,
+    ) -> Duration {
+        stated
+    }
+
     /// Records that another process responded at the address of an upstream.
     fn on_misdirected(&self, _now: Instant, _target: &Target) {}
 
--- a/crates/proxy/src/retryable.rs
+++ b/crates/proxy/src/retryable.rs
@@ -6,9 +6,10 @@
 use cactustrack_types::{Execution, Outcome, UpstreamId};
 use futures::FutureExt;
 use futures::future::{Either, LocalBoxFuture, select};
-use http::{Response, StatusCode, header};
+use http::{Response, StatusCode};
 
 use crate::access_log::AccessLogEntry;
+use crate::dialect;
 use crate::exchange::{Cause, Failure, Reuse, UpstreamResponse, exchange, time_until};
 use crate::handler::Proxy;
 use crate::reject::{Rejection, RejectionReason};
@@ -230,7 +231,9 @@
         if self.sent { Execution::Unknown } else { Execution::NotRun }
     }
 
-    fn busy(&self, retry_after: Duration) -> Rejection {
+    fn busy(&self, stated: Duration) -> Rejection {
+        let policy = self.proxy.policy();
+        let retry_after = policy.retry_after_shed(Instant::now(), &self.routed, stated);
         let status = StatusCode::SERVICE_UNAVAILABLE;
         Rejection::new(
             RejectionReason::UpstreamBusy,
@@ -278,11 +281,9 @@
     Rejection::new(reason, status, execution, detail)
 }
 
-/// Returns the `Retry-After` in seconds of a response, or one second if it has none.
+/// Returns the `Retry-After` of a response that was shed, or one second if it has none.
 pub(crate) fn retry_after(response: &UpstreamResponse) -> Duration {
-    let seconds = response.head.headers.get(header::RETRY_AFTER);
-    let seconds = seconds.and_then(|value| value.to_str().ok()?.trim().parse().ok());
-    seconds.map_or(DEFAULT_RETRY_AFTER, Duration::from_secs)
+    dialect::retry_after(&response.head.headers).unwrap_or(DEFAULT_RETRY_AFTER)
 }
 
 type ExchangeFuture = LocalBoxFuture<'static, Result<UpstreamResponse, Failure>>;
--- a/src/node/policy.rs
+++ b/src/node/policy.rs
@@ -232,6 +232,27 @@
         }
     }
 
+    fn on_back_off(&self, now: Instant, target: &Target, wait: Duration) {
+        let mut state = self.state.borrow_mut();
+        if state.catalog.set_back_off(now, &target.upstream, target.incarnation, wait) {
+            slog::info!(self.log, "members: upstream wants no requests for some time";
+                "upstream" => &*target.upstream, "service" => &*target.service,
+                "wait_ms" => u64::try_from(wait.as_millis()).unwrap_or(u64::MAX));
+        }
+    }
+
+    /// What an upstream states concerns itself and this instance only. The caller may reach another
+    /// one, so it is asked to come again while it still waits.
+    fn retry_after_shed(
+        &self,
+        now: Instant,
+        routed: &RoutedRequest,
+        _stated: Duration,
+    ) -> Duration {
+        let remaining = routed.deadline.saturating_duration_since(now);
+        admission::retry_after(Duration::ZERO, remaining, rand::random())
+    }
+
     fn on_shed(&self, now: Instant, target: &Target, _retry_after: Duration) {
         if !self.has_free_slot(target) {
             self.state.borrow_mut().view.set_full(now, &target.upstream);
--- a/tests/all/platform/dialect.rs
+++ b/tests/all/platform/dialect.rs
@@ -103,3 +103,31 @@
     PlatformDialect.describe_rejection(&mut sent, Execution::NotRun, wait);
     assert_eq!(sent["retry-after"], "0.250");
 }
+
+/// Guards against a `Retry-After` that is not read, and against one that makes an instance fail.
+#[test]
+fn the_time_without_requests_is_read_from_rejections() {
+    struct Case {
+        status: u16,
+        value: &'static str,
+        back_off: Option<Duration>,
+    }
+    let cases = [
+        Case { status: 503, value: "2", back_off: Some(Duration::from_secs(2)) },
+        Case { status: 503, value: " 0.25 ", back_off: Some(Duration::from_millis(250)) },
+        Case { status: 503, value: "0", back_off: Some(Duration::ZERO) },
+        Case { status: 200, value: "2", back_off: None },
+        Case { status: 503, value: "-1", back_off: None },
+        Case { status: 503, value: "NaN", back_off: None },
+        Case { status: 503, value: "inf", back_off: None },
+        Case { status: 503, value: "1e300", back_off: None },
+        Case { status: 503, value: "Wed, 21 Oct 2026 07:28:00 GMT", back_off: None },
+        Case { status: 503, value: "", back_off: None },
+    ];
+    for Case { status, value, back_off } in cases {
+        let mut response = response_parts(status, &[ID, NOT_EXECUTED]);
+        response.headers.insert("retry-after", HeaderValue::from_static(value));
+        assert_eq!(PlatformDialect.back_off(&response), back_off, "{status} {value:?}");
+    }
+    assert_eq!(PlatformDialect.back_off(&response_parts(503, &[ID])), None);
+}
--- a/tests/all/platform/traffic.rs
+++ b/tests/all/platform/traffic.rs
@@ -152,6 +152,71 @@
     }
 }
 
+/// Guards against requests to an upstream that has asked this instance for none for some time. Its
+/// `Retry-After` was not kept, and one with a fraction of a second was not even read.
+#[test]
+fn an_upstream_gets_no_requests_in_the_time_for_which_it_wants_none() {
+    struct Case {
+        route: super::harness::RouteCase,
+        retry_after: &'static str,
+        wait: Duration,
+    }
+    let cases = [
+        Case { route: SEARCH, retry_after: "3", wait: Duration::from_secs(3) },
+        Case { route: ORDERS, retry_after: "2.5", wait: Duration::from_millis(2_500) },
+    ];
+    for Case { route, retry_after, wait } in cases {
+        let harness = Harness::start(2, 1, &[route]);
+        let control = &harness.upstreams.all[0].control;
+        control.set(|behaviour| {
+            behaviour.shed = true;
+            behaviour.retry_after = Some(retry_after);
+        });
+        let path = format!("{}x", route.prefix);
+        let call = || harness.call(0, &request(Call::post(HOST, &path), "id", DEADLINE)).status;
+        let is_shed = || {
+            call();
+            control.requests() > 0
+        };
+        wait_for("the upstream to shed", is_shed);
+        let (asked_at, before) = (Instant::now(), control.requests());
+        control.set(|behaviour| behaviour.shed = false);
+        let is_used_again = || {
+            assert_eq!(call(), StatusCode::OK);
+            control.requests() > before
+        };
+        wait_for("the upstream to be used again", is_used_again);
+        assert!(
+            asked_at.elapsed() >= wait - Duration::from_millis(200),
+            "{:?}",
+            asked_at.elapsed()
+        );
+    }
+}
+
+/// Guards against a request that waits for upstreams which all want none, and against a long
+/// `Retry-After` to the caller, whom another instance may serve.
+#[test]
+fn a_request_is_rejected_at_once_if_all_upstreams_want_none() {
+    let harness = Harness::start(1, 1, &[SEARCH]);
+    let control = &harness.upstreams.all[0].control;
+    control.set(|behaviour| {
+        behaviour.shed = true;
+        behaviour.retry_after = Some("60");
+    });
+    for number in 0..3 {
+        let started = Instant::now();
+        let call = request(Call::get(HOST, "/search/x"), &format!("id-{number}"), DEADLINE);
+        let response = harness.call(0, &call);
+        assert_eq!(response.status, StatusCode::SERVICE_UNAVAILABLE);
+        let retry_after = response.headers["retry-after"].to_str().expect("text");
+        let retry_after: f64 = retry_after.parse().expect("seconds");
+        assert!(retry_after <= 1.5, "request {number}: {retry_after} s");
+        assert!(started.elapsed() < Duration::from_secs(1), "request {number}");
+    }
+    assert_eq!(control.requests(), 1);
+}
+
 /// Guards against a fault that is known only to the instance that observed it.
 #[test]
 fn a_failure_seen_by_one_instance_is_shared_with_the_others() {
--- a/tests/all/sharing/catalog.rs
+++ b/tests/all/sharing/catalog.rs
@@ -139,3 +139,58 @@
         assert_eq!(usable(&catalog, later), if used { vec!["a"] } else { vec![] }, "{name}");
     }
 }
+
+/// Guards against requests to an upstream in the time for which it wants none, and against an
+/// upstream that is never used again.
+#[test]
+fn an_upstream_that_wants_no_requests_is_used_again_after_that_time() {
+    const WAIT: Duration = Duration::from_secs(8);
+    struct Case {
+        name: &'static str,
+        /// Time that the upstream states one second later.
+        later: Option<Duration>,
+        incarnation: u64,
+        unused_for: Duration,
+    }
+    let cases = [
+        Case { name: "once", later: None, incarnation: 1, unused_for: WAIT },
+        Case {
+            name: "a shorter one later",
+            later: Some(Duration::from_secs(2)),
+            incarnation: 1,
+            unused_for: WAIT,
+        },
+        Case {
+            name: "a longer one later",
+            later: Some(Duration::from_secs(9)),
+            incarnation: 1,
+            unused_for: Duration::from_secs(10),
+        },
+        Case { name: "next process", later: None, incarnation: 2, unused_for: Duration::ZERO },
+        Case {
+            name: "endless",
+            later: Some(Duration::MAX),
+            incarnation: 1,
+            unused_for: Duration::from_secs(3_601),
+        },
+    ];
+    for Case { name, later, incarnation, unused_for } in cases {
+        let now = Instant::now();
+        let mut catalog = Catalog::default();
+        let incarnation = Incarnation(incarnation);
+        catalog.upsert(ListedUpstream { incarnation, ..listed("a", 1) });
+        assert!(catalog.set_back_off(now, &"a".into(), Incarnation(1), WAIT), "{name}");
+        if let Some(wait) = later {
+            let at = now + Duration::from_secs(1);
+            assert!(!catalog.set_back_off(at, &"a".into(), Incarnation(1), wait), "{name}");
+        }
+        if !unused_for.is_zero() {
+            let last = now + unused_for - Duration::from_millis(1);
+            catalog.expire(last);
+            assert!(usable(&catalog, last).is_empty(), "{name}");
+        }
+        assert_eq!(usable(&catalog, now + unused_for), ["a"], "{name}");
+        catalog.expire(now + unused_for);
+        assert_eq!(usable(&catalog, now + unused_for), ["a"], "{name}");
+    }
+}
