Age the requests behind the retry budget by suspensions of the machine

Found by a test of ours, not reported: an instance whose machine was suspended for seconds sees its earlier requests as recent ones, since the clock of the process stands still meanwhile. It uses their allowance, while the instances that took over the callers use the allowance of the same callers now.

Change: before a decision, the instance compares its clock with the time since the boot of the machine, which goes on, and makes the earlier requests older by the difference. The detector is pure and takes both times.

--- a/crates/fleet/src/budget.rs
+++ b/crates/fleet/src/budget.rs
@@ -120,6 +120,16 @@
         }
     }
 
+    /// Records that the machine was suspended. The clock of the process stood still meanwhile, so
+    /// the earlier requests are older than it shows. The extra attempts keep their times, which
+    /// counts them for longer than necessary.
+    pub fn on_suspended(&mut self, gap: Duration) {
+        for (at, _) in &mut self.requests {
+            // A clock that has run for less than the gap has seen no request before it.
+            *at = at.checked_sub(gap).unwrap_or(*at);
+        }
+    }
+
     /// Decides on an extra attempt, and counts it if it is allowed. It is counted before it starts,
     /// so that another decision in the meantime takes it into account.
     pub fn try_extra(
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -13,7 +13,8 @@
 //!   ([`attempt_totals`]).
 //!
 //! The retry budget ([`budget`]) of the fleet is kept without notices: each instance limits its
-//! retries and hedges by its own requests.
+//! retries and hedges by its own requests. [`suspension`] detects that these are older than the
+//! clock of the process shows.
 //!
 //! [`placement`] selects an upstream for a request and [`admission`] rejects requests that would
 //! wait for too long. [`catalog`] holds the listed upstreams and those that
@@ -38,6 +39,7 @@
 pub mod relay;
 mod report_window;
 pub mod split;
+pub mod suspension;
 pub mod suspicion;
 pub mod trial;
 pub mod view;
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -287,6 +287,14 @@
         self.load.set_full(now, upstream);
     }
 
+    /// Records that the machine was suspended for a time that the clock of the process does not
+    /// show.
+    pub fn on_suspended(&mut self, gap: Duration) {
+        for budget in self.budgets.values_mut() {
+            budget.on_suspended(gap);
+        }
+    }
+
     /// Decides whether the retry budget of a service allows a retry or a hedge, and counts it if it
     /// does.
     pub fn try_extra(
--- a/src/node/policy.rs
+++ b/src/node/policy.rs
@@ -157,6 +157,7 @@
         if is_hedge && self.load_share(&state, now, &routed.service) > MAX_HEDGE_LOAD {
             return ExtraDecision::without_basis(false);
         }
+        state.check_suspension();
         let service = &routed.service;
         let decision = state.view.try_extra(now, service, self.budget, share, is_hedge);
         let basis = BudgetBasis {
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -5,13 +5,14 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use cactustrack_fleet::catalog::Catalog;
 use cactustrack_fleet::discovery::{Change, ListedUpstream, Revision, Topic};
 use cactustrack_fleet::message::{ConfigurationPart, Delta, Notice, PackedChanges, StoreView};
 use cactustrack_fleet::peers::{AcceptedReport, Peers};
 use cactustrack_fleet::relay::{self, Assembly};
+use cactustrack_fleet::suspension::SuspensionDetector;
 use cactustrack_fleet::view::FleetView;
 use cactustrack_routing::route::RouteTable;
 use cactustrack_types::{Configuration, InstanceId, ServiceId, Version};
@@ -76,6 +77,7 @@
     pub(crate) assembly: Assembly,
     /// Start time of the instance.
     pub(crate) started: Instant,
+    suspensions: SuspensionDetector,
     /// The graceful shutdown, once it has started.
     pub(crate) shutdown: Option<ShutdownPlan>,
     log: Logger,
@@ -93,11 +95,22 @@
             store_view: StoreView { is_up: true, ..StoreView::default() },
             assembly: Assembly::default(),
             started: Instant::now(),
+            suspensions: SuspensionDetector::new(Instant::now(), time_since_boot()),
             shutdown: None,
             log,
         }
     }
 
+    /// Finds out whether the machine was suspended, before a decision that depends on the age of
+    /// earlier requests.
+    pub(crate) fn check_suspension(&mut self) {
+        let since_boot = time_since_boot();
+        let Some(gap) = self.suspensions.take_gap(Instant::now(), since_boot) else { return };
+        slog::info!(self.log, "proxy: the machine was suspended";
+            "ms" => u64::try_from(gap.as_millis()).unwrap_or(u64::MAX));
+        self.view.on_suspended(gap);
+    }
+
     /// Applies a change reported by discovery.
     pub(crate) fn apply(&mut self, now: Instant, change: Change) {
         match change {
@@ -239,3 +252,10 @@
         }
     }
 }
+
+/// Returns the time since the boot of the machine, with the time for which it was suspended.
+fn time_since_boot() -> Duration {
+    let time = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+    let seconds = u64::try_from(time.tv_sec).unwrap_or_default();
+    Duration::new(seconds, u32::try_from(time.tv_nsec).unwrap_or_default())
+}
--- a/tests/all/sharing.rs
+++ b/tests/all/sharing.rs
@@ -11,4 +11,5 @@
 mod pending;
 mod placement;
 mod relay;
+mod suspension;
 mod suspicion;
--- a/tests/all/sharing/budget_schedules.rs
+++ b/tests/all/sharing/budget_schedules.rs
@@ -47,6 +47,9 @@
 /// Number of faults that move callers, where these are played.
 const CALLER_MOVES: usize = 4;
 
+/// Number of faults that suspend machines, where these are played.
+const SUSPENSIONS: usize = 3;
+
 /// Number of schedules that are played.
 const SEEDS: u64 = 40;
 
@@ -71,6 +74,8 @@
     SlowArrivals(Duration),
     /// The callers of the instances move to the others.
     CallersMove,
+    /// The machines are suspended, and their clocks with them. Their callers move to the others.
+    Suspend,
 }
 
 #[derive(Clone, Debug)]
@@ -118,6 +123,10 @@
     view: FleetView,
     peers: Peers,
     started: Duration,
+    /// Time for which the machine was suspended since the process started.
+    suspended: Duration,
+    /// Part of it that the process has not detected yet.
+    unapplied_suspension: Duration,
     sequence: u64,
     is_running: bool,
     is_frozen: bool,
@@ -135,6 +144,8 @@
             incarnation: Incarnation(incarnation),
             peers: Peers::default(),
             started,
+            suspended: Duration::ZERO,
+            unapplied_suspension: Duration::ZERO,
             sequence: 0,
             is_running: true,
             is_frozen: false,
@@ -144,8 +155,20 @@
         }
     }
 
+    /// Applies the suspension that has ended, if there was one.
+    fn resume(&mut self) {
+        let gap = std::mem::take(&mut self.unapplied_suspension);
+        if !gap.is_zero() {
+            self.view.on_suspended(gap);
+        }
+    }
+
+    fn uptime(&self, at: Duration) -> Duration {
+        at.saturating_sub(self.started).saturating_sub(self.suspended)
+    }
+
     fn read_is_due(&self, at: Duration) -> bool {
-        let uptime = at.saturating_sub(self.started);
+        let uptime = self.uptime(at);
         let later = self.next_read.saturating_sub(FIRST_READS.len()) as u32 + 1;
         let due = FIRST_READS.get(self.next_read).copied();
         uptime >= due.unwrap_or(FIRST_READS[2] + READ_INTERVAL * later)
@@ -208,10 +231,10 @@
         }
     }
 
-    /// Adds faults in which callers move between instances.
-    fn with_moving_callers(mut self) -> Self {
-        for _ in 0..CALLER_MOVES {
-            let fault = Fault::new(FaultKind::CallersMove, &mut self.rng);
+    /// Adds a number of faults of one kind.
+    fn with_faults(mut self, kind: FaultKind, count: usize) -> Self {
+        for _ in 0..count {
+            let fault = Fault::new(kind, &mut self.rng);
             self.faults.push(fault);
         }
         self
@@ -245,7 +268,9 @@
     fn apply_faults(&mut self, at: Duration) {
         for number in 0..INSTANCES {
             let is_killed = self.affects(at, number, |kind| matches!(kind, FaultKind::Restart));
-            let is_frozen = self.affects(at, number, |kind| matches!(kind, FaultKind::Freeze));
+            let is_suspended = self.affects(at, number, |kind| matches!(kind, FaultKind::Suspend));
+            let is_frozen =
+                is_suspended || self.affects(at, number, |kind| matches!(kind, FaultKind::Freeze));
             let instance = &mut self.instances[number];
             if is_killed {
                 instance.is_running = false;
@@ -257,7 +282,12 @@
             let instance = &mut self.instances[number];
             let thaws = instance.is_frozen && !is_frozen;
             instance.is_frozen = is_frozen;
+            if is_suspended && instance.is_running {
+                instance.suspended += TICK;
+                instance.unapplied_suspension += TICK;
+            }
             if thaws {
+                instance.resume();
                 for event in std::mem::take(&mut instance.backlog) {
                     self.on_event(at, number, event);
                 }
@@ -274,21 +304,29 @@
         let mut expected = rate * TICK.as_secs_f64();
         while self.rng.random::<f64>() < expected {
             expected -= 1.0;
-            let number = self.choose_instance(at);
             self.requests.push(at);
-            self.schedule(at, number, Event::Request);
+            if let Some(number) = self.choose_instance(at) {
+                self.schedule(at, number, Event::Request);
+            }
         }
     }
 
-    /// Returns an instance that has callers, or any instance if none has.
-    fn choose_instance(&mut self, at: Duration) -> usize {
+    /// Returns an instance that has callers, or any one if none has. Callers cannot connect to a
+    /// machine that is suspended.
+    fn choose_instance(&mut self, at: Duration) -> Option<usize> {
+        let is_suspended =
+            |number| self.affects(at, number, |kind| matches!(kind, FaultKind::Suspend));
         let has_no_callers =
             |number| self.affects(at, number, |kind| matches!(kind, FaultKind::CallersMove));
-        let serving: Vec<_> = (0..INSTANCES).filter(|number| !has_no_callers(*number)).collect();
-        if serving.is_empty() {
-            return self.rng.random_range(0..INSTANCES);
+        let mut reachable: Vec<_> =
+            (0..INSTANCES).filter(|number| !is_suspended(*number)).collect();
+        if !reachable.iter().all(|number| has_no_callers(*number)) {
+            reachable.retain(|number| !has_no_callers(*number));
         }
-        serving[self.rng.random_range(0..serving.len())]
+        if reachable.is_empty() {
+            return None;
+        }
+        Some(reachable[self.rng.random_range(0..reachable.len())])
     }
 
     fn schedule(&mut self, at: Duration, number: usize, event: Event) {
@@ -314,8 +352,13 @@
         }
     }
 
+    /// Returns the time on the clock of an instance, which stands still while it is suspended.
+    fn now(&self, at: Duration, number: usize) -> Instant {
+        self.start + at - self.instances[number].suspended
+    }
+
     fn on_event(&mut self, at: Duration, number: usize, event: Event) {
-        let now = self.start + at;
+        let now = self.now(at, number);
         match event {
             Event::Request => self.start_attempt(at, number, 1),
             Event::Rejected { attempts, incarnation } => {
@@ -335,7 +378,7 @@
     }
 
     fn on_rejection(&mut self, at: Duration, number: usize, attempts: u32) {
-        let now = self.start + at;
+        let now = self.now(at, number);
         let instance = &mut self.instances[number];
         let end = AttemptEnd {
             observed: None,
@@ -351,21 +394,20 @@
     }
 
     fn try_extra(&mut self, at: Duration, number: usize) -> bool {
+        let now = self.now(at, number);
         let instance = &mut self.instances[number];
-        let share = SlackShare {
-            instances: instance.peers.max_instances(),
-            uptime: at.saturating_sub(instance.started),
-        };
-        let view = &mut instance.view;
-        view.try_extra(self.start + at, &self.service, LIMITS, share, false).is_allowed
+        let share =
+            SlackShare { instances: instance.peers.max_instances(), uptime: instance.uptime(at) };
+        instance.view.try_extra(now, &self.service, LIMITS, share, false).is_allowed
     }
 
     fn start_attempt(&mut self, at: Duration, number: usize, attempts: u32) {
         let is_extra = attempts > 1;
+        let now = self.now(at, number);
         let instance = &mut self.instances[number];
         let incarnation = instance.incarnation;
         let (service, upstream) = (&self.service, &self.upstream);
-        let notice = instance.view.start(self.start + at, service, upstream, is_extra);
+        let notice = instance.view.start(now, service, upstream, is_extra);
         self.send(at, number, vec![notice]);
         let arrival = at
             + self.random_delay(at, 1, |kind| match kind {
@@ -451,7 +493,7 @@
     }
 
     fn send_heartbeat(&mut self, at: Duration, number: usize) {
-        let now = self.start + at;
+        let now = self.now(at, number);
         let instance = &mut self.instances[number];
         instance.next_heartbeat = at + HEARTBEAT_INTERVAL;
         instance.sequence += 1;
@@ -536,5 +578,13 @@
 /// allowance of earlier requests and another one that of current ones.
 #[test]
 fn extra_attempts_stay_within_the_budget_under_random_faults_with_moving_callers() {
-    check_schedules(|seed| Simulation::new(seed).with_moving_callers());
+    check_schedules(|seed| Simulation::new(seed).with_faults(FaultKind::CallersMove, CALLER_MOVES));
+}
+
+/// Guards against requests from before a suspension of the machine that count as recent ones, since
+/// the clock of the process stands still meanwhile. Other instances use the allowance of the same
+/// callers.
+#[test]
+fn extra_attempts_stay_within_the_budget_after_machines_were_suspended() {
+    check_schedules(|seed| Simulation::new(seed).with_faults(FaultKind::Suspend, SUSPENSIONS));
 }
