Share the connections of an upstream by the largest fleet that was read

After an outage of the store or a restart of the fleet, registrations of live instances are missing for a while, and the first read then gave each instance a share of the connections that is many times too large. The share now uses the same number as the slack of the retry budget, the largest of the last reads.

sharing::fleet_size tests that number, which had no test of its own; the limit on connections itself is not covered by a test that failed before.

--- a/src/node/policy.rs
+++ b/src/node/policy.rs
@@ -399,7 +399,8 @@
     let in_force = state.in_force.as_ref();
     let accepted = in_force.and_then(|in_force| in_force.connections.get(service));
     let Some(accepted) = accepted else { return MIN_CONNECTIONS };
-    let share = f64::from(*accepted) * CONNECTION_SHARE / state.peers.instances() as f64;
+    let instances = state.peers.max_instances().unwrap_or_else(|| state.peers.instances());
+    let share = f64::from(*accepted) * CONNECTION_SHARE / instances as f64;
     (share as usize).max(MIN_CONNECTIONS)
 }
 
--- a/tests/all/sharing.rs
+++ b/tests/all/sharing.rs
@@ -6,6 +6,7 @@
 mod budget_loss;
 mod budget_schedules;
 mod catalog;
+mod fleet_size;
 mod hubs;
 mod load;
 mod pending;
--- a/tests/all/sharing/hubs.rs
+++ b/tests/all/sharing/hubs.rs
@@ -15,14 +15,14 @@
 
 const DOMAINS: [&str; 3] = ["domain-a", "domain-b", "domain-c"];
 
-struct Instance {
+pub(super) struct Instance {
     own: LocalInstance,
     address: SocketAddr,
-    peers: Peers,
+    pub(super) peers: Peers,
 }
 
 /// Returns a fleet in which all instances know each other.
-fn fleet(now: Instant, size: usize) -> Vec<Instance> {
+pub(super) fn fleet(now: Instant, size: usize) -> Vec<Instance> {
     let own = |number: usize| {
         let failure_domain = DOMAINS[number % DOMAINS.len()].into();
         LocalInstance { name: format!("edge-{number}").into(), failure_domain }
