--- a/crates/fleet/src/catalog.rs
+++ b/crates/fleet/src/catalog.rs
@@ -7,7 +7,7 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
-use cactustrack_types::{Incarnation, ServiceId, UpstreamId};
+use cactustrack_types::{ServiceId, UpstreamId};
 
 use crate::discovery::{ListedUpstream, Revision};
 use crate::message::{ShortId, short_upstream_id};
@@ -102,22 +102,9 @@
         self.misdirected.insert(id.clone(), revision);
     }
 
-    /// Records that an upstream has announced its shutdown in a response. It gets no more requests.
-    /// Returns false if that was known.
-    pub fn set_leaving(&mut self, now: Instant, id: &UpstreamId, incarnation: Incarnation) -> bool {
-        self.withdrawals.set_leaving(now, id, incarnation)
-    }
-
-    /// Records that an upstream wants no requests from this instance for some time. Returns false if
-    /// it wanted none before.
-    pub fn set_back_off(
-        &mut self,
-        now: Instant,
-        id: &UpstreamId,
-        incarnation: Incarnation,
-        wait: Duration,
-    ) -> bool {
-        self.withdrawals.set_back_off(now, id, incarnation, wait)
+    /// Returns what upstreams stated in responses about further requests.
+    pub fn withdrawals_mut(&mut self) -> &mut Withdrawals {
+        &mut self.withdrawals
     }
 
     /// Applies the delayed removals that are due, and forgets what is no longer needed.
--- a/src/node/policy.rs
+++ b/src/node/policy.rs
@@ -227,7 +227,8 @@
 
     fn on_leaving(&self, now: Instant, target: &Target) {
         let mut state = self.state.borrow_mut();
-        if state.catalog.set_leaving(now, &target.upstream, target.incarnation) {
+        let withdrawals = state.catalog.withdrawals_mut();
+        if withdrawals.set_leaving(now, &target.upstream, target.incarnation) {
             slog::info!(self.log, "members: upstream announced its shutdown";
                 "upstream" => &*target.upstream, "service" => &*target.service);
         }
@@ -235,7 +236,8 @@
 
     fn on_back_off(&self, now: Instant, target: &Target, wait: Duration) {
         let mut state = self.state.borrow_mut();
-        if state.catalog.set_back_off(now, &target.upstream, target.incarnation, wait) {
+        let withdrawals = state.catalog.withdrawals_mut();
+        if withdrawals.set_back_off(now, &target.upstream, target.incarnation, wait) {
             slog::info!(self.log, "members: upstream wants no requests for some time";
                 "upstream" => &*target.upstream, "service" => &*target.service,
                 "wait_ms" => u64::try_from(wait.as_millis()).unwrap_or(u64::MAX));
--- a/tests/all/sharing/catalog.rs
+++ b/tests/all/sharing/catalog.rs
@@ -131,8 +131,11 @@
         let now = Instant::now();
         let mut catalog = Catalog::default();
         catalog.upsert(listed("a", 1));
-        assert!(catalog.set_leaving(now, &"a".into(), Incarnation(1)), "{name}");
-        assert!(!catalog.set_leaving(now, &"a".into(), Incarnation(1)), "{name}: known");
+        assert!(catalog.withdrawals_mut().set_leaving(now, &"a".into(), Incarnation(1)), "{name}");
+        assert!(
+            !catalog.withdrawals_mut().set_leaving(now, &"a".into(), Incarnation(1)),
+            "{name}: known"
+        );
         change(&mut catalog, now);
         catalog.expire(now + Duration::from_secs(30));
         let later = now + Duration::from_secs(30);
@@ -179,10 +182,16 @@
         let mut catalog = Catalog::default();
         let incarnation = Incarnation(incarnation);
         catalog.upsert(ListedUpstream { incarnation, ..listed("a", 1) });
-        assert!(catalog.set_back_off(now, &"a".into(), Incarnation(1), WAIT), "{name}");
+        assert!(
+            catalog.withdrawals_mut().set_back_off(now, &"a".into(), Incarnation(1), WAIT),
+            "{name}"
+        );
         if let Some(wait) = later {
             let at = now + Duration::from_secs(1);
-            assert!(!catalog.set_back_off(at, &"a".into(), Incarnation(1), wait), "{name}");
+            assert!(
+                !catalog.withdrawals_mut().set_back_off(at, &"a".into(), Incarnation(1), wait),
+                "{name}"
+            );
         }
         if !unused_for.is_zero() {
             let last = now + unused_for - Duration::from_millis(1);
