Fit the phases of a shutdown into grace periods of any length

Read from the code, not seen in a run: the fixed times before the end of the grace period would abort requests before its last sixth where it is shorter than about four seconds. Each of them is now limited to a share of the grace period. With six seconds, as on all deployments known here, they are what they were.

The plan moves to cactustrack-fleet, where sharing::shutdown tests it for seven lengths.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -22,6 +22,8 @@
 //! the store that lists them. A few instances watch the store and [`relay`] its changes to the
 //! others.
 //!
+//! [`shutdown`] plans the end of an instance.
+//!
 //! This crate performs no I/O and reads no clock.
 
 pub mod admission;
@@ -38,6 +40,7 @@
 pub mod placement;
 pub mod relay;
 mod report_window;
+pub mod shutdown;
 pub mod split;
 pub mod suspension;
 pub mod suspicion;
--- a/src/node/instance.rs
+++ b/src/node/instance.rs
@@ -7,6 +7,7 @@
 use cactustrack_fleet::budget::BudgetLimits;
 use cactustrack_fleet::discovery::{Discovery, Topic};
 use cactustrack_fleet::peers::LocalInstance;
+use cactustrack_fleet::shutdown::ShutdownPlan;
 use cactustrack_observe::{Metrics, SpanQueue};
 use cactustrack_platform::{PlatformDialect, PlatformDiscovery, READINESS_PATH, Settings};
 use cactustrack_proxy::{
@@ -22,7 +23,6 @@
 use super::lag::LagTracker;
 use super::messenger::PeerMessenger;
 use super::policy::NodePolicy;
-use super::shutdown::ShutdownPlan;
 use super::state::{SharedState, State};
 use super::status::NodeStatus;
 use super::store_availability::StoreAvailability;
@@ -159,7 +159,7 @@
         let is_finished = compio::time::timeout(aborts_in, finishing.as_mut()).await.is_ok();
         if !is_finished {
             proxy.abort_requests();
-            let ends_in = plan.ends_at().saturating_duration_since(Instant::now());
+            let ends_in = plan.ends_at.saturating_duration_since(Instant::now());
             // The process ends whether or not all responses are written by then.
             let _ = compio::time::timeout(ends_in, finishing).await;
         }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -12,7 +12,6 @@
 mod messenger;
 mod policy;
 mod run;
-mod shutdown;
 mod state;
 mod status;
 mod store_availability;
--- a/src/node/policy.rs
+++ b/src/node/policy.rs
@@ -84,7 +84,7 @@
         let requested = PlatformDialect::requested_timeout(headers);
         let timeout = requested.unwrap_or(route.timeout).min(route.max_timeout);
         let deadline = now + timeout;
-        let deadline = state.shutdown.map_or(deadline, |plan| plan.limit_deadline(deadline));
+        let deadline = state.shutdown.map_or(deadline, |plan| deadline.min(plan.latest_deadline));
         let service = split::choose(&route.delivery.split, rand::random()).cloned();
         Ok(RoutedRequest {
             service: service.unwrap_or(route.service),
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -12,14 +12,13 @@
 use cactustrack_fleet::message::{ConfigurationPart, Delta, Notice, PackedChanges, StoreView};
 use cactustrack_fleet::peers::{AcceptedReport, Peers};
 use cactustrack_fleet::relay::{self, Assembly};
+use cactustrack_fleet::shutdown::ShutdownPlan;
 use cactustrack_fleet::suspension::SuspensionDetector;
 use cactustrack_fleet::view::FleetView;
 use cactustrack_routing::route::RouteTable;
 use cactustrack_types::{Configuration, InstanceId, ServiceId, Version};
 use slog::Logger;
 
-use super::shutdown::ShutdownPlan;
-
 /// The state, shared by all tasks of the instance.
 pub(crate) type SharedState = Rc<RefCell<State>>;
 
--- a/tests/all/sharing.rs
+++ b/tests/all/sharing.rs
@@ -12,5 +12,6 @@
 mod pending;
 mod placement;
 mod relay;
+mod shutdown;
 mod suspension;
 mod suspicion;
