Read what has arrived on a connection before a shutdown closes it

Cause: on a graceful shutdown hyper closes an idle connection at once. A request whose bytes have arrived but were not read yet is lost with it. On a busy event loop, all tasks that the signal wakes run before the sockets are looked at again, so on a slow machine such a request can be old.

Change: before the shutdown reaches a connection, the instance waits until what has arrived on it was read. The request is then answered, on the platform with 503 (not run).

--- a/crates/proxy/src/server.rs
+++ b/crates/proxy/src/server.rs
@@ -15,6 +15,7 @@
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
+use rustix::net::RecvFlags;
 
 use crate::Proxy;
 use crate::framing::{AmbiguousFraming, CheckedStream, FramingChecker, Scratch, new_scratch};
@@ -42,6 +43,13 @@
 /// Delay after a failed accept, for example when the process is out of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// Interval at which a connection that is about to be closed is checked for bytes that were not read.
+const UNREAD_POLL_INTERVAL: Duration = Duration::from_millis(2);
+
+/// Maximum number of these checks. A caller that never stops sending has its requests answered one
+/// after the other, until the process ends.
+const MAX_UNREAD_CHECKS: usize = 200;
+
 /// Interval at which a graceful shutdown checks whether all connections have ended.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -205,8 +213,15 @@
     let ended = match select(connection.as_mut(), signal).await {
         Either::Left((ended, _)) => ended,
         Either::Right(_) => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+            // hyper closes an idle connection at once, whether or not a request has arrived on it.
+            let reading = std::pin::pin!(wait_until_read(&stream));
+            match select(connection.as_mut(), reading).await {
+                Either::Left((ended, _)) => ended,
+                Either::Right(_) => {
+                    connection.as_mut().graceful_shutdown();
+                    connection.await
+                }
+            }
         }
     };
     let (is_mid_head, is_mid_message) = {
@@ -216,6 +231,23 @@
     finish_connection(stream, ended.err(), is_mid_head, is_mid_message).await;
 }
 
+/// Waits until the bytes that have arrived on a connection were read.
+async fn wait_until_read(stream: &TcpStream) {
+    for _ in 0..MAX_UNREAD_CHECKS {
+        if !has_unread_bytes(stream) {
+            return;
+        }
+        compio::time::sleep(UNREAD_POLL_INTERVAL).await;
+    }
+}
+
+/// Returns true if bytes have arrived that were not read. A connection that has ended or failed has
+/// none.
+fn has_unread_bytes(stream: &TcpStream) -> bool {
+    let flags = RecvFlags::PEEK | RecvFlags::DONTWAIT;
+    rustix::net::recv(stream, &mut [0; 1], flags).is_ok_and(|(read, _)| read > 0)
+}
+
 /// Makes sure that a rejection reaches the caller before the connection is closed. Other errors
 /// affect only this caller, which observes them itself, and are ignored.
 async fn finish_connection(
--- a/tests/all/proxy.rs
+++ b/tests/all/proxy.rs
@@ -13,3 +13,4 @@
 mod matching;
 mod partial_heads;
 mod retryable;
+mod shutdown;
--- a/tests/all/proxy/harness.rs
+++ b/tests/all/proxy/harness.rs
@@ -109,7 +109,7 @@
         Harness { address, events, records, open, stop, thread: Some(thread) }
     }
 
-    fn proxy(self, pool: Pool, events: EventLog, records: FakeRecords) -> Rc<Proxy> {
+    pub(super) fn proxy(self, pool: Pool, events: EventLog, records: FakeRecords) -> Rc<Proxy> {
         let metrics = Metrics::new().expect("metrics");
         let policy = FakePolicy {
             targets: self.targets,
