Add the request class upload, and keep odd entries from stopping an instance

Cause: one route of the kind `upload` made the whole configuration undecodable, so no instance served anything. Entries of another writer could hold more slots than sums over a service can hold, a replaced entry left its upstream in use, and a watch whose events exceed the largest response was repeated without end. A timeout of 1e18 s overflowed the clock at the first request.

Change: `upload` is a request class of the product (questionnaire answer `large_request`), executed at most once. A kind that this version does not know counts as at most once, with a log line and a metric; the other routes come into force. Entries are checked in one place (`ListedUpstream::check`), an undecodable entry replaces what its key named before, and a topic whose watch response cannot be read is read again as a whole.

The test of malformed configurations expected that an unknown kind is refused. It is replaced by one that checks its class and the report, and by cases of a kind that is no text.

--- a/crates/config/src/contradictions.rs
+++ b/crates/config/src/contradictions.rs
@@ -71,6 +71,7 @@
     for route in &service.routes {
         check_times(reader, service, route);
         check_resume(reader, route);
+        check_large_request(reader, route);
         check_retry(reader, route);
     }
 }
@@ -129,6 +130,17 @@
     }
 }
 
+/// A large body is kept in memory only up to a limit, and a request whose body was streamed cannot be
+/// sent to a second upstream.
+fn check_large_request(reader: &Reader, route: &RouteAnswers) {
+    let Some(large) = route.large_request.as_ref().filter(|large| large.value) else { return };
+    if route.repeatable.value {
+        let problem = "a repeatable request is not retried once its large body was streamed";
+        let remedy = "remove the answer if bodies are small, or expect fewer retries";
+        reader.warning(large.line, &large.key, problem, remedy);
+    }
+}
+
 fn check_retry(reader: &Reader, route: &RouteAnswers) {
     let Some(retry) = &route.retry else { return };
     if !route.repeatable.value {
--- a/crates/config/src/diff.rs
+++ b/crates/config/src/diff.rs
@@ -266,6 +266,9 @@
     match class {
         RequestClass::Idempotent => "they may be retried and hedged",
         RequestClass::NonIdempotent => "they are executed at most once and not retried",
+        RequestClass::Upload => {
+            "they are executed at most once and not retried, and large bodies are streamed"
+        }
         RequestClass::Large => "they may be retried, and interrupted responses are resumed",
     }
 }
--- a/crates/config/src/generate.rs
+++ b/crates/config/src/generate.rs
@@ -214,6 +214,7 @@
     let (class, reason) = class(answers);
     let class_answer = match (class, &answers.large_response) {
         (RequestClass::Large, Some(large)) => large,
+        (RequestClass::Upload, _) => answers.large_request.as_ref().unwrap_or(&answers.repeatable),
         _ => &answers.repeatable,
     };
     recorder.copied(target("host"), host, "host of the service");
@@ -240,6 +241,12 @@
 }
 
 fn class(answers: &RouteAnswers) -> (RequestClass, &'static str) {
+    if answers.is_upload() {
+        return (
+            RequestClass::Upload,
+            "requests are executed at most once; large bodies are streamed to the upstream",
+        );
+    }
     match (answers.repeatable.value, answers.is_large()) {
         (false, false) => (RequestClass::NonIdempotent, "requests are executed at most once"),
         (false, true) => (
--- a/crates/config/src/questionnaire.rs
+++ b/crates/config/src/questionnaire.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use cactustrack_types::{AccountId, ServiceId};
+use cactustrack_types::{AccountId, MAX_SLOTS, ServiceId};
 use serde::Serialize;
 
 use crate::name::{AccountName, Host, Name, PathPrefix};
@@ -21,8 +21,6 @@
 /// Largest number of upstreams of a service: 15 times the total number expected in two years.
 /// Together with [`MAX_SLOTS`], it ensures that the capacity of a service fits in 32 bits.
 const MAX_UPSTREAMS: u32 = 100_000;
-/// Largest number of slots of an upstream.
-const MAX_SLOTS: u32 = 10_000;
 /// Largest number of connections of an upstream and largest weight of an account.
 const MAX_COUNT: u32 = 1_000_000;
 
@@ -105,6 +103,8 @@
     pub repeatable: Located<bool>,
     /// Whether responses are large.
     pub large_response: Option<Located<bool>>,
+    /// Whether request bodies are large.
+    pub large_request: Option<Located<bool>>,
     /// Whether an interrupted large response may be resumed on another upstream.
     pub resume: Option<Located<bool>>,
     /// Whether the fleet may retry requests.
@@ -120,6 +120,16 @@
     pub fn is_large(&self) -> bool {
         self.large_response.as_ref().is_some_and(|answer| answer.value)
     }
+
+    /// Returns true if request bodies are large. They are not if the answer is missing.
+    pub fn has_large_requests(&self) -> bool {
+        self.large_request.as_ref().is_some_and(|answer| answer.value)
+    }
+
+    /// Returns true if requests have large bodies and must be executed at most once.
+    pub fn is_upload(&self) -> bool {
+        self.has_large_requests() && !self.repeatable.value
+    }
 }
 
 impl ServiceAnswers {
@@ -215,6 +225,7 @@
     let path = table.field("path").required(PATH).parsed::<PathPrefix>(PATH);
     let repeatable = table.field("repeatable").required("write true or false").boolean();
     let large_response = table.field("large_response").boolean();
+    let large_request = table.field("large_request").boolean();
     let resume = table.field("resume").boolean();
     let retry = table.field("retry").boolean();
     let timeout_ms = time(table.field("timeout_ms"), 1);
@@ -223,6 +234,7 @@
         path: path?.map(Into::into),
         repeatable: repeatable?,
         large_response,
+        large_request,
         resume,
         retry,
         timeout_ms: timeout_ms?,
--- a/crates/fleet/src/discovery.rs
+++ b/crates/fleet/src/discovery.rs
@@ -5,7 +5,9 @@
 use std::pin::Pin;
 use std::time::{Duration, Instant};
 
-use cactustrack_types::{Configuration, FailureDomain, Incarnation, ServiceId, UpstreamId};
+use cactustrack_types::{
+    Configuration, FailureDomain, Incarnation, MAX_SLOTS, ServiceId, UpstreamId,
+};
 use derive_more::{Display, Error};
 use serde::{Deserialize, Serialize};
 
@@ -38,6 +40,65 @@
     pub revision: Revision,
 }
 
+/// Longest name in an entry, in bytes. Entries are relayed in datagrams, which longer ones exceed.
+pub const MAX_NAME_BYTES: usize = 200;
+
+/// Longest slow phase after a cold start that an entry may state. A longer one is shortened to it.
+pub const MAX_COLD_PHASE: Duration = Duration::from_secs(3_600);
+
+/// An entry names no upstream that requests can be sent to.
+#[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
+#[display("{field} is out of range")]
+pub struct UnusableEntry {
+    /// The field that rules it out.
+    pub field: EntryField,
+}
+
+/// Field of an entry.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum EntryField {
+    /// The id, which requests carry in a header.
+    #[display("the id")]
+    Id,
+    /// The name of the service.
+    #[display("the service")]
+    Service,
+    /// The address.
+    #[display("the address")]
+    Address,
+    /// The failure domain.
+    #[display("the failure domain")]
+    FailureDomain,
+    /// The number of slots.
+    #[display("the number of slots")]
+    Slots,
+}
+
+impl ListedUpstream {
+    /// Checks that requests can be sent to the upstream and that its entry can be relayed.
+    ///
+    /// # Errors
+    ///
+    /// Names the first field that is out of range.
+    pub fn check(&self) -> Result<(), UnusableEntry> {
+        let is_name = |name: &str| !name.is_empty() && name.len() <= MAX_NAME_BYTES;
+        let is_id = is_name(&self.id) && self.id.bytes().all(|byte| byte.is_ascii_graphic());
+        let ip = self.address.ip();
+        let is_address = self.address.port() != 0 && !ip.is_unspecified() && !ip.is_multicast();
+        let checks = [
+            (is_id, EntryField::Id),
+            (is_name(&self.service), EntryField::Service),
+            (is_address, EntryField::Address),
+            (is_name(&self.failure_domain), EntryField::FailureDomain),
+            ((1..=MAX_SLOTS).contains(&self.slots), EntryField::Slots),
+        ];
+        match checks.into_iter().find(|(is_valid, _)| !is_valid) {
+            Some((_, field)) => Err(UnusableEntry { field }),
+            None => Ok(()),
+        }
+    }
+}
+
 /// Part of the store that an instance reads and watches.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Topic {
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -30,7 +30,7 @@
 /// Loss of a new connection, which takes time at the upstream.
 const LOSS_NEW_CONNECTION: f64 = 0.06;
 
-/// Loss if the upstream is in another failure domain. Large responses put the most load on the
+/// Loss if the upstream is in another failure domain. Large bodies put the most load on the
 /// links between failure domains.
 const LOSS_OTHER_DOMAIN: f64 = 0.02;
 const LOSS_OTHER_DOMAIN_LARGE: f64 = 0.3;
@@ -108,7 +108,7 @@
         }
         if !self.is_same_domain {
             loss += match request.class {
-                RequestClass::Large => LOSS_OTHER_DOMAIN_LARGE,
+                RequestClass::Large | RequestClass::Upload => LOSS_OTHER_DOMAIN_LARGE,
                 _ => LOSS_OTHER_DOMAIN,
             };
         }
--- a/crates/observe/src/metrics.rs
+++ b/crates/observe/src/metrics.rs
@@ -51,6 +51,9 @@
     pub members: IntGaugeVec,
     /// Calls to the store by operation and result.
     pub store_calls: IntCounterVec,
+    /// Entries of the store that this version does not understand, in whole or in part, by part
+    /// (configuration, kind, upstream, instance).
+    pub store_entries_not_understood: IntCounterVec,
     /// Bytes of peer traffic by direction.
     pub peer_bytes: IntCounterVec,
     /// Peer frames that were dropped, by reason.
@@ -151,6 +154,12 @@
                 "Calls to the store.",
                 &["operation", "result"],
             )?,
+            store_entries_not_understood: counters(
+                r,
+                "store_entries_not_understood_total",
+                "Entries of the store that this version does not understand.",
+                &["part"],
+            )?,
             peer_bytes: counters(r, "peer_bytes_total", "Bytes of peer traffic.", &["direction"])?,
             peer_frames_dropped: counters(
                 r,
--- a/crates/proxy/src/handler.rs
+++ b/crates/proxy/src/handler.rs
@@ -260,7 +260,7 @@
             }
         };
         let mut response = match routed.class {
-            RequestClass::NonIdempotent => {
+            RequestClass::NonIdempotent | RequestClass::Upload => {
                 non_idempotent::run(
                     Rc::clone(self),
                     routed.clone(),
@@ -286,7 +286,7 @@
         head: &Parts,
         account: &str,
     ) -> Result<Option<Claim>, Rejection> {
-        if routed.class != RequestClass::NonIdempotent {
+        if routed.class.is_idempotent() {
             return Ok(None);
         }
         let Some(key) = idempotency_key(&head.headers)? else { return Ok(None) };
--- a/crates/routing/src/balancer.rs
+++ b/crates/routing/src/balancer.rs
@@ -232,7 +232,7 @@
         };
         let is_trial = |c: &Candidate| c.share.standing == Standing::Trial;
         let has_non_trial = candidates.iter().filter(is_in_service).any(|c| !is_trial(c));
-        let skips_trial = request.class == RequestClass::NonIdempotent && has_non_trial;
+        let skips_trial = !request.class.is_idempotent() && has_non_trial;
         let mut any_in_service = false;
         let mut eligible = Vec::with_capacity(candidates.len());
         for candidate in candidates.iter().filter(is_in_service) {
--- a/crates/types/src/configuration.rs
+++ b/crates/types/src/configuration.rs
@@ -9,7 +9,7 @@
 /// Format number of the serialized [`Configuration`] that this build reads and writes.
 pub const CONFIGURATION_FORMAT: u32 = 1;
 
-/// Whether a request may be executed more than once, and the size of its response.
+/// Whether a request may be executed more than once, and the size of its bodies.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum RequestClass {
@@ -22,13 +22,20 @@
     /// Idempotent, with a large response that the caller waits for.
     #[display("large")]
     Large,
+    /// Executed at most once, with a large request body.
+    #[display("upload")]
+    Upload,
 }
 
 impl RequestClass {
+    /// Class of requests whose stated class this version does not know. It is safe for all of them:
+    /// a request that may be executed at most once is never sent again.
+    pub const FOR_UNKNOWN: Self = Self::NonIdempotent;
+
     /// Returns true if executing the request again has no further effect, so that it may be retried
     /// or hedged.
     pub fn is_idempotent(self) -> bool {
-        !matches!(self, Self::NonIdempotent)
+        matches!(self, Self::Idempotent | Self::Large)
     }
 }
 
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -24,5 +24,5 @@
 };
 pub use listing::{Listing, ListingState, Role};
 pub use millis::Millis;
-pub use upstream::{Share, Standing, UpstreamView};
+pub use upstream::{MAX_SLOTS, Share, Standing, UpstreamView};
 pub use verdict::{Scope, Verdict, VerdictHealth};
--- a/crates/types/src/upstream.rs
+++ b/crates/types/src/upstream.rs
@@ -8,6 +8,10 @@
 
 use crate::{FailureDomain, Incarnation, Region, ServiceId, UpstreamId};
 
+/// Largest number of slots of an upstream. The slots of all upstreams of a service then fit in 32
+/// bits.
+pub const MAX_SLOTS: u32 = 10_000;
+
 /// An upstream as known from the instance list and from its own responses.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct UpstreamView {
--- a/examples/quickstart/traffic.rs
+++ b/examples/quickstart/traffic.rs
@@ -20,7 +20,7 @@
 const fn caller_load(class: RequestClass) -> (usize, Duration) {
     match class {
         RequestClass::Idempotent => (6, Duration::from_millis(10)),
-        RequestClass::NonIdempotent => (4, Duration::from_millis(15)),
+        RequestClass::NonIdempotent | RequestClass::Upload => (4, Duration::from_millis(15)),
         RequestClass::Large => (2, Duration::from_millis(40)),
     }
 }
@@ -188,7 +188,7 @@
 fn request(spec: &ServiceSpec, tag: &str, large_bytes: usize) -> Call {
     let call = match spec.class {
         RequestClass::Idempotent => Call::get(&spec.host, "/search"),
-        RequestClass::NonIdempotent => {
+        RequestClass::NonIdempotent | RequestClass::Upload => {
             let call = Call::post(&spec.host, "/apply").with_body(tag.to_owned());
             call.with_header("idempotency-key", key_of(tag))
         }
--- a/src/node/discovery_sync.rs
+++ b/src/node/discovery_sync.rs
@@ -111,19 +111,26 @@
     pub(crate) async fn sync_topic(self: Rc<Self>, topic: Topic) {
         let mut backoff = Backoff::new();
         let mut was_disconnected = false;
+        let mut is_history_unreadable = false;
         loop {
             self.store_availability.wait_until_available().await;
-            let action = self.next_action(topic, was_disconnected);
+            let action = match self.next_action(topic, was_disconnected) {
+                Action::Watch(_) | Action::CatchUp(_) if is_history_unreadable => Action::Read,
+                action => action,
+            };
             let running = std::pin::pin!(self.run_action(topic, action));
             let unavailable = std::pin::pin!(self.store_availability.wait_until_unavailable());
             match select(running, unavailable).await {
                 Either::Left((Ok(()), _)) => {
                     was_disconnected = false;
+                    is_history_unreadable = false;
                     backoff = Backoff::new();
                 }
                 Either::Left((Err(error), _)) => {
                     slog::debug!(self.log, "store: call failed"; "topic" => %topic,
                         "error" => %error);
+                    // The same watch would return the same events again.
+                    is_history_unreadable = matches!(error, DiscoveryError::Malformed { .. });
                     self.begin_outage(topic);
                     was_disconnected = true;
                     backoff.pause().await;
--- a/src/node/instance.rs
+++ b/src/node/instance.rs
@@ -82,8 +82,13 @@
         let metrics = Metrics::new()?;
         let incarnation = new_incarnation();
         let state = Rc::new(RefCell::new(State::new(settings.instance.clone(), log.clone())));
-        let discovery: Rc<dyn Discovery> =
-            Rc::new(PlatformDiscovery::new(settings.store, settings.instance.clone(), log.clone()));
+        let discovery = PlatformDiscovery::new(
+            settings.store,
+            settings.instance.clone(),
+            metrics.clone(),
+            log.clone(),
+        );
+        let discovery: Rc<dyn Discovery> = Rc::new(discovery);
         let lag = Rc::new(LagTracker::default());
         let messenger = start_messenger(settings, incarnation, &state, &lag, &metrics, &log)?;
         let pool = Pool::new(PoolLimits {
--- a/src/node/policy.rs
+++ b/src/node/policy.rs
@@ -16,7 +16,7 @@
     Admission, BudgetBasis, ExtraAttempt, ExtraDecision, Pool, Rejection, RoutedRequest,
     SelectionBasis, Target, TrafficPolicy,
 };
-use cactustrack_types::{FailureDomain, Outcome, RequestClass, ServiceId, UpstreamId};
+use cactustrack_types::{FailureDomain, Outcome, ServiceId, UpstreamId};
 use futures::FutureExt;
 use http::HeaderMap;
 use slog::Logger;
@@ -273,7 +273,7 @@
     ) -> Candidate {
         let (fault_probability, own_fault_probability) =
             state.view.fault_probability(now, &upstream.id);
-        let needs_recent = routed.class == RequestClass::NonIdempotent;
+        let needs_recent = !routed.class.is_idempotent();
         Candidate {
             in_flight: state.view.load().in_flight(&upstream.id),
             slots: upstream.slots,
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -116,10 +116,10 @@
             Change::Configured(configuration) => self.put_in_force(&configuration),
             Change::Listed(upstream) => self.upsert_upstream(upstream),
             Change::Unlisted(id, revision) => {
-                let service = self.catalog.get(&id).map(|known| known.service.clone());
-                slog::info!(self.log, "members: upstream is no longer listed";
-                    "upstream" => &*id, "service" => service.as_deref().unwrap_or_default(),
-                    "revision" => revision);
+                if let Some(known) = self.catalog.get(&id) {
+                    slog::info!(self.log, "members: upstream is no longer listed";
+                        "upstream" => &*id, "service" => &*known.service, "revision" => revision);
+                }
                 self.catalog.remove(now, &id, revision);
             }
         }
--- a/tests/all/platform.rs
+++ b/tests/all/platform.rs
@@ -5,6 +5,7 @@
 mod documents;
 mod examples;
 mod harness;
+mod odd_entries;
 mod relaying;
 mod shutdown;
 mod store;
--- a/tests/all/platform/decoding.rs
+++ b/tests/all/platform/decoding.rs
@@ -96,7 +96,8 @@
     "rows":[["r1","a.example","/x/","idempotent",4,1.2,2,
     [{"service":"s1","weight":90},{"service":"s2","weight":10}],2,null],
     ["r2","b.example","/y/z/","non_idempotent",0.5,1.2,1,null,3,"s3"],
-    ["r3","b.example","/d/","download",5,1,2,null,2,"s1"]]},
+    ["r3","b.example","/d/","download",5,1,2,null,2,"s1"],
+    ["r4","b.example","/u/","upload",5,1,2,null,2,"s1"]]},
     "services":{"columns":["name","health-check","max-connections","protocol","tls"],
     "rows":[["s1","/healthz",390,"h1",false],["s2","/healthz",390,"h1",false]]},
     "limits":{"max-header-bytes":16384},"base-version":5}"#;
@@ -105,9 +106,11 @@
 /// is not derived from the `kind` column.
 #[test]
 fn configurations_are_read_by_column() {
-    let configuration = decode_configuration(CONFIGURATION.as_bytes()).expect("valid");
+    let stored = decode_configuration(CONFIGURATION.as_bytes()).expect("valid");
+    assert_eq!(stored.unknown_kinds, []);
+    let configuration = stored.configuration;
     assert_eq!(configuration.version, 7);
-    let [first, second, third] = &configuration.routes[..] else { panic!("three routes") };
+    let [first, second, third, fourth] = &configuration.routes[..] else { panic!("four routes") };
     assert_eq!(first.delivery.split.len(), 2);
     assert_eq!(first.delivery.split[1].weight, 10);
     assert_eq!(first.class, RequestClass::Idempotent);
@@ -116,6 +119,7 @@
     assert_eq!(second.timeout.0, Duration::from_millis(500));
     assert_eq!(second.delivery.max_attempts, Some(3));
     assert_eq!(third.class, RequestClass::Large);
+    assert_eq!(fourth.class, RequestClass::Upload);
     assert_eq!(configuration.services[0].connections, 390);
 }
 
@@ -127,8 +131,10 @@
         to: &'static str,
     }
     let cases = [
-        Case { from: "\"non_idempotent\"", to: "\"maybe\"" },
+        Case { from: "\"non_idempotent\"", to: "7" },
+        Case { from: "\"non_idempotent\"", to: "null" },
         Case { from: "0.5", to: "-0.5" },
+        Case { from: "0.5", to: "1e999" },
         Case { from: "\"s3\"", to: "null" },
         Case { from: "\"version\":7", to: "\"version\":\"7\"" },
         Case { from: "390", to: "true" },
@@ -138,3 +144,28 @@
         assert!(decode_configuration(text.as_bytes()).is_err(), "{}", case.to);
     }
 }
+
+/// Guards against a kind of requests that this version does not know and that keeps the other routes
+/// of its configuration out of force, or is retried.
+#[test]
+fn an_unknown_kind_is_executed_at_most_once_and_leaves_the_other_routes_in_force() {
+    let text = CONFIGURATION.replacen("\"idempotent\"", "\"streamed\"", 1);
+    let stored = decode_configuration(text.as_bytes()).expect("the other routes are known");
+    let unknown: Vec<_> = stored.unknown_kinds.iter().map(|unknown| &*unknown.kind).collect();
+    assert_eq!(unknown, ["streamed"]);
+    assert_eq!(&*stored.unknown_kinds[0].path_prefix, "/x/");
+    let [first, second, ..] = &stored.configuration.routes[..] else { panic!("four routes") };
+    assert!(!first.class.is_idempotent());
+    assert_eq!(second.class, RequestClass::NonIdempotent);
+}
+
+/// Guards against a time that exceeds the range of the clock when it is added to the time of a
+/// request, which ended the process at the first request of the route.
+#[test]
+fn the_longest_time_of_a_route_can_be_added_to_the_clock() {
+    let text = CONFIGURATION.replacen("0.5", "1e18", 1);
+    let stored = decode_configuration(text.as_bytes()).expect("valid");
+    for route in &stored.configuration.routes {
+        assert!(Instant::now().checked_add(route.max_timeout.0).is_some(), "{route:?}");
+    }
+}
