Start idempotent requests before earlier ones on their connection are answered

Cause: hyper reads the next request of a connection after it has written a response, so requests that a caller pipelines wait behind a slow one, and the caller leaves after a second or a third of its time.

Change: bytes are read ahead while a request is in progress (16 KiB at most). A request behind it starts at once if its route may execute it more than once, its method is safe, it has no body and nothing in front of it is unsafe; eight for each connection and 256 for each listener at most. hyper stays the only parser that decides where a request ends, and writes the responses in order: it takes the response of a started request only if both have read the same head. A caller that closes its connection is noticed behind pipelined bytes too, and its requests are canceled. A planned stop starts nothing further and answers what was started before it closes the connection.

--- a/crates/observe/src/metrics.rs
+++ b/crates/observe/src/metrics.rs
@@ -29,6 +29,8 @@
     pub aborted_responses: IntCounterVec,
     /// Requests in flight.
     pub in_flight: IntGauge,
+    /// Requests that were started before the earlier ones on their connection were answered.
+    pub pipelined_requests: IntCounter,
     /// Open connections of callers.
     pub caller_connections: IntGauge,
     /// Ejections by service.
@@ -114,6 +116,11 @@
                 &["service"],
             )?,
             in_flight: gauge(r, "requests_in_flight", "Requests in flight.")?,
+            pipelined_requests: counter(
+                r,
+                "pipelined_requests_total",
+                "Requests started before earlier ones on their connection were answered.",
+            )?,
             caller_connections: gauge(r, "caller_connections", "Open connections of callers.")?,
             ejections: counters(r, "ejections_total", "Upstreams ejected.", &["service"])?,
             readmissions: counters(r, "readmissions_total", "Upstreams readmitted.", &["service"])?,
--- a/crates/proxy/src/framing.rs
+++ b/crates/proxy/src/framing.rs
@@ -1,36 +1,19 @@
-//! Detects requests with both `Content-Length` and `Transfer-Encoding` in the bytes of a caller's
-//! connection.
+//! Finds the request heads in the bytes of a caller's connection.
 //!
-//! Parsers can disagree about where such a request ends, which enables request smuggling, so it is
-//! rejected. hyper removes `Content-Length` from it before the request can be inspected, so the
-//! raw head is checked here.
+//! A request with both `Content-Length` and `Transfer-Encoding` is rejected, since parsers can
+//! disagree about where it ends, which enables request smuggling. hyper removes `Content-Length`
+//! from it before the request can be inspected, so the raw head is checked here.
+//!
+//! Heads behind a request that is in progress are recorded, so that their requests can start early.
 
-use std::cell::RefCell;
 use std::collections::VecDeque;
-use std::io;
-use std::pin::Pin;
-use std::rc::Rc;
-use std::task::{Context, Poll, ready};
-
-use compio::net::TcpStream;
-use cyper_core::HyperStream;
-use hyper::rt::{Read, ReadBuf, ReadBufCursor, Write};
 
 /// Bytes of a line that are kept. Longer than any valid framing header; the content of other lines
 /// is not needed.
 const MAX_LINE_BYTES: usize = 128;
 
-/// Size of a read from a socket in bytes.
-const READ_BYTES: usize = 16 * 1024;
-
-/// Read buffer of a listener. All its connections can share it, since each read is copied out at
-/// once.
-pub(crate) type Scratch = Rc<RefCell<Vec<u8>>>;
-
-/// Creates the read buffer of a listener.
-pub(crate) fn new_scratch() -> Scratch {
-    Rc::new(RefCell::new(vec![0; READ_BYTES]))
-}
+/// Longest head that is recorded, in bytes.
+const MAX_RECORDED_BYTES: usize = 4 * 1024;
 
 /// Marks a request whose head has both `Content-Length` and `Transfer-Encoding`.
 #[derive(Clone, Copy, Debug)]
@@ -50,24 +33,49 @@
     Invalid,
 }
 
+/// A request head that was parsed.
+#[derive(Debug)]
+pub(crate) struct SeenHead {
+    /// True if the head has both `Content-Length` and `Transfer-Encoding`.
+    pub(crate) is_ambiguous: bool,
+    /// True if the method is a safe one.
+    pub(crate) is_safe: bool,
+    /// The bytes of the head, if it was recorded and announces no body.
+    pub(crate) recorded: Option<Vec<u8>>,
+}
+
 /// Incremental parser of the framing of the requests on one connection.
 #[derive(Debug, Default)]
 pub(crate) struct FramingChecker {
     state: State,
+    /// True while a request of the connection is in progress. Only heads behind others are
+    /// recorded.
+    is_busy: bool,
+    is_recording: bool,
+    recorded: Vec<u8>,
+    is_safe: bool,
     line: Vec<u8>,
     is_line_truncated: bool,
     length: Option<u64>,
     has_encoding: bool,
-    /// For each head that was parsed and whose result was not taken yet: true if its framing is
-    /// ambiguous.
-    heads: VecDeque<bool>,
+    /// Heads that were parsed and not taken yet.
+    heads: VecDeque<SeenHead>,
 }
 
 impl FramingChecker {
-    /// Takes the result for the next request. Returns true for a request whose head was not seen,
-    /// so that a request on which hyper's parser and this one disagree is rejected.
-    pub(crate) fn take_is_ambiguous(&mut self) -> bool {
-        self.heads.pop_front().unwrap_or(true)
+    /// Sets whether a request of the connection is in progress.
+    pub(crate) fn set_busy(&mut self, is_busy: bool) {
+        self.is_busy = is_busy;
+    }
+
+    /// Takes the next parsed head.
+    pub(crate) fn take_head(&mut self) -> Option<SeenHead> {
+        self.heads.pop_front()
+    }
+
+    /// Returns true if the next bytes belong to a body.
+    pub(crate) fn is_mid_body(&self) -> bool {
+        !matches!(self.state, State::Start | State::Head)
     }
 
     /// Returns true if the first byte of a request has arrived and its last one has not.
@@ -100,8 +108,15 @@
     }
 
     fn push_line<'a>(&mut self, bytes: &'a [u8]) -> &'a [u8] {
+        if self.state == State::Start && self.line.is_empty() {
+            self.is_recording = self.is_busy || !self.heads.is_empty();
+            self.recorded.clear();
+        }
         let end = bytes.iter().position(|&b| b == b'\n');
         let part = &bytes[..end.unwrap_or(bytes.len())];
+        if self.is_recording && matches!(self.state, State::Start | State::Head) {
+            self.record(&bytes[..end.map_or(bytes.len(), |end| end + 1)]);
+        }
         let room = MAX_LINE_BYTES.saturating_sub(self.line.len());
         self.is_line_truncated |= part.len() > room;
         self.line.extend_from_slice(&part[..part.len().min(room)]);
@@ -114,9 +129,17 @@
         &bytes[end + 1..]
     }
 
+    fn record(&mut self, bytes: &[u8]) {
+        self.is_recording = self.recorded.len() + bytes.len() <= MAX_RECORDED_BYTES;
+        self.recorded.extend_from_slice(if self.is_recording { bytes } else { &[] });
+    }
+
     fn on_line(&mut self, line: &[u8]) {
         match self.state {
-            State::Start if !line.is_empty() => self.state = State::Head,
+            State::Start if !line.is_empty() => {
+                self.is_safe = line.starts_with(b"GET ") || line.starts_with(b"HEAD ");
+                self.state = State::Head;
+            }
             State::Head if line.is_empty() => self.end_head(),
             State::Head => self.on_header(line),
             State::ChunkSize => self.state = chunk_state(line),
@@ -141,7 +164,13 @@
 
     fn end_head(&mut self) {
         let (length, has_encoding) = (self.length.take(), std::mem::take(&mut self.has_encoding));
-        self.heads.push_back(length.is_some() && has_encoding);
+        let has_body = length.is_some() || has_encoding;
+        let recorded = std::mem::take(&mut self.recorded);
+        self.heads.push_back(SeenHead {
+            is_ambiguous: length.is_some() && has_encoding,
+            is_safe: self.is_safe,
+            recorded: (self.is_recording && !has_body).then_some(recorded),
+        });
         self.state = match length {
             _ if has_encoding => State::ChunkSize,
             None | Some(0) => State::Start,
@@ -161,68 +190,3 @@
         None => State::Invalid,
     }
 }
-
-/// A caller's connection whose bytes go through a [`FramingChecker`] before hyper reads them.
-pub(crate) struct CheckedStream {
-    inner: HyperStream<TcpStream>,
-    checker: Rc<RefCell<FramingChecker>>,
-    scratch: Scratch,
-}
-
-impl CheckedStream {
-    /// Wraps `stream`.
-    pub(crate) fn new(
-        stream: TcpStream,
-        checker: Rc<RefCell<FramingChecker>>,
-        scratch: Scratch,
-    ) -> Self {
-        Self { inner: HyperStream::new_plain(stream), checker, scratch }
-    }
-}
-
-impl Read for CheckedStream {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        mut buf: ReadBufCursor<'_>,
-    ) -> Poll<io::Result<()>> {
-        let scratch = Rc::clone(&self.scratch);
-        let mut scratch = scratch.borrow_mut();
-        let limit = buf.remaining().min(scratch.len());
-        let mut read = ReadBuf::new(&mut scratch[..limit]);
-        ready!(Pin::new(&mut self.inner).poll_read(cx, read.unfilled()))?;
-        self.checker.borrow_mut().push(read.filled());
-        buf.put_slice(read.filled());
-        Poll::Ready(Ok(()))
-    }
-}
-
-impl Write for CheckedStream {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.inner).poll_write(cx, buf)
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.inner).poll_flush(cx)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.inner).poll_shutdown(cx)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.inner.is_write_vectored()
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bufs: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.inner).poll_write_vectored(cx, bufs)
-    }
-}
--- a/crates/proxy/src/handler.rs
+++ b/crates/proxy/src/handler.rs
@@ -146,8 +146,13 @@
         RunningTask(Rc::clone(&self.running))
     }
 
-    /// Handles one request and returns the response to the caller.
-    pub async fn handle(self: &Rc<Self>, req: Request<Incoming>) -> Response<ResponseBody> {
+    /// Returns true if a request may be executed more than once.
+    pub(crate) fn is_idempotent(&self, head: &Parts) -> bool {
+        self.route(Instant::now(), head).is_ok_and(|routed| routed.class.is_idempotent())
+    }
+
+    /// Handles one request, without a body if there is none, and returns the response to the caller.
+    pub async fn handle(self: &Rc<Self>, req: Request<Option<Incoming>>) -> Response<ResponseBody> {
         let started = Instant::now();
         let parent = req.headers().get(TRACEPARENT);
         let parent = parent.and_then(|value| TraceContext::parse(value.to_str().ok()?));
@@ -182,7 +187,7 @@
         self: &Rc<Self>,
         now: Instant,
         head: Parts,
-        body: Incoming,
+        body: Option<Incoming>,
         log_entry: AccessLogEntry,
     ) -> (Option<RoutedRequest>, Result<Response<ResponseBody>, Rejection>) {
         let routed = match self.route(now, &head) {
@@ -222,7 +227,7 @@
         self: &Rc<Self>,
         routed: &RoutedRequest,
         head: Parts,
-        body: Incoming,
+        body: Option<Incoming>,
         log_entry: AccessLogEntry,
     ) -> Result<Response<ResponseBody>, Rejection> {
         let account = account_of(&head.headers);
@@ -235,7 +240,7 @@
         let uri = origin_form(&head.uri);
         // Without a body there is nothing to wait for, and a passed deadline must not be reported
         // as a slow request body.
-        let is_empty = body.is_end_stream();
+        let is_empty = body.as_ref().is_none_or(Body::is_end_stream);
         let reading = UpstreamRequest::new(head.method, uri, headers, body);
         let read = if is_empty {
             Ok(reading.await)
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -6,12 +6,14 @@
 mod access_log;
 mod attempt;
 mod body;
+mod caller_stream;
 mod dead_peer;
 mod dialect;
 mod exchange;
 mod framing;
 mod handler;
 mod non_idempotent;
+mod pipeline;
 mod policy;
 mod pool;
 mod read_limit;
--- a/crates/proxy/src/request.rs
+++ b/crates/proxy/src/request.rs
@@ -39,8 +39,12 @@
         method: Method,
         uri: Uri,
         headers: HeaderMap,
-        body: Incoming,
+        body: Option<Incoming>,
     ) -> Result<Self, IncompleteBody> {
+        let Some(body) = body else {
+            let payload = Payload::Replayable(Bytes::new());
+            return Ok(Self { method, uri, headers, payload, upload: Rc::default() });
+        };
         let small = body.size_hint().upper().is_some_and(|upper| upper <= REPLAY_LIMIT_BYTES);
         let payload = if small {
             let limit = usize::try_from(REPLAY_LIMIT_BYTES).unwrap_or(usize::MAX);
--- a/crates/proxy/src/server.rs
+++ b/crates/proxy/src/server.rs
@@ -1,9 +1,11 @@
 //! Listener that serves callers over HTTP/1.1.
 
-use std::cell::{Cell, RefCell};
+use std::cell::Cell;
 use std::io;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::Duration;
 
 use compio::io::{AsyncRead, AsyncWrite, AsyncWriteExt};
@@ -11,14 +13,19 @@
 use cyper_core::CompioTimer;
 use futures::FutureExt;
 use futures::channel::oneshot;
-use futures::future::{Either, Shared, select};
+use futures::future::{Either, Shared, pending, poll_fn, select};
+use http::{Request, Response};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use rustix::net::RecvFlags;
 
-use crate::Proxy;
-use crate::framing::{AmbiguousFraming, CheckedStream, FramingChecker, Scratch, new_scratch};
+use crate::caller_stream::{
+    CallerInput, CallerStream, Scratch, ServingGuard, SharedInput, new_scratch,
+};
+use crate::framing::AmbiguousFraming;
+use crate::pipeline::{Pipeline, StartedCount};
+use crate::{Proxy, ResponseBody};
 
 /// Response to a connection beyond the limit. It is written before a request is read, so no request
 /// was executed.
@@ -98,6 +105,7 @@
     signal: ShutdownSignal,
     connections: Rc<Cell<usize>>,
     rejections: Rc<Cell<usize>>,
+    started: StartedCount,
     scratch: Scratch,
 }
 
@@ -115,8 +123,10 @@
         let listener = TcpListener::bind(address).await?;
         let (tx, rx) = oneshot::channel();
         let connections = Rc::default();
-        let (rejections, scratch, signal) = (Rc::default(), new_scratch(), rx.shared());
-        let server = Self { listener, proxy, limits, signal, connections, rejections, scratch };
+        let (rejections, started, scratch) = (Rc::default(), Rc::default(), new_scratch());
+        let signal = rx.shared();
+        let server =
+            Self { listener, proxy, limits, signal, connections, rejections, started, scratch };
         Ok((server, ServerShutdown(tx)))
     }
 
@@ -176,7 +186,9 @@
     fn serve(&self, stream: TcpStream) {
         let count = ConnectionGuard::new(&self.connections, &self.proxy);
         let (proxy, scratch) = (Rc::clone(&self.proxy), Rc::clone(&self.scratch));
-        let connection = serve_connection(stream, proxy, self.limits, self.signal.clone(), scratch);
+        let pipeline = Pipeline::new(Rc::clone(&proxy), Rc::clone(&self.started));
+        let input = CallerInput::new(stream.clone(), scratch, pipeline);
+        let connection = serve_connection(stream, input, proxy, self.limits, self.signal.clone());
         let task = async move {
             connection.await;
             drop(count);
@@ -187,58 +199,106 @@
 
 async fn serve_connection(
     stream: TcpStream,
+    input: SharedInput,
     proxy: Rc<Proxy>,
     limits: ServerLimits,
     signal: ShutdownSignal,
-    scratch: Scratch,
 ) {
     let _ = stream.set_nodelay(true);
-    let checker = Rc::new(RefCell::new(FramingChecker::default()));
-    let checked = CheckedStream::new(stream.clone(), Rc::clone(&checker), scratch);
-    let heads = Rc::clone(&checker);
-    let service = service_fn(move |mut req: http::Request<Incoming>| {
-        let proxy = Rc::clone(&proxy);
-        if heads.borrow_mut().take_is_ambiguous() {
-            req.extensions_mut().insert(AmbiguousFraming);
-        }
-        async move { Ok::<_, std::convert::Infallible>(proxy.handle(req).await) }
+    let requests = Rc::clone(&input);
+    let service = service_fn(move |req: Request<Incoming>| {
+        let responding = respond(Rc::clone(&proxy), Rc::clone(&requests), req);
+        async move { Ok::<_, std::convert::Infallible>(responding.await) }
     });
     let connection = http1::Builder::new()
         .timer(CompioTimer)
         .header_read_timeout(limits.head_timeout)
         .max_buf_size(limits.max_head_bytes.max(8192))
         .max_headers(limits.max_headers)
-        .serve_connection(checked, service);
+        .serve_connection(CallerStream(Rc::clone(&input)), service);
     let mut connection = std::pin::pin!(connection);
-    let ended = match select(connection.as_mut(), signal).await {
-        Either::Left((ended, _)) => ended,
-        Either::Right(_) => {
-            // hyper closes an idle connection at once, whether or not a request has arrived on it.
-            let reading = std::pin::pin!(wait_until_read(&stream));
-            match select(connection.as_mut(), reading).await {
-                Either::Left((ended, _)) => ended,
-                Either::Right(_) => {
-                    connection.as_mut().graceful_shutdown();
-                    connection.await
-                }
-            }
+    let mut ended = serve_until(connection.as_mut(), &input, signal.map(|_| ())).await;
+    if ended.is_none() {
+        input.borrow_mut().stop_starting();
+        // hyper closes an idle connection at once, whether or not a request has arrived on it, and
+        // one in use after the current response, whether or not later ones are in progress.
+        let reading = wait_until_read(&stream, &input);
+        ended = serve_until(connection.as_mut(), &input, reading).await;
+    }
+    if ended.is_none() {
+        connection.as_mut().graceful_shutdown();
+        ended = serve_until(connection.as_mut(), &input, pending()).await;
+    }
+    let (is_mid_head, is_mid_message) = {
+        let input = input.borrow();
+        (input.checker().is_mid_head(), input.checker().is_mid_message())
+    };
+    if let Some(ConnectionEnd::Closed(result)) = ended {
+        finish_connection(stream, result.err(), is_mid_head, is_mid_message).await;
+    }
+}
+
+/// End of a caller's connection.
+enum ConnectionEnd {
+    /// hyper has ended it.
+    Closed(hyper::Result<()>),
+    /// The caller has closed it while requests were in progress, which are canceled.
+    CallerDisconnected,
+}
+
+/// Serves a connection until it ends, and reads what the caller sends while a request is in
+/// progress. Returns `None` if `stop` becomes ready first.
+async fn serve_until(
+    mut connection: Pin<&mut impl Future<Output = hyper::Result<()>>>,
+    input: &SharedInput,
+    stop: impl Future<Output = ()>,
+) -> Option<ConnectionEnd> {
+    let serving = poll_fn(|cx| {
+        if let Poll::Ready(result) = connection.as_mut().poll(cx) {
+            return Poll::Ready(ConnectionEnd::Closed(result));
         }
+        input.borrow_mut().poll_read_ahead(cx).map(|()| ConnectionEnd::CallerDisconnected)
+    });
+    match select(serving, std::pin::pin!(stop)).await {
+        Either::Left((ended, _)) => Some(ended),
+        Either::Right(_) => None,
+    }
+}
+
+/// Returns the response to a request that hyper has read, from its early start if there was one.
+async fn respond(
+    proxy: Rc<Proxy>,
+    input: SharedInput,
+    req: Request<Incoming>,
+) -> Response<ResponseBody> {
+    let (mut head, body) = req.into_parts();
+    let taken = input.borrow_mut().take_request(&head);
+    if taken.is_ambiguous {
+        head.extensions.insert(AmbiguousFraming);
+    }
+    let started = match taken.response {
+        Some(response) => response.await.ok(),
+        None => None,
     };
-    let (is_mid_head, is_mid_message) = {
-        let checker = checker.borrow();
-        (checker.is_mid_head(), checker.is_mid_message())
+    let mut response = match started {
+        Some(response) => response,
+        None => proxy.handle(Request::from_parts(head, Some(body))).await,
     };
-    finish_connection(stream, ended.err(), is_mid_head, is_mid_message).await;
+    response.body_mut().hold(Box::new(ServingGuard(input)));
+    response
 }
 
-/// Waits until the bytes that have arrived on a connection were read.
-async fn wait_until_read(stream: &TcpStream) {
+/// Waits until the requests that have arrived on a connection were read by hyper.
+async fn wait_until_read(stream: &TcpStream, input: &SharedInput) {
     for _ in 0..MAX_UNREAD_CHECKS {
-        if !has_unread_bytes(stream) {
+        if !has_unread_bytes(stream) && !input.borrow().has_unread_requests() {
             return;
         }
         compio::time::sleep(UNREAD_POLL_INTERVAL).await;
     }
+    while input.borrow().has_unread_requests() {
+        compio::time::sleep(UNREAD_POLL_INTERVAL).await;
+    }
 }
 
 /// Returns true if bytes have arrived that were not read. A connection that has ended or failed has
--- a/tests/all/proxy.rs
+++ b/tests/all/proxy.rs
@@ -12,5 +12,6 @@
 mod link;
 mod matching;
 mod partial_heads;
+mod pipelining;
 mod retryable;
 mod shutdown;
