Hedge requests at hanging upstreams, with the allowance of other instances if needed

Requests that hang made the service look busy (limit of 0.55 of all slots). An instance that sees a request of a service every two seconds has an allowance of one or two extra attempts in ten seconds, while others use none. And a denied hedge was not decided on again. Orders and uploads went to upstreams whose attempts in progress were already twice as old as usual, until one was overdue at 3.5 mean service times.

Change: room for a hedge is a tenth of the slots of the upstreams that are probably sound. An instance without allowance asks up to three others; the one that agrees counts the attempt as its own before it answers, at the latest time at which it may start (250 ms, on a clock that counts suspensions), so the proof of the budget stays. A denied hedge is decided on again each 300 ms, five times at most. The age of the attempts in progress of the whole fleet raises the fault probability with which upstreams are chosen (`progress`); it is no observation and ends with the attempt.

--- a/crates/fleet/src/budget.rs
+++ b/crates/fleet/src/budget.rs
@@ -3,6 +3,10 @@
 //! Each instance limits its own extra attempts by its own requests, which it knows exactly, and by
 //! its share of the slack. The sum over all instances then stays within the budget whatever
 //! messages between them are lost or late.
+//!
+//! An instance that has used its allowance can ask another one for an attempt. The other one counts
+//! the attempt as its own before it answers, at the latest time at which it may start. A lost answer
+//! wastes the attempt, and no message can make it count for less than it is.
 
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
@@ -27,6 +31,9 @@
 /// attempts than the budget allows.
 const REQUEST_RETENTION: Duration = Duration::from_secs(60);
 
+/// Time from a request for a grant until the latest start of the attempt that it allows.
+pub const GRANT_VALIDITY: Duration = Duration::from_millis(250);
+
 /// Limits of the retry budget of a service.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct BudgetLimits {
@@ -101,7 +108,8 @@
 pub struct RetryBudget {
     /// Numbers of requests, with the time of the first one of each entry.
     requests: VecDeque<(Instant, u32)>,
-    /// Times of the extra attempts in the most recent window.
+    /// Times of the extra attempts in the most recent window, in order. Those of granted attempts
+    /// may lie ahead.
     extras: VecDeque<Instant>,
 }
 
@@ -139,15 +147,41 @@
         share: SlackShare,
         is_hedge: bool,
     ) -> BudgetDecision {
-        let usage = self.usage(now, limits, share);
+        self.try_until(now, now, limits, share, is_hedge)
+    }
+
+    /// Decides whether another instance may make an extra attempt in place of this one, within
+    /// [`GRANT_VALIDITY`]. The attempt is counted at the end of that time.
+    pub fn try_grant(
+        &mut self,
+        now: Instant,
+        limits: BudgetLimits,
+        share: SlackShare,
+        is_hedge: bool,
+    ) -> BudgetDecision {
+        self.try_until(now, now + GRANT_VALIDITY, limits, share, is_hedge)
+    }
+
+    /// Decides on an extra attempt that starts between `now` and `latest`.
+    fn try_until(
+        &mut self,
+        now: Instant,
+        latest: Instant,
+        limits: BudgetLimits,
+        share: SlackShare,
+        is_hedge: bool,
+    ) -> BudgetDecision {
+        let usage = self.usage(now, latest, limits, share);
         let is_allowed = if is_hedge { usage.allows_hedge() } else { usage.allows_retry() };
         if is_allowed {
-            self.extras.push_back(now);
+            let position = self.extras.partition_point(|at| *at <= latest);
+            self.extras.insert(position, latest);
         }
         BudgetDecision { is_allowed, usage }
     }
 
-    /// Returns the usage and the limit of the budget.
+    /// Returns the usage and the limit of the budget for an attempt that starts between `now` and
+    /// `latest`.
     ///
     /// In each span of up to one window that ends now, the extra attempts stay within the slack plus
     /// half of the ratio for each request of the span and of the window before it. For a whole window
@@ -155,7 +189,13 @@
     /// that window and the one before, wherever the window lies and however the load shifts between
     /// instances. Comparing only the current window would let an instance that loses its callers use
     /// the allowance of their requests in the same window as the instance that receives them.
-    fn usage(&mut self, now: Instant, limits: BudgetLimits, share: SlackShare) -> BudgetUsage {
+    fn usage(
+        &mut self,
+        now: Instant,
+        latest: Instant,
+        limits: BudgetLimits,
+        share: SlackShare,
+    ) -> BudgetUsage {
         let is_expired = |at: Instant| now.saturating_duration_since(at) > limits.window;
         while self.extras.front().is_some_and(|at| is_expired(*at)) {
             self.extras.pop_front();
@@ -170,7 +210,8 @@
             }
             requests
         };
-        let mut headroom = funding * count_since(now) as f64 + slack;
+        let newest = self.extras.back().map_or(latest, |at| latest.max(*at));
+        let mut headroom = funding * count_since(newest) as f64 + slack;
         for (later, start) in self.extras.iter().rev().enumerate() {
             let funded = funding * count_since(*start) as f64 + slack;
             headroom = headroom.min(funded - (later + 1) as f64);
--- a/crates/fleet/src/load.rs
+++ b/crates/fleet/src/load.rs
@@ -75,6 +75,12 @@
         }
     }
 
+    /// Returns the upstreams at which another instance has requests in flight, as far as it is
+    /// known.
+    pub fn upstreams_of_peer(&self, peer: &str) -> Vec<UpstreamId> {
+        self.peers.get(peer).map_or_else(Vec::new, |load| load.counts.keys().cloned().collect())
+    }
+
     /// Removes the counts of another instance.
     pub fn remove_peer(&mut self, peer: &InstanceId) {
         let Some(load) = self.peers.remove(peer) else { return };
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -15,7 +15,7 @@
 use crate::discovery::{Revision, Topic};
 
 /// Version of the encoding. Datagrams with another version are ignored.
-pub const FORMAT: u8 = 7;
+pub const FORMAT: u8 = 8;
 
 /// Largest datagram, in bytes. It stays below the usual MTU of 1,500 bytes.
 pub const MAX_DATAGRAM_BYTES: usize = 1_400;
@@ -75,6 +75,26 @@
         /// Revision of the change.
         revision: Revision,
     },
+    /// Asks the receiver to make an extra attempt less, so that the sender may make one more.
+    GrantRequest(GrantRequest),
+    /// Answers a [`Body::GrantRequest`].
+    Grant {
+        /// Number of the request.
+        number: u64,
+        /// True if the sender of the request may make the attempt.
+        is_granted: bool,
+    },
+}
+
+/// Request for an extra attempt within the allowance of another instance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GrantRequest {
+    /// Number of the request, unique within the incarnation of its sender.
+    pub number: u64,
+    /// Service of the attempt, see [`short_service_id`].
+    pub service: ShortId,
+    /// True for a hedge.
+    pub is_hedge: bool,
 }
 
 /// Notices collected by a hub.
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -15,6 +15,7 @@
 use crate::observers::Observers;
 use crate::peers::AcceptedReport;
 use crate::pending::{OverdueAttempt, PendingAttempts};
+use crate::progress::{AttemptsInProgress, ResponseTimes};
 use crate::suspicion::{Suspicion, long_run_mean};
 
 /// Service time that is assumed before the first response.
@@ -48,6 +49,8 @@
     observers: Observers,
     budgets: HashMap<ShortId, RetryBudget>,
     service_times: HashMap<ServiceId, Duration>,
+    response_times: HashMap<ServiceId, ResponseTimes>,
+    in_progress: AttemptsInProgress,
     attempt_rates: HashMap<ShortId, AttemptRate>,
     own_totals: OwnTotals,
     peer_totals: PeerTotals,
@@ -67,6 +70,8 @@
             observers: Observers::default(),
             budgets: HashMap::new(),
             service_times: HashMap::new(),
+            response_times: HashMap::new(),
+            in_progress: AttemptsInProgress::default(),
             attempt_rates: HashMap::new(),
             own_totals: OwnTotals::default(),
             peer_totals: PeerTotals::default(),
@@ -95,6 +100,7 @@
         }
         self.attempt_rates.entry(short).or_default().on_start(now, 1);
         self.pending.on_start(now, service, upstream);
+        self.in_progress.on_start(now, &self.own, upstream);
         let event = Event::Started { extra, totals: self.own_totals.add(short, extra) };
         Notice { upstream: short_upstream_id(upstream), in_flight, event }
     }
@@ -109,6 +115,9 @@
     ) -> Notice {
         let in_flight = self.load.finish(upstream);
         let was_reported = self.pending.on_end(upstream, end.has_head);
+        if !end.has_head {
+            self.in_progress.on_end(&self.own, upstream);
+        }
         let observed = end.observed.filter(|observed| !(was_reported && observed.is_late()));
         if let Some(observed) = observed {
             let suspicion =
@@ -146,14 +155,17 @@
                 let new = self.peer_totals.on_attempt(now, from, service, extra, totals);
                 self.count_peer_attempts(now, service, new);
                 self.last_used.insert(upstream.clone(), now);
+                self.in_progress.on_start(now, &from.instance, upstream);
             }
             Event::Ended { observed, .. } => {
+                self.in_progress.on_end(&from.instance, upstream);
                 self.update_service_time(service, notice.event);
                 if let Some(observed) = observed {
                     self.observe(now, &from.instance, upstream, observed);
                 }
             }
             Event::Overdue => {
+                self.in_progress.on_overdue(&from.instance, upstream);
                 self.observe(now, &from.instance, upstream, Observation::Overdue);
             }
         }
@@ -162,6 +174,7 @@
     /// Records the arrival of a response head for an attempt of this instance.
     pub fn on_head(&mut self, upstream: &str) {
         self.pending.on_head(upstream);
+        self.in_progress.on_end(&self.own, upstream);
     }
 
     /// Returns the attempts of this instance that have become overdue, with the notices for the
@@ -182,6 +195,7 @@
         let suspicion =
             self.own_suspicions.entry(upstream.clone()).or_insert_with(|| Suspicion::new(now));
         suspicion.observe(now, Observation::Overdue, 1.0);
+        self.in_progress.on_overdue(&self.own, upstream);
         let own = self.own.clone();
         self.observe(now, &own, upstream, Observation::Overdue);
         let in_flight = self.load.own_in_flight(upstream);
@@ -197,6 +211,11 @@
         in_flight: &[InFlight],
         totals: &[ServiceTotals],
     ) {
+        for upstream in self.load.upstreams_of_peer(&from.instance) {
+            let stated = in_flight.iter().find(|entry| entry.upstream == upstream);
+            let count = stated.map_or(0, |entry| entry.count);
+            self.in_progress.limit(&from.instance, &upstream, count);
+        }
         self.load.replace_peer(now, &from.instance, in_flight);
         for ServiceTotals { service, totals } in self.peer_totals.on_heartbeat(now, from, totals) {
             self.count_peer_attempts(now, service, totals);
@@ -216,11 +235,13 @@
     /// Removes the counts of requests that an instance had in flight.
     pub fn remove_peer(&mut self, peer: &InstanceId) {
         self.load.remove_peer(peer);
+        self.in_progress.remove_instance(peer);
     }
 
     /// Removes expired counts and reports.
     pub fn expire(&mut self, now: Instant) {
         self.load.expire(now);
+        self.in_progress.expire(now);
         self.observers.expire(now);
         self.peer_totals.expire(now);
     }
@@ -234,6 +255,7 @@
         {
             self.fleet_suspicions.remove(upstream);
             self.own_suspicions.remove(upstream);
+            self.in_progress.remove_upstream(upstream);
         }
     }
 
@@ -243,6 +265,7 @@
         self.own_suspicions.remove(upstream);
         self.incarnations.remove(upstream);
         self.last_used.remove(upstream);
+        self.in_progress.remove_upstream(upstream);
     }
 
     /// Returns the probability that an upstream is faulty, according to the observations of the
@@ -254,6 +277,21 @@
         (of(&self.fleet_suspicions), of(&self.own_suspicions))
     }
 
+    /// Returns the probability that an upstream with this number of slots is faulty, according to
+    /// the observations of the whole fleet and the age of its attempts in progress.
+    pub fn current_fault_probability(
+        &self,
+        now: Instant,
+        service: &str,
+        upstream: &str,
+        slots: u32,
+    ) -> f64 {
+        let (prior, _) = self.fault_probability(now, upstream);
+        let times = self.response_times.get(service).copied();
+        let times = times.unwrap_or_else(|| ResponseTimes::new(INITIAL_SERVICE_TIME));
+        self.in_progress.weigh_age(now, upstream, slots, times, prior)
+    }
+
     /// Returns the time since the last attempt of any instance at an upstream, `None` if there was
     /// none.
     pub fn idle_time(&self, now: Instant, upstream: &str) -> Option<Duration> {
@@ -309,6 +347,20 @@
         budget.try_extra(now, limits, share, is_hedge)
     }
 
+    /// Decides whether another instance may make an extra attempt at a service in place of this
+    /// one. An instance without requests to the service has nothing to give.
+    pub fn try_grant(
+        &mut self,
+        now: Instant,
+        service: ShortId,
+        limits: BudgetLimits,
+        share: SlackShare,
+        is_hedge: bool,
+    ) -> bool {
+        let Some(budget) = self.budgets.get_mut(&service) else { return false };
+        budget.try_grant(now, limits, share, is_hedge).is_allowed
+    }
+
     fn observe(
         &mut self,
         now: Instant,
@@ -334,6 +386,9 @@
         if latency_ms < MIN_SERVICE_TIME_MS {
             return;
         }
+        let times = self.response_times.entry(service.clone());
+        let times = times.or_insert_with(|| ResponseTimes::new(INITIAL_SERVICE_TIME));
+        times.observe(Duration::from_millis(u64::from(latency_ms)));
         let known = self.service_times.entry(service.clone()).or_insert(INITIAL_SERVICE_TIME);
         let sample = f64::from(latency_ms) / 1_000.0;
         let mean = known.as_secs_f64();
--- a/crates/proxy/src/access_log.rs
+++ b/crates/proxy/src/access_log.rs
@@ -90,7 +90,11 @@
     pub(crate) fn on_extra(&self, kind: ExtraAttempt, decision: ExtraDecision) {
         let mut text = self.0.extras.borrow_mut();
         let separator = if text.is_empty() { "" } else { "; " };
-        let result = if decision.is_allowed { "allowed" } else { "denied" };
+        let result = match decision {
+            ExtraDecision { is_granted: true, .. } => "granted",
+            ExtraDecision { is_allowed: true, .. } => "allowed",
+            _ => "denied",
+        };
         let at = self.0.started.elapsed().as_millis();
         // Writing to a string does not fail.
         let _ = write!(text, "{separator}{kind} {result} at={at}");
--- a/crates/proxy/src/non_idempotent.rs
+++ b/crates/proxy/src/non_idempotent.rs
@@ -20,7 +20,7 @@
 use crate::reject::{Rejection, RejectionReason};
 use crate::relay::discard;
 use crate::request::UpstreamRequest;
-use crate::retryable::{rejection_for, retry_after};
+use crate::retryable::{ExtraAttemptRequest, rejection_for, retry_after};
 use crate::{ExtraAttempt, ResponseBody, RoutedRequest};
 
 /// Sends the request in a task of its own, so that its outcome is recorded even if the caller
@@ -215,7 +215,11 @@
             let policy = self.proxy.policy();
             let wait = policy.retry_after_shed(Instant::now(), &self.routed, wait);
             self.last_rejection = Some(upstream_busy(wait));
-            return if self.may_try_another() { Event::Declined } else { Event::Shed { status } };
+            return if self.may_try_another().await {
+                Event::Declined
+            } else {
+                Event::Shed { status }
+            };
         }
         if response.is_failure() {
             response.outcome = Outcome::Failed;
@@ -225,7 +229,7 @@
     }
 
     /// Returns true if a request that was shed may be sent to another upstream.
-    fn may_try_another(&self) -> bool {
+    async fn may_try_another(&self) -> bool {
         let is_limit_reached =
             self.routed.max_attempts.is_some_and(|max| self.sent_attempts >= max);
         if is_limit_reached
@@ -234,10 +238,12 @@
         {
             return false;
         }
-        let (policy, kind) = (self.proxy.policy(), ExtraAttempt::Declined);
-        let decision = policy.allow_extra_attempt(Instant::now(), &self.routed, kind);
-        self.log_entry.on_extra(kind, decision);
-        decision.is_allowed
+        let request = ExtraAttemptRequest {
+            proxy: Rc::clone(&self.proxy),
+            routed: self.routed.clone(),
+            log_entry: self.log_entry.clone(),
+        };
+        request.is_allowed(ExtraAttempt::Declined).await
     }
 
     fn forward(self) -> Result<Response<ResponseBody>, Rejection> {
--- a/crates/proxy/src/policy.rs
+++ b/crates/proxy/src/policy.rs
@@ -89,6 +89,8 @@
 pub struct ExtraDecision {
     /// True if the attempt may be started.
     pub is_allowed: bool,
+    /// True if another instance makes an attempt less in place of this one.
+    pub is_granted: bool,
     /// State of the retry budget on which the decision was based, if the budget was consulted.
     pub basis: Option<BudgetBasis>,
 }
@@ -96,7 +98,7 @@
 impl ExtraDecision {
     /// Creates a decision that was not based on counts of the budget.
     pub fn without_basis(is_allowed: bool) -> Self {
-        Self { is_allowed, basis: None }
+        Self { is_allowed, is_granted: false, basis: None }
     }
 }
 
@@ -149,13 +151,14 @@
     ) -> Result<Target, Rejection>;
 
     /// Decides whether the retry budget of the service allows an attempt beyond the first one. An
-    /// allowed attempt is charged to the budget at once.
-    fn allow_extra_attempt(
-        &self,
+    /// allowed attempt is charged to the budget, so it has to be started at once. The decision may
+    /// take some hundred milliseconds if other instances are asked.
+    fn allow_extra_attempt<'a>(
+        &'a self,
         now: Instant,
-        routed: &RoutedRequest,
+        routed: &'a RoutedRequest,
         extra: ExtraAttempt,
-    ) -> ExtraDecision;
+    ) -> Pin<Box<dyn Future<Output = ExtraDecision> + 'a>>;
 
     /// Returns the time without a response head after which a hedged attempt is started, or `None`
     /// if the request is not hedged.
--- a/crates/proxy/src/resume.rs
+++ b/crates/proxy/src/resume.rs
@@ -73,28 +73,30 @@
     /// was sent to the maximum number of upstreams, the deadline has passed or the retry budget is
     /// exhausted, and `Some(None)` if the attempt failed.
     async fn attempt(&self, range: &HeaderMap) -> Option<Option<UpstreamResponse>> {
-        let (proxy, target, req, context, deadline) = {
+        let (target, deciding) = {
             let mut request = self.request.borrow_mut();
             if request.is_attempt_limit_reached() {
                 return None;
             }
             let timeout = Instant::now() + HEAD_TIMEOUT;
-            let deadline = self.body_deadline.map_or(timeout, |at| at.min(timeout));
-            if time_until(deadline).is_zero() {
+            request.routed.deadline = self.body_deadline.map_or(timeout, |at| at.min(timeout));
+            if time_until(request.routed.deadline).is_zero() {
                 return None;
             }
-            request.routed.deadline = deadline;
+            (request.pick().ok()?, request.extra_attempt())
+        };
+        if !deciding.is_allowed(ExtraAttempt::Resume).await {
+            return None;
+        }
+        let (proxy, req, context, deadline) = {
+            let mut request = self.request.borrow_mut();
+            request.count_attempt(&target.upstream);
             let proxy = Rc::clone(&request.proxy);
-            let target = request.try_pick()?;
-            if !request.allows_extra(ExtraAttempt::Resume) {
-                return None;
-            }
-            request.count_attempt();
             let service = &*request.routed.service;
             proxy.metrics().attempts.with_label_values(&[service, "resume"]).inc();
             let context = proxy.attempt_context(request.log_entry.clone());
             let req = request.upstream_request.build_range_request(range);
-            (proxy, target, req, context, deadline)
+            (proxy, req, context, request.routed.deadline)
         };
         let reuse = Reuse::Idle { silence_timeout: Some(HEAD_TIMEOUT / 2) };
         let response = exchange(&proxy, context, target, req, reuse, deadline);
--- a/crates/proxy/src/retryable.rs
+++ b/crates/proxy/src/retryable.rs
@@ -20,6 +20,13 @@
 /// `Retry-After` for the caller if the upstream that shed the request sent none.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// Number of times that a hedge is decided on. What speaks against one, a busy service or a used
+/// budget, may change while the request waits.
+const MAX_HEDGE_DECISIONS: u32 = 5;
+
+/// Time after a denied hedge until it is decided on again.
+const HEDGE_DECISION_INTERVAL: Duration = Duration::from_millis(300);
+
 /// A retryable request and the state of its attempts.
 pub(crate) struct RetryableRequest {
     pub(crate) proxy: Rc<Proxy>,
@@ -33,6 +40,23 @@
     attempts: u32,
 }
 
+/// An extra attempt of a request to be decided on.
+pub(crate) struct ExtraAttemptRequest {
+    pub(crate) proxy: Rc<Proxy>,
+    pub(crate) routed: RoutedRequest,
+    pub(crate) log_entry: AccessLogEntry,
+}
+
+impl ExtraAttemptRequest {
+    /// Returns true if the retry budget allows the attempt, and logs the decision.
+    pub(crate) async fn is_allowed(&self, kind: ExtraAttempt) -> bool {
+        let policy = self.proxy.policy();
+        let decision = policy.allow_extra_attempt(Instant::now(), &self.routed, kind).await;
+        self.log_entry.on_extra(kind, decision);
+        decision.is_allowed
+    }
+}
+
 /// Result of one attempt together with its hedged attempt.
 enum RoundResult {
     Usable(UpstreamResponse),
@@ -74,7 +98,7 @@
                 round => round,
             };
             let is_budget_exempt = matches!(round, RoundResult::Failed(Cause::AtLimit));
-            match (round, self.retry_target(is_budget_exempt)) {
+            match (round, self.retry_target(is_budget_exempt).await) {
                 (RoundResult::Faulty(response), Some(next)) => {
                     discard(response, Outcome::Failed).await;
                     target = next;
@@ -90,20 +114,14 @@
         }
     }
 
-    fn pick(&mut self) -> Result<Target, Rejection> {
-        let target = self.proxy.policy().pick(Instant::now(), &self.routed, &self.tried)?;
-        self.tried.push(target.upstream.clone());
-        Ok(target)
-    }
-
-    /// Chooses an upstream that was not tried, if there is one.
-    pub(crate) fn try_pick(&mut self) -> Option<Target> {
-        self.pick().ok()
+    /// Chooses an upstream that was not tried.
+    pub(crate) fn pick(&self) -> Result<Target, Rejection> {
+        self.proxy.policy().pick(Instant::now(), &self.routed, &self.tried)
     }
 
     /// Returns the upstream for a retry, if the request, the deadline and the budget allow one.
     /// With `is_budget_exempt` the budget is not charged.
-    fn retry_target(&mut self, is_budget_exempt: bool) -> Option<Target> {
+    async fn retry_target(&self, is_budget_exempt: bool) -> Option<Target> {
         if !self.upstream_request.can_send()
             || time_until(self.routed.deadline).is_zero()
             || self.is_attempt_limit_reached()
@@ -111,19 +129,15 @@
             return None;
         }
         let target = self.pick().ok()?;
-        let allowed = is_budget_exempt || self.allows_extra(ExtraAttempt::Retry);
-        if !allowed {
-            self.tried.pop();
-        }
+        let allowed =
+            is_budget_exempt || self.extra_attempt().is_allowed(ExtraAttempt::Retry).await;
         allowed.then_some(target)
     }
 
-    /// Returns true if the retry budget allows an extra attempt, and logs the decision.
-    pub(crate) fn allows_extra(&self, kind: ExtraAttempt) -> bool {
-        let policy = self.proxy.policy();
-        let decision = policy.allow_extra_attempt(Instant::now(), &self.routed, kind);
-        self.log_entry.on_extra(kind, decision);
-        decision.is_allowed
+    /// Returns what decides on an extra attempt.
+    pub(crate) fn extra_attempt(&self) -> ExtraAttemptRequest {
+        let (proxy, routed) = (Rc::clone(&self.proxy), self.routed.clone());
+        ExtraAttemptRequest { proxy, routed, log_entry: self.log_entry.clone() }
     }
 
     /// Returns true if the request was sent to the maximum number of upstreams of its route.
@@ -131,8 +145,10 @@
         self.routed.max_attempts.is_some_and(|max| self.attempts >= max)
     }
 
-    /// Counts an attempt against the limit of the route.
-    pub(crate) fn count_attempt(&mut self) {
+    /// Counts an attempt at an upstream against the limit of the route. The upstream is not chosen
+    /// again.
+    pub(crate) fn count_attempt(&mut self, upstream: &UpstreamId) {
+        self.tried.push(upstream.clone());
         self.attempts += 1;
     }
 
@@ -178,7 +194,7 @@
         target: Target,
     ) -> Option<LocalBoxFuture<'static, Result<UpstreamResponse, Failure>>> {
         let req = self.upstream_request.build()?;
-        self.count_attempt();
+        self.count_attempt(&target.upstream);
         let proxy = Rc::clone(&self.proxy);
         let deadline = self.routed.deadline;
         let context = proxy.attempt_context(self.log_entry.clone());
@@ -198,26 +214,38 @@
             .policy()
             .hedge_delay(&self.routed)
             .filter(|_| self.upstream_request.can_send());
-        let Some(delay) = delay else { return first.await };
-        let timer = std::pin::pin!(compio::time::sleep(delay));
-        let first = match select(first, timer).await {
-            Either::Left((result, _)) => return result,
-            Either::Right(((), first)) => first,
-        };
-        let Some(second) = self.hedge() else { return first.await };
-        self.sent = true;
-        first_usable(first, second).await
+        let Some(mut delay) = delay else { return first.await };
+        let mut first = first;
+        for _ in 0..MAX_HEDGE_DECISIONS {
+            let timer = std::pin::pin!(compio::time::sleep(delay));
+            first = match select(first, timer).await {
+                Either::Left((result, _)) => return result,
+                Either::Right(((), first)) => first,
+            };
+            // The response may arrive while other instances are asked for the hedge.
+            let target;
+            (first, target) = match select(first, std::pin::pin!(self.hedge_target())).await {
+                Either::Left((result, _)) => return result,
+                Either::Right((target, first)) => (first, target),
+            };
+            if let Some(second) = target.and_then(|target| self.hedge(target)) {
+                self.sent = true;
+                return first_usable(first, second).await;
+            }
+            delay = HEDGE_DECISION_INTERVAL;
+        }
+        first.await
     }
 
-    fn hedge(&mut self) -> Option<LocalBoxFuture<'static, Result<UpstreamResponse, Failure>>> {
+    async fn hedge_target(&self) -> Option<Target> {
         if self.is_attempt_limit_reached() {
             return None;
         }
         let target = self.pick().ok()?;
-        if !self.allows_extra(ExtraAttempt::Hedge) {
-            self.tried.pop();
-            return None;
-        }
+        self.extra_attempt().is_allowed(ExtraAttempt::Hedge).await.then_some(target)
+    }
+
+    fn hedge(&mut self, target: Target) -> Option<ExchangeFuture> {
         let attempts = &self.proxy.metrics().attempts;
         attempts.with_label_values(&[&*self.routed.service, "hedge"]).inc();
         self.start(target)
--- a/src/daemon/policy.rs
+++ b/src/daemon/policy.rs
@@ -1,6 +1,7 @@
 //! Routing, admission and upstream selection of requests, based on the blackboard.
 
 use std::cell::RefCell;
+use std::future::ready;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -123,19 +124,17 @@
         })
     }
 
-    fn allow_extra_attempt(
-        &self,
+    fn allow_extra_attempt<'a>(
+        &'a self,
         _now: Instant,
-        routed: &RoutedRequest,
+        routed: &'a RoutedRequest,
         extra: ExtraAttempt,
-    ) -> ExtraDecision {
-        if extra == ExtraAttempt::Declined {
-            return ExtraDecision::without_basis(false);
-        }
+    ) -> Pin<Box<dyn Future<Output = ExtraDecision> + 'a>> {
         let mut board = self.board.borrow_mut();
         let service = board.services.get_mut(&routed.service);
-        let is_allowed = service.is_some_and(|service| service.retry_budget.try_take());
-        ExtraDecision::without_basis(is_allowed)
+        let is_allowed = extra != ExtraAttempt::Declined
+            && service.is_some_and(|service| service.retry_budget.try_take());
+        ready(ExtraDecision::without_basis(is_allowed)).boxed_local()
     }
 
     fn hedge_delay(&self, routed: &RoutedRequest) -> Option<Duration> {
--- a/src/node/instance.rs
+++ b/src/node/instance.rs
@@ -81,7 +81,13 @@
     pub async fn start(settings: &Settings, log: Logger) -> Result<(Self, ShutdownHandle)> {
         let metrics = Metrics::new()?;
         let incarnation = new_incarnation();
-        let state = Rc::new(RefCell::new(State::new(settings.instance.clone(), log.clone())));
+        let budget = BudgetLimits {
+            ratio: settings.bounds.retry_ratio,
+            window: settings.bounds.retry_window,
+            slack: settings.bounds.retry_slack,
+        };
+        let state = State::new(settings.instance.clone(), budget, log.clone());
+        let state = Rc::new(RefCell::new(state));
         let discovery = PlatformDiscovery::new(
             settings.store,
             settings.instance.clone(),
@@ -203,17 +209,12 @@
     pool: &Pool,
     log: &Logger,
 ) -> NodePolicy {
-    let bounds = settings.bounds;
     NodePolicy {
         state: Rc::clone(state),
         notices: Box::new(Rc::clone(messenger)),
         pool: pool.clone(),
         failure_domain: settings.failure_domain.clone(),
-        budget: BudgetLimits {
-            ratio: bounds.retry_ratio,
-            window: bounds.retry_window,
-            slack: bounds.retry_slack,
-        },
+        grants: Box::new(Rc::clone(messenger)),
         log: log.clone(),
     }
 }
--- a/src/node/messenger.rs
+++ b/src/node/messenger.rs
@@ -19,6 +19,7 @@
 use cactustrack_types::Incarnation;
 use slog::Logger;
 
+use super::grants::PendingGrants;
 use super::ignored::IgnoredNotices;
 use super::lag::LagTracker;
 use super::state::SharedState;
@@ -61,6 +62,7 @@
     state: SharedState,
     lag: Rc<LagTracker>,
     ignored: IgnoredNotices,
+    grants: PendingGrants,
     metrics: Metrics,
     log: Logger,
 }
@@ -94,6 +96,7 @@
             state,
             lag,
             ignored: IgnoredNotices::new(metrics.clone(), log.clone()),
+            grants: PendingGrants::default(),
             metrics,
             log,
         }))
@@ -112,6 +115,16 @@
         Ok(())
     }
 
+    /// Returns the requests to other instances for extra attempts.
+    pub(crate) fn grants(&self) -> &PendingGrants {
+        &self.grants
+    }
+
+    /// Returns the addresses of the other instances.
+    pub(crate) fn peer_addresses(&self) -> Vec<SocketAddr> {
+        self.state.borrow().peers.addresses()
+    }
+
     /// Schedules sending the queued notices after [`FLUSH_DELAY`].
     pub(crate) fn schedule_flush(self: &Rc<Self>) {
         if self.is_flush_scheduled.replace(true) {
@@ -301,7 +314,7 @@
 
     /// Sends a datagram to each address. A failed send is counted and not retried, since the
     /// protocol tolerates lost datagrams.
-    fn send_to(&self, body: Body, addresses: &[SocketAddr]) {
+    pub(crate) fn send_to(&self, body: Body, addresses: &[SocketAddr]) {
         if addresses.is_empty() {
             return;
         }
@@ -397,6 +410,13 @@
                     state.view.remove_peer(&from.instance);
                 }
             }
+            Body::GrantRequest(request) => {
+                let is_granted = state.try_grant(now, &request);
+                drop(state);
+                let number = request.number;
+                self.send_to(Body::Grant { number, is_granted }, &[address]);
+            }
+            Body::Grant { number, is_granted } => self.grants.on_answer(number, is_granted),
             Body::Forward(change) => {
                 drop(state);
                 self.on_change(now, (*change).clone());
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -6,6 +6,7 @@
 //! from the notices that all instances send to each other. `docs/platform.md` gives the reasons.
 
 mod discovery_sync;
+mod grants;
 mod ignored;
 mod instance;
 mod lag;
--- a/src/node/policy.rs
+++ b/src/node/policy.rs
@@ -1,11 +1,12 @@
 //! Traffic policy of the request path, based on the state of the instance.
 
+use std::future::ready;
 use std::pin::Pin;
 use std::time::{Duration, Instant};
 
 use cactustrack_fleet::admission::{self, AdmissionRequest};
-use cactustrack_fleet::budget::{BudgetLimits, SlackShare};
 use cactustrack_fleet::discovery::ListedUpstream;
+use cactustrack_fleet::hedge::{self, UpstreamLoad};
 use cactustrack_fleet::message::Observation;
 use cactustrack_fleet::placement::{Candidate, Request};
 use cactustrack_fleet::split;
@@ -21,6 +22,7 @@
 use http::HeaderMap;
 use slog::Logger;
 
+use super::grants::GrantSource;
 use super::messenger::NoticeSink;
 use super::state::{SharedState, State};
 
@@ -37,10 +39,6 @@
 /// Shortest delay of a hedge.
 const MIN_HEDGE_DELAY: Duration = Duration::from_millis(150);
 
-/// Largest share of a service's slots in use at which requests are hedged. On a busy service a
-/// hedge takes up a slot that other requests need.
-const MAX_HEDGE_LOAD: f64 = 0.55;
-
 /// Share of the connections accepted by an upstream that the whole fleet may open.
 const CONNECTION_SHARE: f64 = 0.9;
 
@@ -64,7 +62,7 @@
     pub(crate) notices: Box<dyn NoticeSink>,
     pub(crate) pool: Pool,
     pub(crate) failure_domain: FailureDomain,
-    pub(crate) budget: BudgetLimits,
+    pub(crate) grants: Box<dyn GrantSource>,
     pub(crate) log: Logger,
 }
 
@@ -142,30 +140,24 @@
         })
     }
 
-    fn allow_extra_attempt(
-        &self,
+    fn allow_extra_attempt<'a>(
+        &'a self,
         now: Instant,
-        routed: &RoutedRequest,
+        routed: &'a RoutedRequest,
         extra: ExtraAttempt,
-    ) -> ExtraDecision {
-        let mut state = self.state.borrow_mut();
-        let share = SlackShare {
-            instances: state.peers.max_instances(),
-            uptime: now.saturating_duration_since(state.started),
-        };
+    ) -> Pin<Box<dyn Future<Output = ExtraDecision> + 'a>> {
         let is_hedge = extra == ExtraAttempt::Hedge;
-        if is_hedge && self.load_share(&state, now, &routed.service) > MAX_HEDGE_LOAD {
-            return ExtraDecision::without_basis(false);
+        let decision = self.decide_extra(now, &routed.service, is_hedge);
+        if decision.is_allowed || decision.basis.is_none() {
+            return ready(decision).boxed_local();
         }
-        state.check_suspension();
-        let service = &routed.service;
-        let decision = state.view.try_extra(now, service, self.budget, share, is_hedge);
-        let basis = BudgetBasis {
-            extras: decision.usage.extras,
-            requests: decision.usage.requests,
-            limit: decision.usage.limit as u64,
+        let asking = self.grants.request(&routed.service, is_hedge);
+        let granted = move |is_granted| ExtraDecision {
+            is_allowed: is_granted,
+            is_granted,
+            basis: decision.basis,
         };
-        ExtraDecision { is_allowed: decision.is_allowed, basis: Some(basis) }
+        asking.map(granted).boxed_local()
     }
 
     fn hedge_delay(&self, routed: &RoutedRequest) -> Option<Duration> {
@@ -264,6 +256,22 @@
 }
 
 impl NodePolicy {
+    /// Decides on an extra attempt within the allowance of this instance.
+    fn decide_extra(&self, now: Instant, service: &ServiceId, is_hedge: bool) -> ExtraDecision {
+        let mut state = self.state.borrow_mut();
+        if is_hedge && !has_room_for_hedge(&state, now, service) {
+            return ExtraDecision::without_basis(false);
+        }
+        let decision = state.try_extra(now, service, is_hedge);
+        let basis = BudgetBasis {
+            extras: decision.usage.extras,
+            requests: decision.usage.requests,
+            limit: decision.usage.limit as u64,
+        };
+        let is_allowed = decision.is_allowed;
+        ExtraDecision { is_allowed, is_granted: false, basis: Some(basis) }
+    }
+
     fn candidate(
         &self,
         state: &State,
@@ -271,12 +279,14 @@
         routed: &RoutedRequest,
         upstream: &ListedUpstream,
     ) -> Candidate {
-        let (fault_probability, own_fault_probability) =
-            state.view.fault_probability(now, &upstream.id);
+        let (_, own_fault_probability) = state.view.fault_probability(now, &upstream.id);
+        let slots = upstream.slots;
+        let fault_probability =
+            state.view.current_fault_probability(now, &routed.service, &upstream.id, slots);
         let needs_recent = !routed.class.is_idempotent();
         Candidate {
             in_flight: state.view.load().in_flight(&upstream.id),
-            slots: upstream.slots,
+            slots,
             fault_probability,
             own_fault_probability,
             is_cold: upstream.cold_until.is_some_and(|until| until > now),
@@ -340,16 +350,6 @@
         state.view.load().in_flight(&target.upstream) <= slots
     }
 
-    /// Returns the share of a service's slots that the whole fleet has in use.
-    fn load_share(&self, state: &State, now: Instant, service: &ServiceId) -> f64 {
-        let (mut in_flight, mut slots) = (0, 0);
-        for upstream in state.catalog.usable(now, service) {
-            in_flight += state.view.load().in_flight(&upstream.id);
-            slots += upstream.slots;
-        }
-        f64::from(in_flight) / f64::from(slots.max(1))
-    }
-
     /// Returns what the outcome of an attempt indicates about its upstream. A connection that broke
     /// before the response counts as broken even if it was reused: idle connections are kept for
     /// seconds only, so a fault of the upstream is the likelier cause.
@@ -396,6 +396,16 @@
     }
 }
 
+fn has_room_for_hedge(state: &State, now: Instant, service: &ServiceId) -> bool {
+    let load = |upstream: &ListedUpstream| {
+        let (id, slots) = (&upstream.id, upstream.slots);
+        let in_flight = state.view.load().in_flight(id);
+        let fault_probability = state.view.current_fault_probability(now, service, id, slots);
+        UpstreamLoad { in_flight, slots, fault_probability }
+    };
+    hedge::has_room(state.catalog.usable(now, service).map(load))
+}
+
 /// Returns how many connections this instance may have open to one upstream of a service.
 fn max_connections(state: &State, service: &ServiceId) -> usize {
     let in_force = state.in_force.as_ref();
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -7,9 +7,12 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use cactustrack_fleet::budget::{BudgetDecision, BudgetLimits, SlackShare};
 use cactustrack_fleet::catalog::Catalog;
 use cactustrack_fleet::discovery::{Change, ListedUpstream, Revision, Topic};
-use cactustrack_fleet::message::{ConfigurationPart, Delta, Notice, PackedChanges, StoreView};
+use cactustrack_fleet::message::{
+    ConfigurationPart, Delta, GrantRequest, Notice, PackedChanges, StoreView,
+};
 use cactustrack_fleet::peers::{AcceptedReport, Peers};
 use cactustrack_fleet::relay::{self, Assembly};
 use cactustrack_fleet::shutdown::ShutdownPlan;
@@ -79,12 +82,13 @@
     suspensions: SuspensionDetector,
     /// The graceful shutdown, once it has started.
     pub(crate) shutdown: Option<ShutdownPlan>,
+    budget: BudgetLimits,
     log: Logger,
 }
 
 impl State {
     /// Creates the state of an instance that has read nothing yet.
-    pub(crate) fn new(instance: InstanceId, log: Logger) -> Self {
+    pub(crate) fn new(instance: InstanceId, budget: BudgetLimits, log: Logger) -> Self {
         Self {
             in_force: None,
             catalog: Catalog::default(),
@@ -96,6 +100,7 @@
             started: Instant::now(),
             suspensions: SuspensionDetector::new(Instant::now(), time_since_boot()),
             shutdown: None,
+            budget,
             log,
         }
     }
@@ -110,6 +115,32 @@
         self.view.on_suspended(gap);
     }
 
+    /// Decides whether the retry budget allows this instance an extra attempt at a service.
+    pub(crate) fn try_extra(
+        &mut self,
+        now: Instant,
+        service: &ServiceId,
+        is_hedge: bool,
+    ) -> BudgetDecision {
+        self.check_suspension();
+        let share = self.slack_share(now);
+        self.view.try_extra(now, service, self.budget, share, is_hedge)
+    }
+
+    /// Decides whether another instance may make an extra attempt in place of this one.
+    pub(crate) fn try_grant(&mut self, now: Instant, request: &GrantRequest) -> bool {
+        self.check_suspension();
+        let share = self.slack_share(now);
+        self.view.try_grant(now, request.service, self.budget, share, request.is_hedge)
+    }
+
+    fn slack_share(&self, now: Instant) -> SlackShare {
+        SlackShare {
+            instances: self.peers.max_instances(),
+            uptime: now.saturating_duration_since(self.started),
+        }
+    }
+
     /// Applies a change reported by discovery.
     pub(crate) fn apply(&mut self, now: Instant, change: Change) {
         match change {
@@ -253,7 +284,7 @@
 }
 
 /// Returns the time since the boot of the machine, with the time for which it was suspended.
-fn time_since_boot() -> Duration {
+pub(crate) fn time_since_boot() -> Duration {
     let time = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
     let seconds = u64::try_from(time.tv_sec).unwrap_or_default();
     Duration::new(seconds, u32::try_from(time.tv_nsec).unwrap_or_default())
--- a/tests/all/proxy/fakes.rs
+++ b/tests/all/proxy/fakes.rs
@@ -2,7 +2,7 @@
 
 use std::cell::Cell;
 use std::collections::BTreeMap;
-use std::future::Future;
+use std::future::{Future, ready};
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -51,6 +51,8 @@
 pub(super) struct FakePolicy {
     pub(super) targets: Vec<(&'static str, SocketAddr)>,
     pub(super) extra_attempts: Cell<u32>,
+    /// Number of decisions on extra attempts that are denied first.
+    pub(super) denials: Cell<u32>,
     pub(super) retries_declined: bool,
     pub(super) max_attempts: Option<u32>,
     pub(super) hedge_delay: Option<Duration>,
@@ -141,21 +143,27 @@
         })
     }
 
-    fn allow_extra_attempt(
-        &self,
+    fn allow_extra_attempt<'a>(
+        &'a self,
         _now: Instant,
-        _routed: &RoutedRequest,
+        _routed: &'a RoutedRequest,
         kind: ExtraAttempt,
-    ) -> ExtraDecision {
+    ) -> Pin<Box<dyn Future<Output = ExtraDecision> + 'a>> {
         // In the policy of the daemon, a shed non-idempotent request is not retried.
         if kind == ExtraAttempt::Declined && !self.retries_declined {
-            return ExtraDecision::without_basis(false);
+            return ready(ExtraDecision::without_basis(false)).boxed_local();
+        }
+        let denials = self.denials.get();
+        if denials > 0 {
+            self.denials.set(denials - 1);
+            self.events.record(format!("extra {kind:?} granted=false"));
+            return ready(ExtraDecision::without_basis(false)).boxed_local();
         }
         let left = self.extra_attempts.get();
         let granted = left > 0;
         self.extra_attempts.set(left.saturating_sub(1));
         self.events.record(format!("extra {kind:?} granted={granted}"));
-        ExtraDecision::without_basis(granted)
+        ready(ExtraDecision::without_basis(granted)).boxed_local()
     }
 
     fn hedge_delay(&self, _routed: &RoutedRequest) -> Option<Duration> {
--- a/tests/all/proxy/harness.rs
+++ b/tests/all/proxy/harness.rs
@@ -29,6 +29,8 @@
 pub(super) struct Setup {
     pub(super) targets: Vec<(&'static str, SocketAddr)>,
     pub(super) extra_attempts: u32,
+    /// Number of decisions on extra attempts that are denied first.
+    pub(super) denials: u32,
     /// True if a non-idempotent request that was shed may be sent to another upstream.
     pub(super) retries_declined: bool,
     /// Maximum number of upstreams of the routes.
@@ -49,6 +51,7 @@
         Self {
             targets,
             extra_attempts: 0,
+            denials: 0,
             retries_declined: false,
             max_attempts: None,
             hedge_delay: None,
@@ -114,6 +117,7 @@
         let policy = FakePolicy {
             targets: self.targets,
             extra_attempts: Cell::new(self.extra_attempts),
+            denials: Cell::new(self.denials),
             retries_declined: self.retries_declined,
             max_attempts: self.max_attempts,
             hedge_delay: self.hedge_delay,
--- a/tests/all/proxy/retryable.rs
+++ b/tests/all/proxy/retryable.rs
@@ -166,26 +166,29 @@
     }
 }
 
-/// Guards against a slow upstream that delays a caller, against hedging beyond the budget or for a
-/// non-idempotent request, and against a slower attempt that is not canceled.
+/// Guards against a slow upstream that delays a caller, also if the first hedge was denied, against
+/// hedging beyond the budget or for a non-idempotent request, and against a slower attempt that is
+/// not canceled.
 #[test]
 fn a_slow_attempt_is_hedged() {
     struct Case {
         path: &'static str,
         extra_attempts: u32,
+        denials: u32,
         is_hedged: bool,
     }
     let cases = [
-        Case { path: "/", extra_attempts: 1, is_hedged: true },
-        Case { path: "/", extra_attempts: 0, is_hedged: false },
-        Case { path: "/n", extra_attempts: 9, is_hedged: false },
+        Case { path: "/", extra_attempts: 1, denials: 0, is_hedged: true },
+        Case { path: "/", extra_attempts: 1, denials: 2, is_hedged: true },
+        Case { path: "/", extra_attempts: 0, denials: 0, is_hedged: false },
+        Case { path: "/n", extra_attempts: 9, denials: 0, is_hedged: false },
     ];
-    for Case { path, extra_attempts, is_hedged } in cases {
+    for Case { path, extra_attempts, denials, is_hedged } in cases {
         let up = upstreams(&IDS, &Behaviour::default());
         up.all[0].control.set(|behaviour| behaviour.hang = true);
         let hedge_delay = Some(Duration::from_millis(20));
         let timeout = if is_hedged { super::harness::LONG_TIMEOUT } else { Duration::from_secs(1) };
-        let harness = Setup { hedge_delay, extra_attempts, timeout, ..setup(&up) }.start();
+        let harness = Setup { hedge_delay, extra_attempts, denials, timeout, ..setup(&up) }.start();
         let response = harness.call(&Call::get("a", path));
         if is_hedged {
             assert!(response.text().contains("up-1"), "{}", response.text());
--- a/tests/all/sharing/budget_schedules.rs
+++ b/tests/all/sharing/budget_schedules.rs
@@ -4,8 +4,10 @@
 use std::time::{Duration, Instant};
 
 use cactustrack_fleet::attempt_totals::{Sender, ServiceTotals};
-use cactustrack_fleet::budget::{BudgetLimits, SlackShare};
-use cactustrack_fleet::message::{Body, Datagram, FORMAT, InFlight, Notice, StoreView};
+use cactustrack_fleet::budget::{BudgetLimits, GRANT_VALIDITY, SlackShare};
+use cactustrack_fleet::message::{
+    Body, Datagram, FORMAT, InFlight, Notice, StoreView, short_service_id,
+};
 use cactustrack_fleet::peers::{AcceptedReport, Peers};
 use cactustrack_fleet::view::{AttemptEnd, FleetView};
 use cactustrack_types::{Incarnation, InstanceId, ServiceId, UpstreamId};
@@ -189,6 +191,20 @@
         notices: Vec<Notice>,
     },
     Heartbeat(Datagram),
+    /// An instance asks another one for an extra attempt.
+    GrantRequest(Question),
+    /// The other instance grants it.
+    Grant(Question),
+}
+
+/// A request for an extra attempt of an instance.
+#[derive(Clone, Copy)]
+struct Question {
+    asker: usize,
+    incarnation: Incarnation,
+    asked_at: Duration,
+    /// Attempts of the request so far.
+    attempts: u32,
 }
 
 /// A fleet at a service whose upstreams reject every attempt, so that each request needs as many
@@ -208,6 +224,8 @@
     requests: Vec<Duration>,
     /// Times at which extra attempts arrived at an upstream.
     arrivals: Vec<Duration>,
+    /// Number of extra attempts within the allowance of another instance.
+    granted: usize,
 }
 
 impl Simulation {
@@ -228,6 +246,7 @@
             upstream: "up-0".into(),
             requests: Vec::new(),
             arrivals: Vec::new(),
+            granted: 0,
         }
     }
 
@@ -374,6 +393,18 @@
                 }
             }
             Event::Heartbeat(datagram) => self.on_heartbeat(now, number, &datagram),
+            Event::GrantRequest(question) => {
+                if self.try_grant(at, number) {
+                    self.send_to(at, number, question.asker, Event::Grant(question));
+                }
+            }
+            Event::Grant(question) => {
+                let is_same_process = question.incarnation == self.instances[number].incarnation;
+                if is_same_process && at - question.asked_at <= GRANT_VALIDITY {
+                    self.granted += 1;
+                    self.start_attempt(at, number, question.attempts + 1);
+                }
+            }
         }
     }
 
@@ -388,11 +419,33 @@
         };
         let notice = instance.view.finish(now, &self.service, &self.upstream, end);
         self.send(at, number, vec![notice]);
-        if attempts < MAX_ATTEMPTS && self.try_extra(at, number) {
+        if attempts >= MAX_ATTEMPTS {
+            return;
+        }
+        if self.try_extra(at, number) {
             self.start_attempt(at, number, attempts + 1);
+        } else {
+            self.ask(at, number, attempts);
         }
     }
 
+    /// Asks another instance for an extra attempt.
+    fn ask(&mut self, at: Duration, asker: usize, attempts: u32) {
+        let incarnation = self.instances[asker].incarnation;
+        let question = Question { asker, incarnation, asked_at: at, attempts };
+        let other = (asker + self.rng.random_range(1..INSTANCES)) % INSTANCES;
+        self.send_to(at, asker, other, Event::GrantRequest(question));
+    }
+
+    fn try_grant(&mut self, at: Duration, number: usize) -> bool {
+        let now = self.now(at, number);
+        let service = short_service_id(&self.service);
+        let instance = &mut self.instances[number];
+        let share =
+            SlackShare { instances: instance.peers.max_instances(), uptime: instance.uptime(at) };
+        instance.view.try_grant(now, service, LIMITS, share, false)
+    }
+
     fn try_extra(&mut self, at: Duration, number: usize) -> bool {
         let now = self.now(at, number);
         let instance = &mut self.instances[number];
@@ -439,23 +492,27 @@
     }
 
     fn send_to_others(&mut self, at: Duration, number: usize, event: &Event) {
+        for other in (0..INSTANCES).filter(|other| *other != number) {
+            self.send_to(at, number, other, event.clone());
+        }
+    }
+
+    fn send_to(&mut self, at: Duration, number: usize, other: usize, event: Event) {
         let is_cut = |kind| matches!(kind, FaultKind::Cut);
         let loss = |fault: &Fault| match fault.kind {
             FaultKind::Loss(share) => share,
             _ => 0.0,
         };
         let loss = self.active(at).map(loss).fold(0.0, f64::max);
-        for other in (0..INSTANCES).filter(|other| *other != number) {
-            let is_lost = self.rng.random::<f64>() < loss;
-            if is_lost || self.affects(at, number, is_cut) != self.affects(at, other, is_cut) {
-                continue;
-            }
-            let delay = self.random_delay(at, 6, |kind| match kind {
-                FaultKind::Delay(delay) => Some(delay),
-                _ => None,
-            });
-            self.schedule(at + delay, other, event.clone());
+        let is_lost = self.rng.random::<f64>() < loss;
+        if is_lost || self.affects(at, number, is_cut) != self.affects(at, other, is_cut) {
+            return;
         }
+        let delay = self.random_delay(at, 6, |kind| match kind {
+            FaultKind::Delay(delay) => Some(delay),
+            _ => None,
+        });
+        self.schedule(at + delay, other, event);
     }
 
     fn on_heartbeat(&mut self, now: Instant, number: usize, datagram: &Datagram) {
@@ -552,11 +609,12 @@
 
 /// Plays a schedule for each seed, and fails with those that exceed the budget.
 fn check_schedules(new: impl Fn(u64) -> Simulation) {
-    let mut violations = Vec::new();
+    let (mut violations, mut granted) = (Vec::new(), 0);
     for seed in 0..SEEDS {
         let mut simulation = new(seed);
         simulation.run();
         assert!(simulation.arrivals.len() > 100, "seed {seed}: extra attempts are allowed");
+        granted += simulation.granted;
         let peak = simulation.peak_usage();
         if peak > 1.0 {
             let faults: Vec<_> = simulation.faults.iter().map(|fault| fault.kind).collect();
@@ -564,6 +622,7 @@
         }
     }
     assert!(violations.is_empty(), "{}", violations.join("\n"));
+    assert!(granted > 100, "{granted} attempts were granted by other instances");
 }
 
 /// Guards against more extra attempts than the retry budget allows, whatever notices an instance
