Do not accept datagrams that contain others to be forwarded

Cause: a change to be forwarded could contain another one to be forwarded, up to the size of a datagram. It was decoded recursively and forwarded once more by each receiver.

Change: what a relay sends has a type of its own, which cannot contain itself.

Result: platform::odd_entries::nested_datagrams_are_rejected failed before (two levels were accepted) and passes now.

--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -62,19 +62,10 @@
         /// services are stated at a time.
         totals: Vec<ServiceTotals>,
     },
-    /// Changes to the list of upstreams, from a relay.
-    Upstreams(Delta<PackedChanges>),
-    /// A part of a configuration, from a relay.
-    Configuration(Delta<ConfigurationPart>),
+    /// A change to a topic, from a relay.
+    Change(RelayedChange),
     /// A change for a hub of another failure domain, which forwards it within that domain.
-    Forward(Box<Body>),
-    /// A change that is too large for datagrams and has to be read from the store.
-    NewRevision {
-        /// Topic that changed.
-        topic: Topic,
-        /// Revision of the change.
-        revision: Revision,
-    },
+    Forward(RelayedChange),
     /// Asks the receiver to make an extra attempt less, so that the sender may make one more.
     GrantRequest(GrantRequest),
     /// Answers a [`Body::GrantRequest`].
@@ -86,6 +77,22 @@
     },
 }
 
+/// A change to a topic that a relay has read from the store.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RelayedChange {
+    /// Changes to the list of upstreams.
+    Upstreams(Delta<PackedChanges>),
+    /// A part of a configuration.
+    Configuration(Delta<ConfigurationPart>),
+    /// A change that is too large for datagrams and has to be read from the store.
+    NewRevision {
+        /// Topic that changed.
+        topic: Topic,
+        /// Revision of the change.
+        revision: Revision,
+    },
+}
+
 /// Request for an extra attempt within the allowance of another instance.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct GrantRequest {
--- a/crates/fleet/src/relay.rs
+++ b/crates/fleet/src/relay.rs
@@ -15,8 +15,8 @@
 
 use crate::discovery::{Change, ListedUpstream, Topic};
 use crate::message::{
-    Body, ConfigurationPart, DatagramError, Delta, PackedChanges, UpstreamChange, UpstreamEntry,
-    to_ms,
+    ConfigurationPart, DatagramError, Delta, PackedChanges, RelayedChange, UpstreamChange,
+    UpstreamEntry, to_ms,
 };
 
 /// Maximum number of changes to upstreams in a datagram.
@@ -44,14 +44,14 @@
 pub type TopicChanges<'a> = Delta<&'a [Change]>;
 
 /// Splits changes into the bodies of datagrams.
-pub fn to_bodies(now: Instant, topic: Topic, delta: &TopicChanges<'_>) -> Vec<Body> {
+pub fn to_relayed(now: Instant, topic: Topic, delta: &TopicChanges<'_>) -> Vec<RelayedChange> {
     match topic {
-        Topic::Upstreams => upstream_bodies(now, delta),
-        Topic::Configuration => configuration_bodies(delta),
+        Topic::Upstreams => relayed_upstreams(now, delta),
+        Topic::Configuration => relayed_configuration(delta),
     }
 }
 
-fn upstream_bodies(now: Instant, delta: &TopicChanges<'_>) -> Vec<Body> {
+fn relayed_upstreams(now: Instant, delta: &TopicChanges<'_>) -> Vec<RelayedChange> {
     let Delta { mut after, revision, after_outage, content: changes } = *delta;
     let mut changes: Vec<_> =
         changes.iter().filter_map(|change| to_upstream_change(now, change)).collect();
@@ -63,7 +63,12 @@
         let last = remaining[count - 1].revision;
         remaining = &remaining[count..];
         let until = if remaining.is_empty() { revision } else { last };
-        bodies.push(Body::Upstreams(Delta { after, revision: until, after_outage, content }));
+        bodies.push(RelayedChange::Upstreams(Delta {
+            after,
+            revision: until,
+            after_outage,
+            content,
+        }));
         after = until;
     }
     bodies
@@ -101,14 +106,14 @@
     }
 }
 
-fn configuration_bodies(delta: &TopicChanges<'_>) -> Vec<Body> {
+fn relayed_configuration(delta: &TopicChanges<'_>) -> Vec<RelayedChange> {
     let Delta { after, revision, after_outage, content: changes } = *delta;
     let newest = changes.iter().rev().find_map(|change| match change {
         Change::Configured(configuration) => Some(configuration),
         _ => None,
     });
     let Some(configuration) = newest else { return Vec::new() };
-    let new_revision = vec![Body::NewRevision { topic: Topic::Configuration, revision }];
+    let new_revision = vec![RelayedChange::NewRevision { topic: Topic::Configuration, revision }];
     let Ok(bytes) = serde_json::to_vec(configuration) else { return new_revision };
     let bytes = deflate(&bytes);
     let parts = bytes.len().div_ceil(PART_BYTES);
@@ -122,7 +127,7 @@
             count: parts as u16,
             bytes: bytes.to_vec(),
         };
-        Body::Configuration(Delta { after, revision, after_outage, content })
+        RelayedChange::Configuration(Delta { after, revision, after_outage, content })
     };
     bytes.chunks(PART_BYTES).enumerate().map(part).collect()
 }
--- a/src/node/discovery_sync.rs
+++ b/src/node/discovery_sync.rs
@@ -235,20 +235,20 @@
         let now = Instant::now();
         let is_changed = !snapshot.changes.is_empty();
         let revision = snapshot.revision.max(after);
-        let bodies = {
+        let changes = {
             let mut state = self.state.borrow_mut();
             let after_outage = state.catalog.is_recovering(now);
             let content = &snapshot.changes[..];
             let delta = Delta { after, revision, after_outage, content };
             let is_relay = state.peers.is_relay(now, &self.instance, true);
-            let bodies = is_relay.then(|| relay::to_bodies(now, topic, &delta));
+            let changes = is_relay.then(|| relay::to_relayed(now, topic, &delta));
             for change in snapshot.changes {
                 state.apply(now, change);
             }
             state.advance(topic, revision);
-            bodies.unwrap_or_default()
+            changes.unwrap_or_default()
         };
-        self.messenger.relay(bodies);
+        self.messenger.relay(changes);
         if is_changed {
             compio::time::sleep(WATCH_BATCH_DELAY).await;
         }
--- a/src/node/messenger.rs
+++ b/src/node/messenger.rs
@@ -12,7 +12,8 @@
 
 use cactustrack_fleet::attempt_totals::Sender;
 use cactustrack_fleet::message::{
-    Body, Bundle, Datagram, FORMAT, MAX_DATAGRAM_BYTES, Notice, Report, short_instance_id,
+    Body, Bundle, Datagram, FORMAT, MAX_DATAGRAM_BYTES, Notice, RelayedChange, Report,
+    short_instance_id,
 };
 use cactustrack_fleet::peers::{AcceptedReport, LocalInstance, NoticeError, NoticeRoute};
 use cactustrack_observe::Metrics;
@@ -147,34 +148,34 @@
     /// Relays changes that this instance read from the store. They go through one hub of each other
     /// failure domain, since the link of a relay may be too slow to send them to all instances at
     /// once. Datagrams are spaced out over time so that links do not drop some of them.
-    pub(crate) fn relay(self: &Rc<Self>, bodies: Vec<Body>) {
-        if bodies.is_empty() {
+    pub(crate) fn relay(self: &Rc<Self>, changes: Vec<RelayedChange>) {
+        if changes.is_empty() {
             return;
         }
         let messenger = Rc::clone(self);
         let task = async move {
-            for (index, body) in bodies.into_iter().enumerate() {
+            for (index, change) in changes.into_iter().enumerate() {
                 if index > 0 {
                     compio::time::sleep(RELAY_PAUSE).await;
                 }
-                messenger.relay_body(body);
+                messenger.relay_change(change);
             }
         };
         compio::runtime::spawn(task).detach();
     }
 
-    fn relay_body(&self, body: Body) {
+    fn relay_change(&self, change: RelayedChange) {
         let rotation = self.next_rotation();
         let targets = self.state.borrow().peers.relay_targets(Instant::now(), &self.own, rotation);
-        self.send_to(body.clone(), &targets.same_domain);
-        self.send_to(Body::Forward(Box::new(body)), &targets.hubs);
+        self.send_to(Body::Change(change.clone()), &targets.same_domain);
+        self.send_to(Body::Forward(change), &targets.hubs);
     }
 
     /// Forwards a relayed change to the other instances of the own failure domain.
-    fn forward(&self, body: Body) {
+    fn forward(&self, change: RelayedChange) {
         let same_domain =
             self.state.borrow().peers.hub_targets(Instant::now(), &self.own, 0).same_domain;
-        self.send_to(body, &same_domain);
+        self.send_to(Body::Change(change), &same_domain);
     }
 
     fn flush(self: &Rc<Self>) {
@@ -417,28 +418,27 @@
                 self.send_to(Body::Grant { number, is_granted }, &[address]);
             }
             Body::Grant { number, is_granted } => self.grants.on_answer(number, is_granted),
-            Body::Forward(change) => {
+            Body::Change(change) => {
                 drop(state);
-                self.on_change(now, (*change).clone());
-                self.forward(*change);
+                self.on_change(now, change);
             }
-            change => {
+            Body::Forward(change) => {
                 drop(state);
-                self.on_change(now, change);
+                self.on_change(now, change.clone());
+                self.forward(change);
             }
         }
     }
 
     /// Applies a change that a relay or hub sent.
-    fn on_change(&self, now: Instant, change: Body) {
+    fn on_change(&self, now: Instant, change: RelayedChange) {
         match change {
-            Body::Upstreams(delta) => self.state.borrow_mut().on_upstreams(now, &delta),
-            Body::Configuration(delta) => self.state.borrow_mut().on_configuration(delta),
-            Body::NewRevision { topic, revision } => self.lag.record_revision(topic, revision),
-            _ => {
-                self.metrics.peer_frames_dropped.with_label_values(&["malformed"]).inc();
-                slog::debug!(self.log, "members: datagram ignored";
-                    "error" => "the body is not a change to a topic");
+            RelayedChange::Upstreams(delta) => self.state.borrow_mut().on_upstreams(now, &delta),
+            RelayedChange::Configuration(delta) => {
+                self.state.borrow_mut().on_configuration(delta);
+            }
+            RelayedChange::NewRevision { topic, revision } => {
+                self.lag.record_revision(topic, revision);
             }
         }
     }
--- a/tests/all/platform/odd_entries.rs
+++ b/tests/all/platform/odd_entries.rs
@@ -3,11 +3,11 @@
 
 use std::time::{Duration, Instant};
 
-use cactustrack_fleet::discovery::MAX_NAME_BYTES;
-use cactustrack_fleet::message::Datagram;
+use cactustrack_fleet::discovery::{MAX_NAME_BYTES, Topic};
+use cactustrack_fleet::message::{Body, Datagram, FORMAT, MAX_DATAGRAM_BYTES, RelayedChange};
 use cactustrack_platform::{decode_configuration, decode_upstream};
 use cactustrack_test_support::caller::Call;
-use cactustrack_types::MAX_SLOTS;
+use cactustrack_types::{Incarnation, MAX_SLOTS};
 use http::StatusCode;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
@@ -169,3 +169,29 @@
     });
     decoded.expect("each input is decoded or rejected");
 }
+
+/// Guards against a datagram that exhausts the stack because it contains others, each of which
+/// contains the next one.
+#[test]
+fn nested_datagrams_are_rejected() {
+    let change = RelayedChange::NewRevision { topic: Topic::Upstreams, revision: 1 };
+    let datagram = |body| Datagram {
+        format: FORMAT,
+        from: "edge-1".into(),
+        incarnation: Incarnation(1),
+        sequence: 1,
+        version: 1,
+        body,
+    };
+    let plain = datagram(Body::Change(change.clone())).encode();
+    let forwarded = datagram(Body::Forward(change)).encode();
+    Datagram::decode(&forwarded).expect("a change to be forwarded");
+    let tag_at = plain.iter().zip(&forwarded).position(|(a, b)| a != b).expect("the tag");
+    let tag = forwarded[tag_at];
+    for depth in [2, 10, MAX_DATAGRAM_BYTES - plain.len()] {
+        let mut nested = plain[..tag_at].to_vec();
+        nested.extend(std::iter::repeat_n(tag, depth));
+        nested.extend(&plain[tag_at..]);
+        assert!(Datagram::decode(&nested).is_err(), "{depth} levels");
+    }
+}
--- a/tests/all/sharing/relay.rs
+++ b/tests/all/sharing/relay.rs
@@ -5,10 +5,11 @@
 
 use cactustrack_fleet::discovery::{Change, ListedUpstream, Topic};
 use cactustrack_fleet::message::{
-    Body, ConfigurationPart, Datagram, Delta, FORMAT, MAX_DATAGRAM_BYTES, PackedChanges, StoreView,
+    Body, ConfigurationPart, Datagram, Delta, FORMAT, MAX_DATAGRAM_BYTES, PackedChanges,
+    RelayedChange, StoreView,
 };
 use cactustrack_fleet::peers::Peers;
-use cactustrack_fleet::relay::{Assembly, from_upstream_change, to_bodies};
+use cactustrack_fleet::relay::{Assembly, from_upstream_change, to_relayed};
 use cactustrack_types::{
     CONFIGURATION_FORMAT, Configuration, Delivery, Incarnation, Millis, RequestClass, Route,
 };
@@ -74,12 +75,14 @@
     let mut changes: Vec<Change> = (0..25).map(listed).collect();
     changes.push(Change::Unlisted("upstream-gone".into(), 130));
     let read = Delta { after: 90, revision: 140, after_outage: true, content: &changes[..] };
-    let bodies = to_bodies(now, Topic::Upstreams, &read);
+    let bodies = to_relayed(now, Topic::Upstreams, &read);
     let (mut known, mut arrived) = (90, Vec::new());
     for body in bodies {
-        let bytes = datagram("front-attica-a-20", 1, body).encode();
+        let bytes = datagram("front-attica-a-20", 1, Body::Change(body)).encode();
         assert!(bytes.len() <= MAX_DATAGRAM_BYTES, "{} bytes", bytes.len());
-        let Body::Upstreams(delta) = Datagram::decode(&bytes).expect("a datagram").body else {
+        let Body::Change(RelayedChange::Upstreams(delta)) =
+            Datagram::decode(&bytes).expect("a datagram").body
+        else {
             panic!("not a delta of upstreams");
         };
         assert_eq!(delta.after, known, "no change is missing");
@@ -100,10 +103,10 @@
     let now = Instant::now();
     let changes: Vec<Change> = (0..394).map(listed).collect();
     let read = Delta { after: 90, revision: 600, after_outage: false, content: &changes[..] };
-    let bodies = to_bodies(now, Topic::Upstreams, &read);
+    let bodies = to_relayed(now, Topic::Upstreams, &read);
     assert!(bodies.len() <= 12, "{} datagrams", bodies.len());
     for body in bodies {
-        let bytes = datagram("front-attica-a-20", 1, body).encode();
+        let bytes = datagram("front-attica-a-20", 1, Body::Change(body)).encode();
         assert!(bytes.len() <= MAX_DATAGRAM_BYTES, "{} bytes", bytes.len());
     }
 }
@@ -124,9 +127,9 @@
         let changes = [Change::Configured(Box::new(distinct_configuration(version, 250)))];
         let read =
             Delta { after: 1, revision: version, after_outage: false, content: &changes[..] };
-        let bodies = to_bodies(Instant::now(), Topic::Configuration, &read);
+        let bodies = to_relayed(Instant::now(), Topic::Configuration, &read);
         let part = |body| match body {
-            Body::Configuration(delta) => delta.content,
+            RelayedChange::Configuration(delta) => delta.content,
             other => panic!("{other:?}"),
         };
         bodies.into_iter().map(part).collect()
@@ -157,8 +160,8 @@
     let valid = {
         let changes = [Change::Configured(Box::new(configuration(7, 3)))];
         let read = Delta { after: 1, revision: 9, after_outage: false, content: &changes[..] };
-        match &to_bodies(Instant::now(), Topic::Configuration, &read)[..] {
-            [Body::Configuration(delta)] => delta.content.clone(),
+        match &to_relayed(Instant::now(), Topic::Configuration, &read)[..] {
+            [RelayedChange::Configuration(delta)] => delta.content.clone(),
             other => panic!("{other:?}"),
         }
     };
@@ -174,8 +177,8 @@
 fn a_large_configuration_is_read_from_the_store() {
     let changes = [Change::Configured(Box::new(configuration(7, 2_000)))];
     let read = Delta { after: 1, revision: 9, after_outage: false, content: &changes[..] };
-    let bodies = to_bodies(Instant::now(), Topic::Configuration, &read);
-    assert_eq!(bodies, [Body::NewRevision { topic: Topic::Configuration, revision: 9 }]);
+    let bodies = to_relayed(Instant::now(), Topic::Configuration, &read);
+    assert_eq!(bodies, [RelayedChange::NewRevision { topic: Topic::Configuration, revision: 9 }]);
 }
 
 /// Guards against a fleet without relays, or in which all instances watch the store.
@@ -266,10 +269,10 @@
     const OTHERS: usize = 112;
     let changes = [Change::Configured(Box::new(configuration(7, 20)))];
     let read = Delta { after: 1, revision: 9, after_outage: false, content: &changes[..] };
-    let bodies = to_bodies(Instant::now(), Topic::Configuration, &read);
+    let bodies = to_relayed(Instant::now(), Topic::Configuration, &read);
     let bytes: usize = bodies
         .into_iter()
-        .map(|body| datagram("front-kl-d-11", 1, body).encode().len() + HEADER_BYTES)
+        .map(|body| datagram("front-kl-d-11", 1, Body::Change(body)).encode().len() + HEADER_BYTES)
         .sum();
     let seconds = (bytes * OTHERS) as f64 / LINK_BYTES_PER_SECOND;
     assert!(seconds <= 0.25, "{bytes} bytes to each of {OTHERS} take {seconds:.2} s");
