--- a/crates/proxy/src/caller_stream.rs
+++ b/crates/proxy/src/caller_stream.rs
@@ -76,9 +76,14 @@
         self.pipeline.stop();
     }
 
-    /// Returns true if a request was started, or has arrived here, that hyper has not read.
-    pub(crate) fn has_unread_requests(&self) -> bool {
-        self.pipeline.has_started() || !self.ahead.is_empty()
+    /// Returns true if hyper has read all bytes that were read from the socket.
+    pub(crate) fn is_read(&self) -> bool {
+        self.ahead.is_empty()
+    }
+
+    /// Returns true if a request was started that hyper has not read.
+    pub(crate) fn has_started_requests(&self) -> bool {
+        self.pipeline.has_started()
     }
 
     /// Reads what the caller sends while a request is in progress. Becomes ready once the caller has
--- a/crates/proxy/src/server.rs
+++ b/crates/proxy/src/server.rs
@@ -53,8 +53,7 @@
 /// Interval at which a connection that is about to be closed is checked for bytes that were not read.
 const UNREAD_POLL_INTERVAL: Duration = Duration::from_millis(2);
 
-/// Maximum number of these checks. A caller that never stops sending has its requests answered one
-/// after the other, until the process ends.
+/// Maximum number of these checks. A caller may never stop sending.
 const MAX_UNREAD_CHECKS: usize = 200;
 
 /// Interval at which a graceful shutdown checks whether all connections have ended.
@@ -288,15 +287,17 @@
     response
 }
 
-/// Waits until the requests that have arrived on a connection were read by hyper.
+/// Waits until the requests that have arrived on a connection were read by hyper. After a limited
+/// time, only those that were started count.
 async fn wait_until_read(stream: &TcpStream, input: &SharedInput) {
     for _ in 0..MAX_UNREAD_CHECKS {
-        if !has_unread_bytes(stream) && !input.borrow().has_unread_requests() {
+        let is_read = !has_unread_bytes(stream) && input.borrow().is_read();
+        if is_read && !input.borrow().has_started_requests() {
             return;
         }
         compio::time::sleep(UNREAD_POLL_INTERVAL).await;
     }
-    while input.borrow().has_unread_requests() {
+    while input.borrow().has_started_requests() {
         compio::time::sleep(UNREAD_POLL_INTERVAL).await;
     }
 }
--- a/tests/all/platform/examples.rs
+++ b/tests/all/platform/examples.rs
@@ -25,5 +25,5 @@
         assert_eq!(String::from_utf8_lossy(&out).trim_end(), output.trim_end(), "{command}");
         shown += 1;
     }
-    assert_eq!(shown, 3, "three kinds of failed request");
+    assert_eq!(shown, 4, "four kinds of failed request");
 }
