--- a/tests/all/proxy/pipelining.rs
+++ b/tests/all/proxy/pipelining.rs
@@ -473,3 +473,34 @@
     });
     run.expect("each sequence is answered");
 }
+
+/// Guards against a planned stop that waits for a caller which never stops sending.
+#[test]
+fn a_planned_stop_does_not_wait_for_a_caller_that_keeps_sending() {
+    /// Far above the time for which a stop waits until bytes were read, and below the deadlines of
+    /// the requests.
+    const STOP_LIMIT: Duration = Duration::from_secs(10);
+    let upstream = EchoUpstream::spawn();
+    let target = upstream.raw.address;
+    let setup = Setup { targets: vec![("up-0", target)], ..Setup::default() };
+    let runtime = compio::runtime::Runtime::new().expect("a runtime");
+    let is_stopped = runtime.block_on(async {
+        let pool = Pool::new(PoolLimits::default());
+        let proxy = setup.proxy(pool, EventLog::default(), FakeRecords::default());
+        let address = "127.0.0.1:0".parse().expect("an address");
+        let bound = Server::bind(address, proxy, ServerLimits::default()).await;
+        let (server, shutdown) = bound.expect("a free port");
+        let mut caller = connect(server.local_address().expect("a bound address"));
+        let mut receiving = caller.try_clone().expect("a socket");
+        let serving = compio::runtime::spawn(server.run());
+        // Both end once the proxy has closed the connection.
+        thread::spawn(move || while caller.write_all(get("/x").as_bytes()).is_ok() {});
+        thread::spawn(move || read_all(&mut receiving));
+        while upstream.arrived().len() < 100 {
+            compio::time::sleep(Duration::from_millis(5)).await;
+        }
+        shutdown.start();
+        compio::time::timeout(STOP_LIMIT, serving).await.is_ok()
+    });
+    assert!(is_stopped, "the stop waits for the caller");
+}
