Keep the handlers of signals installed until the process ends

Cause: compio restores the default action of a signal when its last listener is dropped. Listeners were created anew for each wait, so a SIGHUP or SIGTERM that came while an earlier SIGHUP was handled, or at any time during a graceful shutdown, ended the process at once and cut the requests in flight.

Change: each signal keeps a listener until the process ends, in both forms of the daemon.

Result: platform::shutdown::signals_in_series_cut_no_request failed before (connection closed without a response) and passes now.

--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -9,6 +9,7 @@
 
 use super::{Instance, ShutdownHandle};
 use crate::cli::{LoadedSettings, load_settings};
+use crate::signals::Signals;
 
 const SIGINT: i32 = 2;
 const SIGTERM: i32 = 15;
@@ -55,24 +56,14 @@
 /// number of requests in flight that a forced stop would interrupt; a further SIGINT forces the
 /// stop.
 async fn handle_signals(stop: ShutdownHandle, log: Logger) -> Result<()> {
-    next_signal().await?;
+    let mut signals = Signals::new(&[SIGTERM, SIGINT]);
+    signals.next().await?;
     let in_flight = stop.stop();
     loop {
-        if next_signal().await? == SIGINT {
+        if signals.next().await? == SIGINT {
             return Err(eyre!("forced to stop by SIGINT; requests in flight were interrupted"));
         }
         slog::warn!(log, "proxy: waiting for requests in flight; SIGINT interrupts them";
             "requests_in_flight" => in_flight.get());
     }
 }
-
-/// Waits for the next SIGTERM or SIGINT and returns its number.
-async fn next_signal() -> Result<i32> {
-    let terminate = std::pin::pin!(compio::signal::unix::signal(SIGTERM));
-    let interrupt = std::pin::pin!(compio::signal::unix::signal(SIGINT));
-    match select(terminate, interrupt).await {
-        Either::Left((received, _)) => received.map(|()| SIGTERM),
-        Either::Right((received, _)) => received.map(|()| SIGINT),
-    }
-    .wrap_err("cannot wait for signals")
-}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,3 +3,4 @@
 pub mod cli;
 pub mod daemon;
 pub mod node;
+mod signals;
--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -5,11 +5,12 @@
 use cactustrack_config::{LogFormat, LogLevel};
 use cactustrack_observe::{LogTarget, new_logger};
 use cactustrack_platform::Settings;
-use eyre::{Result, WrapErr};
+use eyre::{Result, WrapErr, eyre};
 use futures::future::{Either, select};
 use slog::Logger;
 
 use super::{Instance, ShutdownHandle};
+use crate::signals::Signals;
 
 const SIGHUP: i32 = 1;
 const SIGTERM: i32 = 15;
@@ -48,40 +49,34 @@
     let running = std::pin::pin!(instance.run());
     match select(running, signals).await {
         Either::Left(_) => Ok(()),
-        Either::Right((result, running)) => {
-            if let Ok(Err(error)) = result {
-                return Err(error);
-            }
-            running.await;
-            Ok(())
-        }
+        Either::Right((Ok(ended), _)) => ended,
+        Either::Right((Err(_), _)) => Err(eyre!("the signal handler failed")),
     }
 }
 
 /// Starts the graceful shutdown on SIGTERM. SIGHUP only validates the settings file: addresses and
-/// bounds are fixed for the lifetime of the process, and routes come from the store.
+/// bounds are fixed for the lifetime of the process, and routes come from the store. Ends only if the
+/// signals cannot be waited for.
 async fn handle_signals(stop: ShutdownHandle, file: std::path::PathBuf, log: Logger) -> Result<()> {
+    let mut signals = Signals::new(&[SIGTERM, SIGHUP]);
+    let mut stop = Some(stop);
     loop {
-        match next_signal().await? {
-            SIGHUP => match check(&file) {
-                Ok(_) => slog::info!(log, "config: settings checked"),
-                Err(error) => slog::warn!(log, "config: settings have errors";
-                    "error" => format!("{error:#}")),
-            },
-            _ => {
-                stop.stop();
-                return Ok(());
+        match (signals.next().await?, stop.take()) {
+            (SIGHUP, kept) => {
+                stop = kept;
+                check_settings(&file, &log);
             }
+            (_, Some(stop)) => stop.stop(),
+            (_, None) => slog::info!(log, "proxy: already stopping"),
         }
     }
 }
 
-async fn next_signal() -> Result<i32> {
-    let terminate = std::pin::pin!(compio::signal::unix::signal(SIGTERM));
-    let hang_up = std::pin::pin!(compio::signal::unix::signal(SIGHUP));
-    match select(terminate, hang_up).await {
-        Either::Left((received, _)) => received.map(|()| SIGTERM),
-        Either::Right((received, _)) => received.map(|()| SIGHUP),
+fn check_settings(file: &Path, log: &Logger) {
+    match check(file) {
+        Ok(_) => slog::info!(log, "config: settings checked"),
+        Err(error) => {
+            slog::warn!(log, "config: settings have errors"; "error" => format!("{error:#}"));
+        }
     }
-    .wrap_err("cannot wait for signals")
 }
--- a/tests/all/platform/shutdown.rs
+++ b/tests/all/platform/shutdown.rs
@@ -186,3 +186,25 @@
         assert!(started.elapsed() < GRACE, "{name}: {:?}", started.elapsed());
     }
 }
+
+/// Guards against a signal that ends the process at once, because it comes while an earlier one is
+/// handled or during a graceful shutdown. The requests in flight were cut.
+#[test]
+fn signals_in_series_cut_no_request() {
+    let mut harness = Harness::start(1, 1, &[ORDERS]);
+    for _ in 0..30 {
+        harness.instances[0].signal("-HUP");
+    }
+    harness.upstreams.all[0].control.set(|behaviour| behaviour.latency = Duration::from_secs(1));
+    let call = request(Call::post(HOST, "/orders/x"), "id", Duration::from_secs(4));
+    let callers = harness.instances[0].callers;
+    let order = thread::spawn(move || call.send(callers).expect("a response"));
+    wait_for("the order to arrive", || harness.upstreams.all[0].control.requests() > 0);
+    for signal in ["-TERM", "-HUP", "-HUP", "-TERM", "-HUP"] {
+        harness.instances[0].signal(signal);
+        thread::sleep(Duration::from_millis(20));
+    }
+    assert_eq!(order.join().expect("the caller").status, StatusCode::OK);
+    let status = harness.instances[0].child.wait().expect("the end of the process");
+    assert!(status.success(), "{status}");
+}
