--- a/review/standins/src/cases.rs
+++ b/review/standins/src/cases.rs
@@ -329,30 +329,30 @@
 
 /// One of two instances is lost, and its callers come to the other one.
 pub fn last_instance(setup: &Setup) -> bool {
-    /// 3,780 connections, and 1,400 orders a second.
+    /// 3,780 connections, each of which is used every 5.4 s, and 700 orders a second.
     const HABIT: Habit = Habit {
         kind: ORDER,
         callers: 420,
         connections_per_caller: 9,
-        interval: Duration::from_millis(300),
+        interval: Duration::from_millis(600),
     };
     const TIMEOUT: Duration = Duration::from_secs(2);
     const MARGIN: Duration = Duration::from_millis(500);
     let store = Store::new(50, Box::new(|_| Duration::ZERO));
     store.put("op/config", &configuration(TIMEOUT.as_secs_f64()));
-    let _servers = servers(setup, &store, 128, WORK);
+    let _servers = servers(setup, &store, 144, Duration::from_millis(460));
     let mut nodes = instances(setup, &store, 2);
     let fronts: Vec<_> = nodes.iter().map(|(node, _)| node.front).collect();
     let rotation = Rotation::default();
     let callers = Callers::start(&fronts, &rotation, &HABIT, &setup.record);
     let mut hung = 0;
-    for second in 0..24 {
-        if second == 6 && setup.has_trouble {
+    for second in 0..27 {
+        if second == 7 && setup.has_trouble {
             setup.record.note(&format!("{} is lost for good", nodes[1].0.name()));
             nodes[1].0.kill();
         }
         // Two misses take an instance out of rotation.
-        if second == 8 && setup.has_trouble {
+        if second == 9 && setup.has_trouble {
             rotation.remove_second();
         }
         let is_ready = nodes[0].0.is_ready();
@@ -376,7 +376,7 @@
     let long = at_first.iter().filter(|sent| sent.took > TIMEOUT).count();
     let late = at_first.iter().filter(|sent| sent.took > TIMEOUT + MARGIN).count();
     setup.record.note(&format!(
-        "{} missed {hung} of 24 questions; 3 s after the last caller left it is {state} and has \
+        "{} missed {hung} of 27 questions; 3 s after the last caller left it is {state} and has \
          used {} more ticks; 1 s after the grace period of a SIGTERM it {end}",
         nodes[0].0.name(),
         after - before
