--- a/review/standins/run-case.sh
+++ b/review/standins/run-case.sh
@@ -9,6 +9,10 @@
 fi
 # The stand-ins of thousands of callers live in one process.
 ulimit -n "$(ulimit -Hn)"
+if [ "$1" = last-instance ] && [ "$(ulimit -n)" != unlimited ] && [ "$(ulimit -n)" -lt 6000 ]; then
+    echo "cannot run: the stand-ins need 6,000 descriptors" >&2
+    exit 2
+fi
 temporary=$(mktemp -d) || exit 2
 end_processes() {
     while read -r process; do
