Bound the descriptors of callers and upstreams together, and wait after a failed accept

Cause: the accept loop of the admin listener retried at once. Without a free descriptor accepting fails immediately, so the single event loop never closed a connection. The descriptors ran out since connections to upstreams were not bounded as a whole beside up to 3,800 callers.

Change: one Acceptor for both listeners, which waits, counts and logs; a budget for the connections of callers and to upstreams, in which idle upstream connections give way first and new callers are rejected next; at most 64 admin connections; a request without a connection is rejected at once, since trying each upstream took 40 ms a request.

--- a/crates/observe/src/metrics.rs
+++ b/crates/observe/src/metrics.rs
@@ -33,6 +33,10 @@
     pub pipelined_requests: IntCounter,
     /// Open connections of callers.
     pub caller_connections: IntGauge,
+    /// Connections of callers that were rejected because too many were open.
+    pub rejected_connections: IntCounter,
+    /// Failed accepts by listener (callers, admin).
+    pub accept_failures: IntCounterVec,
     /// Ejections by service.
     pub ejections: IntCounterVec,
     /// Readmissions by service.
@@ -122,6 +126,17 @@
                 "Requests started before earlier ones on their connection were answered.",
             )?,
             caller_connections: gauge(r, "caller_connections", "Open connections of callers.")?,
+            rejected_connections: counter(
+                r,
+                "rejected_connections_total",
+                "Connections of callers rejected because too many were open.",
+            )?,
+            accept_failures: counters(
+                r,
+                "accept_failures_total",
+                "Connections that could not be accepted.",
+                &["listener"],
+            )?,
             ejections: counters(r, "ejections_total", "Upstreams ejected.", &["service"])?,
             readmissions: counters(r, "readmissions_total", "Upstreams readmitted.", &["service"])?,
             floor_refusals: counters(
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -72,6 +72,8 @@
 pub(crate) enum Cause {
     /// The limit of connections to the upstream is reached.
     AtLimit,
+    /// The limit of all connections is reached, so no other upstream can be reached either.
+    OutOfConnections,
     /// No connection to the upstream could be established.
     Connect,
     /// The connection broke before the response head, or the response is invalid.
@@ -220,6 +222,7 @@
 fn connect_failure(error: ConnectError, attempt: Attempt) -> Failure {
     match error {
         ConnectError::AtLimit => Failure::unsent(Cause::AtLimit),
+        ConnectError::BudgetExhausted => Failure::unsent(Cause::OutOfConnections),
         // A short deadline of the caller must not count as a refused connection of a healthy
         // upstream.
         ConnectError::DeadlinePassed => Failure::unsent(Cause::TimedOut),
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -3,10 +3,12 @@
 //! A [`TrafficPolicy`] makes all decisions. The proxy asks it for routes, admission and upstreams,
 //! and reports the outcome of each exchange to it.
 
+mod acceptor;
 mod access_log;
 mod attempt;
 mod body;
 mod caller_stream;
+mod connection_budget;
 mod dead_peer;
 mod dialect;
 mod exchange;
@@ -24,7 +26,9 @@
 mod retryable;
 mod server;
 
+pub use acceptor::Acceptor;
 pub use body::{RequestBody, ResponseBody};
+pub use connection_budget::{ConnectionBudget, CountedConnection};
 pub use dead_peer::enable_dead_peer_detection;
 pub use dialect::{DefaultDialect, Dialect, ResponseKind, retry_after};
 pub use handler::{Proxy, ProxyParts};
--- a/crates/proxy/src/non_idempotent.rs
+++ b/crates/proxy/src/non_idempotent.rs
@@ -191,7 +191,8 @@
             return Event::DeadlinePassed;
         }
         // A body that was partly streamed cannot be sent to another upstream.
-        Event::ConnectFailed { another: self.upstream_request.can_send() }
+        let another = cause != Cause::OutOfConnections && self.upstream_request.can_send();
+        Event::ConnectFailed { another }
     }
 
     fn rejection(&self, cause: Cause) -> Rejection {
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -15,6 +15,7 @@
 use derive_more::{Display, Error};
 use hyper::client::conn::http1::{self, SendRequest};
 
+use crate::connection_budget::{ConnectionBudget, CountedConnection};
 use crate::read_limit::{LimitedStream, ReadLimit};
 use crate::{RequestBody, Target, enable_dead_peer_detection};
 
@@ -50,6 +51,9 @@
     /// The limit of open connections to the upstream is reached.
     #[display("limit of connections to the upstream reached")]
     AtLimit,
+    /// The limit of all connections is reached, and none to any upstream is idle.
+    #[display("limit of all connections reached")]
+    BudgetExhausted,
     /// The connection could not be established.
     #[display("connection refused")]
     Refused,
@@ -88,6 +92,7 @@
 struct ConnectionParts {
     tx: SendRequest<RequestBody>,
     read_limit: ReadLimit,
+    _counted: CountedConnection,
     // Dropping the handle cancels the task, which closes the socket.
     _driver: JoinHandle<()>,
 }
@@ -99,12 +104,18 @@
 pub struct Pool {
     entries: Entries,
     limits: PoolLimits,
+    budget: ConnectionBudget,
 }
 
 impl Pool {
     /// Creates an empty pool.
     pub fn new(limits: PoolLimits) -> Self {
-        Self { entries: Rc::default(), limits }
+        Self { entries: Rc::default(), limits, budget: ConnectionBudget::unlimited() }
+    }
+
+    /// Sets the limit on all connections, which the pool shares with the connections of callers.
+    pub fn with_budget(self, budget: ConnectionBudget) -> Self {
+        Self { budget, ..self }
     }
 
     /// Takes a usable idle connection.
@@ -138,13 +149,37 @@
     /// Opens a connection. May close an idle one to stay within the connection limit.
     pub(crate) async fn connect(&self, target: &Target) -> Result<Connection, ConnectError> {
         let slot = self.reserve(target)?;
-        let connecting = self.open(target);
+        let counted = self.count_connection().ok_or(ConnectError::BudgetExhausted)?;
+        let connecting = self.open(target, counted);
         let parts = compio::time::timeout(self.limits.connect_timeout, connecting)
             .await
             .map_err(|_| ConnectError::TimedOut)??;
         Ok(Connection::new(parts, slot, false))
     }
 
+    /// Counts a connection of a caller or to an upstream. If the limit of all connections is
+    /// reached, the upstream connection that has been idle for longest is closed in its favour.
+    /// Returns `None` if none is idle.
+    pub(crate) fn count_connection(&self) -> Option<CountedConnection> {
+        loop {
+            if let Some(counted) = self.budget.try_add() {
+                return Some(counted);
+            }
+            self.take_oldest_idle()?;
+        }
+    }
+
+    /// Takes the connection that has been idle for longest out of the pool.
+    fn take_oldest_idle(&self) -> Option<Connection> {
+        let mut entries = self.entries.borrow_mut();
+        // The idle connections of an upstream are in the order in which they became idle.
+        let oldest = entries.iter_mut().filter(|(_, entry)| !entry.idle.is_empty());
+        let (key, entry) = oldest.min_by_key(|(_, entry)| entry.idle[0].since)?;
+        let (key, idle) = (key.clone(), entry.idle.remove(0));
+        drop(entries);
+        Some(Connection::new(idle.parts, self.slot(key), true))
+    }
+
     /// Closes all idle connections to an upstream.
     pub(crate) fn close_idle(&self, target: &Target) {
         let idle = match self.entries.borrow_mut().get_mut(&key_of(target)) {
@@ -206,7 +241,11 @@
         Slot { entries: Rc::clone(&self.entries), key, held: true }
     }
 
-    async fn open(&self, target: &Target) -> Result<ConnectionParts, ConnectError> {
+    async fn open(
+        &self,
+        target: &Target,
+        counted: CountedConnection,
+    ) -> Result<ConnectionParts, ConnectError> {
         let stream = TcpStream::connect(target.address).await.map_err(|_| ConnectError::Refused)?;
         // Nagle's algorithm would delay a small request until earlier data is acknowledged.
         let _ = stream.set_nodelay(true);
@@ -222,7 +261,7 @@
             // An error of the connection also fails the exchange on it, which reports it.
             let _ = connection.await;
         });
-        Ok(ConnectionParts { tx, read_limit, _driver: driver })
+        Ok(ConnectionParts { tx, read_limit, _counted: counted, _driver: driver })
     }
 }
 
--- a/crates/proxy/src/resume.rs
+++ b/crates/proxy/src/resume.rs
@@ -11,7 +11,7 @@
 use http::HeaderMap;
 
 use crate::ExtraAttempt;
-use crate::exchange::{Reuse, UpstreamResponse, exchange, time_until};
+use crate::exchange::{Cause, Reuse, UpstreamResponse, exchange, time_until};
 use crate::relay::{Resume, discard};
 use crate::retryable::RetryableRequest;
 
@@ -70,8 +70,8 @@
     }
 
     /// Sends the range request to one upstream. Returns `None` if no upstream is left, the request
-    /// was sent to the maximum number of upstreams, the deadline has passed or the retry budget is
-    /// exhausted, and `Some(None)` if the attempt failed.
+    /// was sent to the maximum number of upstreams, the deadline has passed, the retry budget is
+    /// exhausted or the instance has no connection left, and `Some(None)` if the attempt failed.
     async fn attempt(&self, range: &HeaderMap) -> Option<Option<UpstreamResponse>> {
         let (target, deciding) = {
             let mut request = self.request.borrow_mut();
@@ -104,7 +104,7 @@
             Ok(response) => response,
             Err(failure) => {
                 self.request.borrow_mut().uncount_unsent(failure);
-                return Some(None);
+                return if failure.cause == Cause::OutOfConnections { None } else { Some(None) };
             }
         };
         if response.is_shed() || response.is_failure() {
--- a/crates/proxy/src/retryable.rs
+++ b/crates/proxy/src/retryable.rs
@@ -95,6 +95,9 @@
             attempts.inc();
             let round = match self.attempt_round(target).await {
                 RoundResult::Usable(response) => return Ok(self.respond(response)),
+                RoundResult::Failed(cause @ Cause::OutOfConnections) => {
+                    return Err(self.rejection(cause));
+                }
                 round => round,
             };
             let is_budget_exempt = matches!(round, RoundResult::Failed(Cause::AtLimit));
@@ -285,6 +288,11 @@
 /// Returns the rejection for an exchange without a usable response.
 pub(crate) fn rejection_for(cause: Cause, execution: Execution) -> Rejection {
     let (reason, status, detail) = match cause {
+        Cause::OutOfConnections => (
+            RejectionReason::Overloaded,
+            StatusCode::SERVICE_UNAVAILABLE,
+            "all connections of the instance are in use",
+        ),
         Cause::AtLimit => (
             RejectionReason::Overloaded,
             StatusCode::SERVICE_UNAVAILABLE,
@@ -306,7 +314,12 @@
             "the upstream gave no answer before the deadline",
         ),
     };
-    Rejection::new(reason, status, execution, detail)
+    let rejection = Rejection::new(reason, status, execution, detail);
+    if cause == Cause::OutOfConnections {
+        rejection.with_retry_after(DEFAULT_RETRY_AFTER)
+    } else {
+        rejection
+    }
 }
 
 /// Returns the `Retry-After` of a response that was shed, or one second if it has none.
--- a/crates/proxy/src/server.rs
+++ b/crates/proxy/src/server.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use compio::io::{AsyncRead, AsyncWrite, AsyncWriteExt};
-use compio::net::{TcpListener, TcpStream};
+use compio::net::TcpStream;
 use cyper_core::CompioTimer;
 use futures::FutureExt;
 use futures::channel::oneshot;
@@ -20,9 +20,11 @@
 use hyper::service::service_fn;
 use rustix::net::RecvFlags;
 
+use crate::acceptor::Acceptor;
 use crate::caller_stream::{
     CallerInput, CallerStream, Scratch, ServingGuard, SharedInput, new_scratch,
 };
+use crate::connection_budget::CountedConnection;
 use crate::framing::AmbiguousFraming;
 use crate::pipeline::{Pipeline, StartedCount};
 use crate::{Proxy, ResponseBody};
@@ -47,9 +49,6 @@
 /// Maximum number of connections beyond the limit that linger. Further ones are closed at once.
 const MAX_LINGERING_REJECTIONS: usize = 64;
 
-/// Delay after a failed accept, for example when the process is out of file descriptors.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
-
 /// Interval at which a connection that is about to be closed is checked for bytes that were not read.
 const UNREAD_POLL_INTERVAL: Duration = Duration::from_millis(2);
 
@@ -98,7 +97,7 @@
 
 /// Serves callers on one listening socket.
 pub struct Server {
-    listener: TcpListener,
+    listener: Acceptor,
     proxy: Rc<Proxy>,
     limits: ServerLimits,
     signal: ShutdownSignal,
@@ -119,7 +118,8 @@
         proxy: Rc<Proxy>,
         limits: ServerLimits,
     ) -> io::Result<(Self, ServerShutdown)> {
-        let listener = TcpListener::bind(address).await?;
+        let (metrics, log) = (proxy.metrics().clone(), proxy.log().clone());
+        let listener = Acceptor::bind(address, "callers", metrics, log).await?;
         let (tx, rx) = oneshot::channel();
         let connections = Rc::default();
         let (rejections, started, scratch) = (Rc::default(), Rc::default(), new_scratch());
@@ -135,22 +135,17 @@
     ///
     /// Fails if the operating system does not report the address.
     pub fn local_address(&self) -> io::Result<SocketAddr> {
-        self.listener.local_addr()
+        self.listener.local_address()
     }
 
     /// Serves until the shutdown starts, and returns once all connections have ended. That wait is
     /// unbounded.
     pub async fn run(self) {
         while let Some(stream) = self.next_stream().await {
-            let Some(stream) = stream else {
-                compio::time::sleep(ACCEPT_RETRY_DELAY).await;
-                continue;
-            };
-            if self.connections.get() >= self.limits.max_connections {
-                self.reject_connection(stream);
-                continue;
+            match self.admit() {
+                Some(counted) => self.serve(stream, counted),
+                None => self.reject_connection(stream),
             }
-            self.serve(stream);
         }
         drop(self.listener);
         while self.connections.get() > 0 {
@@ -158,18 +153,24 @@
         }
     }
 
-    /// Returns the next connection, `Some(None)` if accepting failed, or `None` once the shutdown
-    /// has started.
-    async fn next_stream(&self) -> Option<Option<TcpStream>> {
+    /// Returns the next connection, or `None` once the shutdown has started.
+    async fn next_stream(&self) -> Option<TcpStream> {
         let accepting = std::pin::pin!(self.listener.accept());
         match select(accepting, self.signal.clone()).await {
-            Either::Left((accepted, _)) => Some(accepted.ok().map(|(stream, _)| stream)),
+            Either::Left((stream, _)) => Some(stream),
             Either::Right(_) => None,
         }
     }
 
+    /// Counts another connection of a caller. Returns `None` if a limit is reached.
+    fn admit(&self) -> Option<CountedConnection> {
+        let has_room = self.connections.get() < self.limits.max_connections;
+        if has_room { self.proxy.pool().count_connection() } else { None }
+    }
+
     /// Sends a 503 response on a connection beyond the limit and closes it.
     fn reject_connection(&self, mut stream: TcpStream) {
+        self.proxy.metrics().rejected_connections.inc();
         let rejections = Rc::clone(&self.rejections);
         rejections.set(rejections.get() + 1);
         let task = async move {
@@ -182,7 +183,7 @@
         compio::runtime::spawn(task).detach();
     }
 
-    fn serve(&self, stream: TcpStream) {
+    fn serve(&self, stream: TcpStream, counted: CountedConnection) {
         let count = ConnectionGuard::new(&self.connections, &self.proxy);
         let (proxy, scratch) = (Rc::clone(&self.proxy), Rc::clone(&self.scratch));
         let pipeline = Pipeline::new(Rc::clone(&proxy), Rc::clone(&self.started));
@@ -190,7 +191,7 @@
         let connection = serve_connection(stream, input, proxy, self.limits, self.signal.clone());
         let task = async move {
             connection.await;
-            drop(count);
+            drop((count, counted));
         };
         compio::runtime::spawn(task).detach();
     }
--- a/examples/soak/fleet.rs
+++ b/examples/soak/fleet.rs
@@ -31,6 +31,9 @@
 /// Slots in the entry of an upstream: the number of requests that it can execute at a time.
 const SLOTS: u32 = 4;
 
+/// Maximum number of file descriptors of an instance.
+const MAX_DESCRIPTORS: u64 = 4_100;
+
 /// Window of the retry budget.
 const BUDGET_WINDOW: Duration = Duration::from_secs(10);
 
@@ -142,6 +145,7 @@
             peers,
             store: store_link.address,
             budget_window: BUDGET_WINDOW,
+            max_descriptors: MAX_DESCRIPTORS,
         };
         let text = text.to_toml();
         let settings = dir.join(format!("{name}.toml"));
--- a/src/daemon/admin.rs
+++ b/src/daemon/admin.rs
@@ -9,7 +9,8 @@
 
 use bytes::Bytes;
 use cactustrack_observe::Metrics;
-use compio::net::{TcpListener, TcpStream};
+use cactustrack_proxy::{Acceptor, ConnectionBudget};
+use compio::net::TcpStream;
 use cyper_core::{CompioTimer, HyperStream};
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header};
 use http_body_util::Full;
@@ -17,10 +18,15 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use serde_json::{Value, json};
+use slog::Logger;
 
 /// Size limit of the read buffer of one connection.
 const MAX_READ_BUFFER_BYTES: usize = 16 * 1024;
 
+/// Maximum number of open connections. Further ones are closed at once, so that clients of the admin
+/// endpoints cannot use up the file descriptors of the process.
+pub(crate) const MAX_CONNECTIONS: usize = 64;
+
 /// State that the admin endpoints expose.
 pub(crate) trait AdminSource {
     /// Returns `Ok` if the instance accepts new requests, otherwise the reason why it does not.
@@ -36,7 +42,8 @@
 
 /// The HTTP server of the admin endpoints.
 pub(crate) struct AdminServer {
-    listener: TcpListener,
+    listener: Acceptor,
+    budget: ConnectionBudget,
     state: Rc<State>,
 }
 
@@ -73,21 +80,30 @@
         metrics: Metrics,
         access: Access,
         ready_path: &'static str,
+        log: Logger,
     ) -> io::Result<Self> {
-        let listener = TcpListener::bind(address).await?;
-        Ok(Self { listener, state: Rc::new(State { source, metrics, access, ready_path }) })
+        let listener = Acceptor::bind(address, "admin", metrics.clone(), log).await?;
+        let budget = ConnectionBudget::new(MAX_CONNECTIONS);
+        let state = Rc::new(State { source, metrics, access, ready_path });
+        Ok(Self { listener, budget, state })
     }
 
     /// Returns the address of the listener.
     pub(crate) fn local_address(&self) -> io::Result<SocketAddr> {
-        self.listener.local_addr()
+        self.listener.local_address()
     }
 
     /// Accepts connections until the process ends.
     pub(crate) async fn run(self) {
         loop {
-            let Ok((stream, _)) = self.listener.accept().await else { continue };
-            compio::runtime::spawn(serve(stream, Rc::clone(&self.state))).detach();
+            let stream = self.listener.accept().await;
+            let Some(counted) = self.budget.try_add() else { continue };
+            let serving = serve(stream, Rc::clone(&self.state));
+            let task = async move {
+                serving.await;
+                drop(counted);
+            };
+            compio::runtime::spawn(task).detach();
         }
     }
 }
--- a/src/daemon/instance.rs
+++ b/src/daemon/instance.rs
@@ -13,7 +13,8 @@
     PeerCounters, PeerHandler, PeerKey, PeerPool, PeerServer, PoolConfig, ServerConfig,
 };
 use cactustrack_proxy::{
-    DefaultDialect, Pool, PoolLimits, Proxy, ProxyParts, Server, ServerLimits, ServerShutdown,
+    ConnectionBudget, DefaultDialect, Pool, PoolLimits, Proxy, ProxyParts, Server, ServerLimits,
+    ServerShutdown,
 };
 use cactustrack_store::{EtcdStore, RecordsConfig, Store, StoreIdempotencyRecords};
 use cactustrack_types::Incarnation;
@@ -35,6 +36,7 @@
 use super::policy::BlackboardPolicy;
 use super::status::BlackboardStatus;
 use super::telemetry::PeerTelemetry;
+use crate::descriptors::DescriptorPlan;
 
 /// Interval of the synchronization of membership and configuration.
 const SYNC_INTERVAL: Duration = Duration::from_millis(500);
@@ -113,10 +115,12 @@
         let metrics = Metrics::new()?;
         let incarnation = new_incarnation();
         let control = ControlPlane::start(loaded, incarnation, &metrics, &log).await?;
+        let descriptors = DescriptorPlan::of_process();
         let pool = Pool::new(PoolLimits {
             buffer_bytes: settings.limits.buffer_bytes,
             ..PoolLimits::default()
         });
+        let pool = pool.with_budget(ConnectionBudget::new(descriptors.connections));
         let parts = ProxyParts {
             instance: settings.instance.id.clone(),
             policy: BlackboardPolicy::new(Rc::clone(&control.board), metrics.clone(), log.clone()),
@@ -128,8 +132,8 @@
             log: log.clone(),
         };
         let proxy = Proxy::new(parts, incarnation.0);
-        let (server, shutdown) = bind_callers(settings, &proxy).await?;
-        let admin = bind_admin(loaded, &control, &pool, &metrics).await?;
+        let (server, shutdown) = bind_callers(settings, &proxy, descriptors).await?;
+        let admin = bind_admin(loaded, &control, &pool, &metrics, &log).await?;
         let addresses = Addresses {
             callers: server.local_address()?,
             admin: admin.local_address()?,
@@ -363,11 +367,15 @@
     Ok(Rc::new(CountedStore::new(Rc::new(store), metrics.store_calls.clone())))
 }
 
-async fn bind_callers(settings: &Settings, proxy: &Rc<Proxy>) -> Result<(Server, ServerShutdown)> {
+async fn bind_callers(
+    settings: &Settings,
+    proxy: &Rc<Proxy>,
+    descriptors: DescriptorPlan,
+) -> Result<(Server, ServerShutdown)> {
     let limits = ServerLimits {
         max_head_bytes: settings.limits.max_head_bytes,
         head_timeout: settings.limits.head_timeout,
-        max_connections: settings.limits.max_connections,
+        max_connections: settings.limits.max_connections.min(descriptors.callers),
         ..ServerLimits::default()
     };
     let address = settings.listen.callers;
@@ -381,6 +389,7 @@
     control: &ControlPlane,
     pool: &Pool,
     metrics: &Metrics,
+    log: &Logger,
 ) -> Result<AdminServer> {
     let records = records_status(Rc::clone(&control.records));
     let source = BlackboardStatus::new(Rc::clone(&control.board), pool.clone(), records);
@@ -389,7 +398,8 @@
         Some(key) => Access::Authorized(format!("Bearer {}", key.expose())),
         None => Access::Closed,
     };
-    AdminServer::bind(address, Rc::new(source), metrics.clone(), access, READY_PATH)
+    let (source, metrics, log) = (Rc::new(source), metrics.clone(), log.clone());
+    AdminServer::bind(address, source, metrics, access, READY_PATH, log)
         .await
         .wrap_err_with(|| format!("cannot listen on {address} for the admin endpoints"))
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,5 +2,6 @@
 
 pub mod cli;
 pub mod daemon;
+mod descriptors;
 pub mod node;
 mod signals;
--- a/src/node/instance.rs
+++ b/src/node/instance.rs
@@ -11,7 +11,7 @@
 use cactustrack_observe::{Metrics, SpanQueue};
 use cactustrack_platform::{PlatformDialect, PlatformDiscovery, READINESS_PATH, Settings};
 use cactustrack_proxy::{
-    Pool, PoolLimits, Proxy, ProxyParts, Server, ServerLimits, ServerShutdown,
+    ConnectionBudget, Pool, PoolLimits, Proxy, ProxyParts, Server, ServerLimits, ServerShutdown,
 };
 use cactustrack_store::NoRecords;
 use cactustrack_types::Incarnation;
@@ -27,6 +27,7 @@
 use super::status::NodeStatus;
 use super::store_availability::StoreAvailability;
 use crate::daemon::admin::{Access, AdminServer};
+use crate::descriptors::DescriptorPlan;
 
 /// Time for which an idle connection of a caller stays open. Callers announce no idle timeout of
 /// their own, and a request sent while the instance closes the connection is lost.
@@ -42,9 +43,6 @@
 /// Timeout for opening a connection to an upstream. Upstreams are a few milliseconds away.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// File descriptors reserved for purposes other than caller connections.
-const RESERVED_FILE_DESCRIPTORS: usize = 300;
-
 /// Interval at which expired idle connections are closed.
 const POOL_CLEANUP_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -97,12 +95,14 @@
         let discovery: Rc<dyn Discovery> = Rc::new(discovery);
         let lag = Rc::new(LagTracker::default());
         let messenger = start_messenger(settings, incarnation, &state, &lag, &metrics, &log)?;
+        let descriptors = DescriptorPlan::new(settings.max_file_descriptors);
         let pool = Pool::new(PoolLimits {
             max_idle_age: UPSTREAM_IDLE_TIMEOUT,
             recent_age: RECENT_IDLE_TIME,
             connect_timeout: CONNECT_TIMEOUT,
             ..PoolLimits::default()
         });
+        let pool = pool.with_budget(ConnectionBudget::new(descriptors.connections));
         spawn_pool_cleanup(pool.clone());
         let policy = new_policy(settings, &state, &messenger, &pool, &log);
         let parts = ProxyParts {
@@ -116,8 +116,8 @@
             log: log.clone(),
         };
         let proxy = Proxy::new(parts, incarnation.0);
-        let (server, shutdown) = bind_callers(settings, &proxy).await?;
-        bind_admin(settings, &state, &metrics).await?;
+        let (server, shutdown) = bind_callers(settings, &proxy, descriptors).await?;
+        bind_admin(settings, &state, &metrics, &log).await?;
         let discovery_sync = DiscoverySync {
             discovery: Rc::clone(&discovery),
             state: Rc::clone(&state),
@@ -219,11 +219,15 @@
     }
 }
 
-async fn bind_callers(settings: &Settings, proxy: &Rc<Proxy>) -> Result<(Server, ServerShutdown)> {
+async fn bind_callers(
+    settings: &Settings,
+    proxy: &Rc<Proxy>,
+    descriptors: DescriptorPlan,
+) -> Result<(Server, ServerShutdown)> {
     let address = settings.listen.callers;
     let limits = ServerLimits {
         head_timeout: CALLER_IDLE_TIMEOUT,
-        max_connections: settings.max_file_descriptors.saturating_sub(RESERVED_FILE_DESCRIPTORS),
+        max_connections: descriptors.callers,
         ..ServerLimits::default()
     };
     Server::bind(address, Rc::clone(proxy), limits)
@@ -231,10 +235,16 @@
         .wrap_err_with(|| format!("cannot listen on {address} for callers"))
 }
 
-async fn bind_admin(settings: &Settings, state: &SharedState, metrics: &Metrics) -> Result<()> {
+async fn bind_admin(
+    settings: &Settings,
+    state: &SharedState,
+    metrics: &Metrics,
+    log: &Logger,
+) -> Result<()> {
     let address = settings.listen.admin;
     let source = Rc::new(NodeStatus(Rc::clone(state)));
-    let admin = AdminServer::bind(address, source, metrics.clone(), Access::Open, READINESS_PATH)
+    let (metrics, log) = (metrics.clone(), log.clone());
+    let admin = AdminServer::bind(address, source, metrics, Access::Open, READINESS_PATH, log)
         .await
         .wrap_err_with(|| format!("cannot listen on {address} for the admin endpoints"))?;
     compio::runtime::spawn(admin.run()).detach();
--- a/tests/all/platform/documents.rs
+++ b/tests/all/platform/documents.rs
@@ -98,19 +98,22 @@
     pub(super) peers: SocketAddr,
     pub(super) store: SocketAddr,
     pub(super) budget_window: Duration,
+    /// Maximum number of file descriptors of the process.
+    pub(super) max_descriptors: u64,
 }
 
 impl InstanceSettings<'_> {
     /// Returns the content of the settings file.
     pub(super) fn to_toml(self) -> String {
-        let Self { name, failure_domain, callers, admin, peers, store, budget_window } = self;
+        let Self { name, failure_domain, callers, admin, peers, store, .. } = self;
+        let Self { budget_window, max_descriptors, .. } = self;
         let (port, window) = (peers.port(), budget_window.as_secs_f64());
         format!(
             "node-name = \"{name}\"\nip = \"127.0.0.1\"\nzone = \"{failure_domain}\"\n\
              internal-port-range = [{port},{port}]\nseeds = []\n\
              bounds = [\"grace-s=6\",\"retry-budget-ratio=0.2\",\"budget-window-s={window}\",\
              \"budget-slack=64\"]\n[listen]\nfront = \"{callers}\"\nreadiness = \"{admin}\"\n\
-             [limits]\nmax-fds = 4100\n[provider]\naddress = \"{store}\"\n"
+             [limits]\nmax-fds = {max_descriptors}\n[provider]\naddress = \"{store}\"\n"
         )
     }
 }
--- a/tests/all/platform/harness.rs
+++ b/tests/all/platform/harness.rs
@@ -16,6 +16,7 @@
 use cactustrack_test_support::caller::{Call, CallResponse};
 use cactustrack_test_support::upstream::{Behaviour, FakeUpstreams};
 use http::StatusCode;
+use rustix::process::{Pid, Resource, Rlimit, prlimit};
 
 pub(super) use super::documents::HOST;
 
@@ -28,6 +29,9 @@
 /// Window of the retry budget. An instance uses the slack only after it has run for one window.
 const BUDGET_WINDOW: Duration = Duration::from_millis(200);
 
+/// Maximum number of file descriptors of an instance, as the platform states it.
+const MAX_DESCRIPTORS: u64 = 4_100;
+
 /// Fake store, fake upstreams and instances of one test.
 pub(super) struct Harness {
     pub(super) store: FakeStore,
@@ -61,6 +65,16 @@
 impl Harness {
     /// Starts upstreams of `svc-a` and instances that serve `routes`.
     pub(super) fn start(upstreams: usize, instances: usize, routes: &[RouteCase]) -> Self {
+        Self::start_with_descriptors(upstreams, instances, routes, MAX_DESCRIPTORS)
+    }
+
+    /// Like [`Self::start`], with instances that may open this many file descriptors.
+    pub(super) fn start_with_descriptors(
+        upstreams: usize,
+        instances: usize,
+        routes: &[RouteCase],
+        max_descriptors: u64,
+    ) -> Self {
         let ids: Vec<String> = (0..upstreams).map(|number| format!("up-{number}")).collect();
         let upstreams = FakeUpstreams::spawn(&ids, &Behaviour::default());
         let mut harness = Self { store: FakeStore::spawn(), upstreams, instances: Vec::new() };
@@ -69,7 +83,8 @@
             harness.put_upstream(number, "ready");
         }
         for number in 0..instances {
-            let process = Process::start(number, harness.store.address);
+            let process =
+                Process::start_with_descriptors(number, harness.store.address, max_descriptors);
             harness.instances.push(process);
         }
         for instance in &harness.instances {
@@ -124,8 +139,13 @@
     /// Starts an instance. Another process may take a port after it is chosen and before it is
     /// bound, so an instance that exits at once is started again with other ports.
     pub(super) fn start(number: usize, store: SocketAddr) -> Self {
+        Self::start_with_descriptors(number, store, MAX_DESCRIPTORS)
+    }
+
+    fn start_with_descriptors(number: usize, store: SocketAddr, max_descriptors: u64) -> Self {
         loop {
-            let mut process = Self::spawn(number, store);
+            let mut process = Self::spawn(number, store, max_descriptors);
+            process.limit_descriptors(max_descriptors);
             let mut has_ended = false;
             wait_for("an instance to listen or to end", || {
                 has_ended = process.child.try_wait().expect("its state").is_some();
@@ -137,7 +157,7 @@
         }
     }
 
-    fn spawn(number: usize, store: SocketAddr) -> Self {
+    fn spawn(number: usize, store: SocketAddr, max_descriptors: u64) -> Self {
         static NEXT_FILE: AtomicU32 = AtomicU32::new(0);
         let file_number = NEXT_FILE.fetch_add(1, Ordering::SeqCst);
         let settings = std::env::temp_dir()
@@ -151,6 +171,7 @@
             peers,
             store,
             budget_window: BUDGET_WINDOW,
+            max_descriptors,
         };
         let text = instance.to_toml();
         fs::write(&settings, text).expect("a settings file");
@@ -182,6 +203,19 @@
         log.iter().filter(|line| line.contains(text)).cloned().collect()
     }
 
+    /// Returns the number of open file descriptors of the process.
+    pub(super) fn open_descriptors(&self) -> u64 {
+        let folder = format!("/proc/{}/fd", self.child.id());
+        fs::read_dir(folder).expect("its descriptors").count() as u64
+    }
+
+    /// Limits the file descriptors that the process may open from now on.
+    pub(super) fn limit_descriptors(&self, max: u64) {
+        let id = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw);
+        let limit = Rlimit { current: Some(max), maximum: Some(max) };
+        prlimit(id, Resource::Nofile, limit).expect("a limit of the process");
+    }
+
     /// Sends a signal to the process.
     pub(super) fn signal(&self, signal: &str) {
         let id = self.child.id().to_string();
--- a/tests/all/proxy/harness.rs
+++ b/tests/all/proxy/harness.rs
@@ -11,7 +11,8 @@
 
 use cactustrack_observe::{Metrics, SpanQueue};
 use cactustrack_proxy::{
-    DefaultDialect, Dialect, Pool, PoolLimits, Proxy, ProxyParts, Server, ServerLimits,
+    ConnectionBudget, DefaultDialect, Dialect, Pool, PoolLimits, Proxy, ProxyParts, Server,
+    ServerLimits,
 };
 use cactustrack_test_support::caller::{Call, CallResponse};
 use cactustrack_test_support::upstream::{Behaviour, FakeUpstreams};
@@ -37,6 +38,8 @@
     pub(super) max_attempts: Option<u32>,
     pub(super) hedge_delay: Option<Duration>,
     pub(super) max_connections: usize,
+    /// Maximum number of connections of callers and to upstreams together.
+    pub(super) connection_budget: usize,
     /// Idle time below which a connection may carry a non-idempotent request.
     pub(super) recent_age: Duration,
     pub(super) timeout: Duration,
@@ -56,6 +59,7 @@
             max_attempts: None,
             hedge_delay: None,
             max_connections: 1000,
+            connection_budget: usize::MAX,
             recent_age: Duration::ZERO,
             timeout,
             limits,
@@ -93,7 +97,8 @@
             runtime.block_on(async move {
                 let limits = self.limits;
                 let recent_age = self.recent_age;
-                let pool = Pool::new(PoolLimits { recent_age, ..PoolLimits::default() });
+                let pool = Pool::new(PoolLimits { recent_age, ..PoolLimits::default() })
+                    .with_budget(ConnectionBudget::new(self.connection_budget));
                 let proxy = self.proxy(pool.clone(), events, records);
                 let address = "127.0.0.1:0".parse().expect("an address");
                 let (server, _shutdown) =
