--- a/tests/all/platform/store.rs
+++ b/tests/all/platform/store.rs
@@ -55,6 +55,10 @@
     calls: HashMap<String, u64>,
     /// Revision and entries that stale reads return. `None` returns the current state.
     stale: Option<(u64, BTreeMap<String, Entry>)>,
+    /// Maximum number of items in a page of a range. `None` returns all items at once.
+    page_items: Option<usize>,
+    /// The first page of a stale read is current, and only later ones are stale.
+    is_first_page_current: bool,
 }
 
 /// A fake store that runs on its own thread. Dropping it stops the store.
@@ -113,6 +117,14 @@
         content.stale = Some((content.rev, content.entries.clone()));
     }
 
+    /// Returns ranges in pages of this many items from now on. The first page of a stale read
+    /// returns the current state, as if the pages came from replicas of different age.
+    pub(super) fn mix_ages_of_pages(&self, page_items: usize) {
+        let mut content = lock(&self.content);
+        content.page_items = Some(page_items);
+        content.is_first_page_current = true;
+    }
+
     /// Compacts the history of all changes up to now.
     pub(super) fn compact_history(&self) {
         let mut content = lock(&self.content);
@@ -198,13 +210,16 @@
         }
     }
 
-    fn range(&self, prefix: &str, is_stale: bool) -> Value {
+    fn range(&self, prefix: &str, after: &str, is_stale: bool) -> Value {
         let current = (self.rev, &self.entries);
+        let is_stale = is_stale && !(self.is_first_page_current && after.is_empty());
         let stale = self.stale.as_ref().filter(|_| is_stale);
         let (rev, entries) = stale.map_or(current, |(rev, entries)| (*rev, entries));
-        let under = entries.iter().filter(|(key, _)| key.starts_with(prefix));
-        let items: Vec<_> = under.map(|(key, entry)| entry.item(key)).collect();
-        json!({"items": items, "has-more": false, "as-of": rev})
+        let is_in_page = |key: &str| key.starts_with(prefix) && key > after;
+        let mut items = entries.iter().filter(|(key, _)| is_in_page(key));
+        let page = items.by_ref().take(self.page_items.unwrap_or(usize::MAX));
+        let page: Vec<_> = page.map(|(key, entry)| entry.item(key)).collect();
+        json!({"items": page, "has-more": items.next().is_some(), "as-of": rev})
     }
 
     fn events(&self, prefix: &str, after: u64) -> Vec<Value> {
@@ -285,7 +300,9 @@
     match (method.as_str(), path) {
         ("GET", "/cactustrack/kv-range") => {
             let is_stale = query_parameter(uri, "serializable") == "1";
-            (StatusCode::OK, content.range(&query_parameter(uri, "path-prefix"), is_stale))
+            let (prefix, after) =
+                (query_parameter(uri, "path-prefix"), query_parameter(uri, "after"));
+            (StatusCode::OK, content.range(&prefix, &after, is_stale))
         }
         ("POST", "/cactustrack/kv-txn") => content.txn(body),
         ("POST", "/cactustrack/kv-lease") => {
--- a/tests/all/platform/store_outage.rs
+++ b/tests/all/platform/store_outage.rs
@@ -110,3 +110,24 @@
         assert_eq!((requests(0), requests(1)), (0, 10), "compacted: {is_history_compacted}");
     }
 }
+
+/// Guards against a starting instance that takes the revision of one page for the whole list. Pages
+/// of a stale read may come from replicas of different age; a change between the ages of two pages
+/// was never read, so that upstreams which had announced their end got requests until they exited.
+#[test]
+fn changes_between_the_ages_of_two_pages_are_read() {
+    let mut harness = Harness::start(3, 0, &[SEARCH]);
+    harness.store.freeze_stale_reads();
+    harness.put_upstream(1, "draining");
+    harness.store.remove("servers/up-2");
+    harness.store.mix_ages_of_pages(1);
+    harness.instances.push(Process::start(0, harness.store.address));
+    wait_for("the instance to be ready", || harness.instances[0].is_ready());
+    for number in 0..10 {
+        let call = request(Call::get(HOST, "/search/x"), &format!("id-{number}"), DEADLINE);
+        assert_eq!(harness.call(0, &call).status, StatusCode::OK);
+    }
+    let requests: Vec<_> =
+        harness.upstreams.all.iter().map(|upstream| upstream.control.requests()).collect();
+    assert_eq!(requests, [10, 0, 0]);
+}
