Ignore readings of the upstream list that newer ones have overtaken

Cause: the response to a watch was applied without comparing its revision with the one that relayed changes had reached meanwhile, and the catalog keeps no revision of a removed entry. The log shows the removal and after it the entry with a lower revision. A whole list had the same fault.

Change: the catalog owns the revision up to which it has every change and decides for watches, relayed changes and lists whether they apply.

--- a/crates/fleet/src/catalog.rs
+++ b/crates/fleet/src/catalog.rs
@@ -3,13 +3,17 @@
 //! During an outage of the store, the entries of live upstreams expire because their owners cannot
 //! renew them. The owners write these entries again shortly after the end of the outage. A removal
 //! during that period is therefore delayed, and has no effect if the entry is written again.
+//!
+//! Readings of the store may be applied in any order: the response to a watch can be handled after
+//! newer changes from a relay, and a whole list after both. The catalog knows up to which revision
+//! it has every change, and ignores what is older.
 
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
 use cactustrack_types::{ServiceId, UpstreamId};
 
-use crate::discovery::{ListedUpstream, Revision};
+use crate::discovery::{Change, ListedUpstream, Revision};
 use crate::message::{ShortId, short_upstream_id};
 use crate::withdrawal::Withdrawals;
 
@@ -21,6 +25,8 @@
 /// Listed upstreams, including those that are leaving.
 #[derive(Debug, Default)]
 pub struct Catalog {
+    /// Revision up to which all changes were applied.
+    revision: Revision,
     listed: HashMap<UpstreamId, ListedUpstream>,
     /// Ids of the listed upstreams by the short ids in notices.
     by_short_id: HashMap<ShortId, UpstreamId>,
@@ -33,6 +39,20 @@
     outage: Outage,
 }
 
+/// A change of the list that took effect.
+#[derive(Clone, Debug, PartialEq)]
+pub enum AppliedChange {
+    /// An upstream is listed, or its entry changed.
+    Listed(ListedUpstream),
+    /// The entry of an upstream was removed.
+    Removed {
+        /// The entry.
+        upstream: ListedUpstream,
+        /// Revision of the removal.
+        revision: Revision,
+    },
+}
+
 #[derive(Clone, Copy, Debug, Default)]
 enum Outage {
     #[default]
@@ -54,6 +74,47 @@
         }
     }
 
+    /// Returns the revision up to which all changes were applied, 0 if no list was read.
+    pub fn revision(&self) -> Revision {
+        self.revision
+    }
+
+    /// Returns true if changes after `after`, up to `until`, are complete and contain newer ones than
+    /// the catalog has.
+    pub fn needs(&self, after: Revision, until: Revision) -> bool {
+        after <= self.revision && self.revision < until
+    }
+
+    /// Applies the changes that were made after `after`, up to `until`, and returns those that took
+    /// effect. Changes that the catalog already has, or that newer ones have superseded, are ignored.
+    /// All are ignored if earlier ones are missing.
+    pub fn apply(
+        &mut self,
+        now: Instant,
+        after: Revision,
+        until: Revision,
+        changes: impl IntoIterator<Item = Change>,
+    ) -> Vec<AppliedChange> {
+        if !self.needs(after, until) {
+            return Vec::new();
+        }
+        let known = self.revision;
+        self.revision = until;
+        let apply = |change| match change {
+            Change::Listed(upstream) if upstream.revision > known => {
+                let is_applied = self.upsert(upstream.clone());
+                is_applied.then_some(AppliedChange::Listed(upstream))
+            }
+            Change::Unlisted(id, revision) if revision > known => {
+                let upstream = self.get(&id).cloned();
+                self.remove(now, &id, revision);
+                upstream.map(|upstream| AppliedChange::Removed { upstream, revision })
+            }
+            Change::Listed(_) | Change::Unlisted(..) | Change::Configured(_) => None,
+        };
+        changes.into_iter().filter_map(apply).collect()
+    }
+
     /// Adds or replaces an entry. Returns false if a newer revision of the entry is known.
     pub fn upsert(&mut self, upstream: ListedUpstream) -> bool {
         let id = upstream.id.clone();
@@ -83,16 +144,23 @@
         }
     }
 
-    /// Replaces all entries by a complete list. Entries that are missing in the list are removed.
-    pub fn replace(&mut self, now: Instant, list: Vec<ListedUpstream>) {
+    /// Replaces all entries by a complete list, as it was at `revision` or later. Entries that are
+    /// missing in the list are removed. Returns false if the catalog has newer changes, in which case
+    /// the list has no effect.
+    pub fn replace(&mut self, now: Instant, list: Vec<ListedUpstream>, revision: Revision) -> bool {
+        if revision < self.revision {
+            return false;
+        }
+        self.revision = revision;
         let is_missing = |id: &&UpstreamId| !list.iter().any(|upstream| upstream.id == **id);
         let missing: Vec<_> = self.listed.keys().filter(is_missing).cloned().collect();
         for id in missing {
-            self.remove(now, &id, Revision::MAX);
+            self.remove(now, &id, revision);
         }
         for upstream in list {
             self.upsert(upstream);
         }
+        true
     }
 
     /// Records that the address of an upstream belongs to another process. The upstream gets no
--- a/src/node/discovery_sync.rs
+++ b/src/node/discovery_sync.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use cactustrack_fleet::discovery::{
-    Discovery, DiscoveryError, Freshness, Revision, Topic, WatchResult,
+    Discovery, DiscoveryError, Freshness, Revision, Snapshot, Topic, WatchResult,
 };
 use cactustrack_fleet::message::Delta;
 use cactustrack_fleet::relay;
@@ -182,14 +182,9 @@
         let now = Instant::now();
         let mut state = self.state.borrow_mut();
         match topic {
-            Topic::Upstreams => state.replace_upstreams(now, snapshot.changes),
-            Topic::Configuration => {
-                for change in snapshot.changes {
-                    state.apply(now, change);
-                }
-            }
+            Topic::Upstreams => state.replace_upstreams(now, snapshot),
+            Topic::Configuration => state.on_changes(now, topic, 0, snapshot),
         }
-        state.advance(topic, snapshot.revision);
         drop(state);
         self.end_outage(topic);
         Ok(())
@@ -208,11 +203,9 @@
         let WatchResult::Changes(newer) = watched? else { return Ok(false) };
         let now = Instant::now();
         let mut state = self.state.borrow_mut();
-        state.replace_upstreams(now, stale.changes);
-        for change in newer.changes {
-            state.apply(now, change);
-        }
-        state.advance(topic, newer.revision.max(stale.revision));
+        let after = stale.revision;
+        state.replace_upstreams(now, stale);
+        state.on_changes(now, topic, after, newer);
         drop(state);
         self.end_outage(topic);
         Ok(true)
@@ -234,21 +227,17 @@
         self.end_outage(topic);
         let now = Instant::now();
         let is_changed = !snapshot.changes.is_empty();
-        let revision = snapshot.revision.max(after);
-        let changes = {
+        let relayed = {
             let mut state = self.state.borrow_mut();
             let after_outage = state.catalog.is_recovering(now);
-            let content = &snapshot.changes[..];
-            let delta = Delta { after, revision, after_outage, content };
+            let Snapshot { changes, revision } = &snapshot;
+            let delta = Delta { after, revision: *revision, after_outage, content: &changes[..] };
             let is_relay = state.peers.is_relay(now, &self.instance, true);
-            let changes = is_relay.then(|| relay::to_relayed(now, topic, &delta));
-            for change in snapshot.changes {
-                state.apply(now, change);
-            }
-            state.advance(topic, revision);
-            changes.unwrap_or_default()
+            let relayed = is_relay.then(|| relay::to_relayed(now, topic, &delta));
+            state.on_changes(now, topic, after, snapshot);
+            relayed.unwrap_or_default()
         };
-        self.messenger.relay(changes);
+        self.messenger.relay(relayed);
         if is_changed {
             compio::time::sleep(WATCH_BATCH_DELAY).await;
         }
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -8,8 +8,8 @@
 use std::time::{Duration, Instant};
 
 use cactustrack_fleet::budget::{BudgetDecision, BudgetLimits, SlackShare};
-use cactustrack_fleet::catalog::Catalog;
-use cactustrack_fleet::discovery::{Change, ListedUpstream, Revision, Topic};
+use cactustrack_fleet::catalog::{AppliedChange, Catalog};
+use cactustrack_fleet::discovery::{Change, Revision, Snapshot, Topic};
 use cactustrack_fleet::message::{
     ConfigurationPart, Delta, GrantRequest, Notice, PackedChanges, StoreView,
 };
@@ -141,19 +141,57 @@
         }
     }
 
-    /// Applies a change reported by discovery.
-    pub(crate) fn apply(&mut self, now: Instant, change: Change) {
-        match change {
-            Change::Configured(configuration) => self.put_in_force(&configuration),
-            Change::Listed(upstream) => self.upsert_upstream(upstream),
-            Change::Unlisted(id, revision) => {
-                if let Some(known) = self.catalog.get(&id) {
+    /// Applies changes of a topic after one revision, up to another one, that were read from the
+    /// store. Those that newer readings have superseded have no effect.
+    pub(crate) fn on_changes(
+        &mut self,
+        now: Instant,
+        topic: Topic,
+        after: Revision,
+        snapshot: Snapshot,
+    ) {
+        let Snapshot { changes, revision } = snapshot;
+        match topic {
+            Topic::Configuration => {
+                for change in changes {
+                    if let Change::Configured(configuration) = change {
+                        self.put_in_force(&configuration);
+                    }
+                }
+                self.advance_configuration(revision);
+            }
+            Topic::Upstreams => self.apply_upstream_changes(now, after, revision, changes),
+        }
+    }
+
+    fn apply_upstream_changes(
+        &mut self,
+        now: Instant,
+        after: Revision,
+        until: Revision,
+        changes: Vec<Change>,
+    ) {
+        let known = self.catalog.revision();
+        if until < known {
+            slog::info!(self.log, "members: changes ignored, newer ones are known";
+                "after" => after, "revision" => until, "known" => known);
+        }
+        for change in self.catalog.apply(now, after, until, changes) {
+            match change {
+                AppliedChange::Listed(upstream) => {
+                    slog::info!(self.log, "members: upstream is listed";
+                        "upstream" => &*upstream.id, "service" => &*upstream.service,
+                        "leaving" => upstream.leaving, "revision" => upstream.revision);
+                    self.view.set_incarnation(&upstream.id, upstream.incarnation);
+                }
+                AppliedChange::Removed { upstream, revision } => {
                     slog::info!(self.log, "members: upstream is no longer listed";
-                        "upstream" => &*id, "service" => &*known.service, "revision" => revision);
+                        "upstream" => &*upstream.id, "service" => &*upstream.service,
+                        "revision" => revision);
                 }
-                self.catalog.remove(now, &id, revision);
             }
         }
+        self.store_view.upstreams = self.catalog.revision();
     }
 
     /// Processes notices of another instance. Notices about upstreams that are not listed here are
@@ -186,20 +224,14 @@
         (revision > 0).then_some(revision)
     }
 
-    /// Records that a topic has been read up to a revision.
-    pub(crate) fn advance(&mut self, topic: Topic, revision: Revision) {
-        let known = match topic {
-            Topic::Configuration => &mut self.store_view.configuration,
-            Topic::Upstreams => &mut self.store_view.upstreams,
-        };
-        *known = revision.max(*known);
+    fn advance_configuration(&mut self, revision: Revision) {
+        self.store_view.configuration = revision.max(self.store_view.configuration);
     }
 
     /// Applies changes of the upstream list sent by a relay. They are ignored if earlier changes
     /// are missing; the topic is then read from the store.
     pub(crate) fn on_upstreams(&mut self, now: Instant, delta: &Delta<PackedChanges>) {
-        let known = self.store_view.upstreams;
-        if known < delta.after || known >= delta.revision {
+        if !self.catalog.needs(delta.after, delta.revision) {
             return;
         }
         let changes = match delta.content.unpack() {
@@ -213,12 +245,8 @@
             self.catalog.begin_outage();
             self.catalog.end_outage(now);
         }
-        for change in changes {
-            if change.revision > known {
-                self.apply(now, relay::from_upstream_change(now, change));
-            }
-        }
-        self.advance(Topic::Upstreams, delta.revision);
+        let changes = changes.into_iter().map(|change| relay::from_upstream_change(now, change));
+        self.apply_upstream_changes(now, delta.after, delta.revision, changes.collect());
     }
 
     /// Adds a part of a configuration sent by a relay. Each configuration is complete in itself, so
@@ -227,25 +255,35 @@
         match self.assembly.add(delta.content) {
             Ok(Some(configuration)) => {
                 self.put_in_force(&configuration);
-                self.advance(Topic::Configuration, delta.revision);
+                self.advance_configuration(delta.revision);
             }
             Ok(None) => {}
             Err(error) => slog::warn!(self.log, "config: relayed parts ignored"; "error" => %error),
         }
     }
 
-    /// Replaces the list of upstreams.
-    pub(crate) fn replace_upstreams(&mut self, now: Instant, changes: Vec<Change>) {
+    /// Replaces the list of upstreams, unless newer changes are known.
+    pub(crate) fn replace_upstreams(&mut self, now: Instant, snapshot: Snapshot) {
+        let Snapshot { changes, revision } = snapshot;
         let listed = changes.into_iter().filter_map(|change| match change {
             Change::Listed(upstream) => Some(upstream),
             _ => None,
         });
         let list: Vec<_> = listed.collect();
-        slog::info!(self.log, "members: upstream list read"; "count" => list.len());
-        for upstream in &list {
-            self.view.set_incarnation(&upstream.id, upstream.incarnation);
+        let (count, known) = (list.len(), self.catalog.revision());
+        let incarnations: Vec<_> =
+            list.iter().map(|upstream| (upstream.id.clone(), upstream.incarnation)).collect();
+        if !self.catalog.replace(now, list, revision) {
+            slog::info!(self.log, "members: upstream list ignored, newer changes are known";
+                "revision" => revision, "known" => known);
+            return;
         }
-        self.catalog.replace(now, list);
+        slog::info!(self.log, "members: upstream list read";
+            "count" => count, "revision" => revision);
+        for (id, incarnation) in &incarnations {
+            self.view.set_incarnation(id, *incarnation);
+        }
+        self.store_view.upstreams = revision;
     }
 
     /// Returns an error with the reason if the instance is not ready to take requests.
@@ -271,16 +309,6 @@
             "routes" => configuration.routes.len());
         self.in_force = Some(InForce::new(configuration));
     }
-
-    fn upsert_upstream(&mut self, upstream: ListedUpstream) {
-        let (id, incarnation) = (upstream.id.clone(), upstream.incarnation);
-        slog::info!(self.log, "members: upstream is listed";
-            "upstream" => &*id, "service" => &*upstream.service,
-            "leaving" => upstream.leaving, "revision" => upstream.revision);
-        if self.catalog.upsert(upstream) {
-            self.view.set_incarnation(&id, incarnation);
-        }
-    }
 }
 
 /// Returns the time since the boot of the machine, with the time for which it was suspended.
--- a/tests/all/platform/relaying.rs
+++ b/tests/all/platform/relaying.rs
@@ -57,3 +57,37 @@
     }
     assert!(changed.elapsed() < PROPAGATION_LIMIT, "{:?}", changed.elapsed());
 }
+
+/// Guards against an upstream that is listed again by an older reading. An instance stood still
+/// while its watch was answered and a relay sent a later removal; it handled the removal first and
+/// then the response to its watch, and used the removed upstream from then on.
+#[test]
+fn a_response_overtaken_by_a_relayed_removal_has_no_effect() {
+    let harness = Harness::start(2, 4, &[SEARCH]);
+    let has_heard = |number: usize| {
+        let status = Call::get("admin", "/status").send(harness.instances[number].admin);
+        status.is_ok_and(|status| status.text().contains("\"instances_heard\":4"))
+    };
+    wait_for("the instances to discover each other", || (0..4).all(has_heard));
+    std::thread::sleep(Duration::from_secs(2));
+    let stopped = &harness.instances[0];
+    stopped.signal("-STOP");
+    // Datagrams that arrive first are read first after the pause, together with all others.
+    std::thread::sleep(Duration::from_millis(1_300));
+    // The watches of both instances are answered with the changed entry.
+    harness.put_upstream(1, "ready");
+    std::thread::sleep(Duration::from_millis(1_000));
+    // The other instance relays the removal.
+    harness.store.remove("servers/up-1");
+    let is_removed =
+        || !harness.instances[1].log_lines_with("upstream is no longer listed").is_empty();
+    wait_for("the removal to be read", is_removed);
+    std::thread::sleep(Duration::from_millis(200));
+    stopped.signal("-CONT");
+    std::thread::sleep(Duration::from_millis(1_500));
+    let before = harness.upstreams.all[1].control.requests();
+    for _ in 0..10 {
+        assert!(is_served(&harness, 0, "/search/x"));
+    }
+    assert_eq!(harness.upstreams.all[1].control.requests(), before, "requests after the removal");
+}
--- a/tests/all/sharing.rs
+++ b/tests/all/sharing.rs
@@ -6,6 +6,7 @@
 mod budget_loss;
 mod budget_schedules;
 mod catalog;
+mod catalog_history;
 mod fleet_size;
 mod hedge;
 mod hubs;
--- a/tests/all/sharing/catalog.rs
+++ b/tests/all/sharing/catalog.rs
@@ -53,7 +53,7 @@
         if case.outage {
             catalog.begin_outage();
         }
-        catalog.replace(now, vec![listed("b", 2)]);
+        assert!(catalog.replace(now, vec![listed("b", 2)], 8), "the list is newer");
         catalog.end_outage(now);
         if case.is_listed_again {
             catalog.upsert(listed("a", 9));
