Reject bursts of connections without using up descriptors

Cause: each rejected connection was written to by a task of its own, and the accept loop took all waiting connections before these tasks ran. 437 rejected connections were open at once in platform/descriptors, beyond the reserve.

--- a/crates/proxy/src/server.rs
+++ b/crates/proxy/src/server.rs
@@ -144,7 +144,7 @@
         while let Some(stream) = self.next_stream().await {
             match self.admit() {
                 Some(counted) => self.serve(stream, counted),
-                None => self.reject_connection(stream),
+                None => self.reject_connection(stream).await,
             }
         }
         drop(self.listener);
@@ -168,16 +168,20 @@
         if has_room { self.proxy.pool().count_connection() } else { None }
     }
 
-    /// Sends a 503 response on a connection beyond the limit and closes it.
-    fn reject_connection(&self, mut stream: TcpStream) {
+    /// Sends a 503 response on a connection beyond the limit and closes it. If many of them linger
+    /// already, this ends before the next connection is accepted, so that a burst of connections
+    /// cannot use up the file descriptors.
+    async fn reject_connection(&self, mut stream: TcpStream) {
         self.proxy.metrics().rejected_connections.inc();
         let rejections = Rc::clone(&self.rejections);
+        if rejections.get() >= MAX_LINGERING_REJECTIONS {
+            let _ = stream.write_all(TOO_MANY_CONNECTIONS_RESPONSE).await;
+            return;
+        }
         rejections.set(rejections.get() + 1);
         let task = async move {
             let _ = stream.write_all(TOO_MANY_CONNECTIONS_RESPONSE).await;
-            if rejections.get() <= MAX_LINGERING_REJECTIONS {
-                linger(stream).await;
-            }
+            linger(stream).await;
             rejections.set(rejections.get() - 1);
         };
         compio::runtime::spawn(task).detach();
