End the wait for a body at the deadline where it covers the body

Cause: the deadline ended the wait for the head only. The body was awaited for 10 s after each frame, and a caller that took no data was awaited for ever. No log line tells of the deadline, and the wait ends after 10 s with a patient caller.

Change: waits for more data end at the deadline, with 0.2 s beyond it in sum; data that has arrived is delivered also later; a caller that takes no data for a second beyond the deadline frees the upstream; an upstream that is silent at the deadline gets evidence.

--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -53,6 +53,11 @@
         self.kind.is_not_run()
     }
 
+    /// Closes the connection and returns the attempt.
+    pub(crate) fn close(self) -> Attempt {
+        self.attempt
+    }
+
     /// Returns true if the response is a failure of the upstream.
     pub(crate) fn is_failure(&self) -> bool {
         self.kind == ResponseKind::Failed
--- a/crates/proxy/src/handler.rs
+++ b/crates/proxy/src/handler.rs
@@ -22,6 +22,7 @@
 
 use crate::access_log::{self, AccessLogEntry};
 use crate::attempt::AttemptContext;
+use crate::body_deadline::BodyDeadline;
 use crate::exchange::{TRACEPARENT, UpstreamResponse, time_until};
 use crate::framing::AmbiguousFraming;
 use crate::reject::{Rejection, RejectionReason};
@@ -317,8 +318,9 @@
 pub(crate) fn respond_without_resume(
     proxy: &Rc<Proxy>,
     response: UpstreamResponse,
+    deadline: Instant,
 ) -> Response<ResponseBody> {
-    respond(proxy, response, None)
+    respond(proxy, response, BodyDeadline::new(proxy, deadline), None)
 }
 
 /// Builds the response to the caller for a retryable request. If the body is truncated, the
@@ -328,19 +330,21 @@
     response: UpstreamResponse,
 ) -> Response<ResponseBody> {
     let proxy = Rc::clone(&request.proxy);
-    let resume = RangeResume::for_response(request, &response);
-    respond(&proxy, response, resume)
+    let deadline = BodyDeadline::new(&proxy, request.routed.deadline);
+    let resume = RangeResume::for_response(request, &response, deadline);
+    respond(&proxy, response, deadline, resume)
 }
 
 fn respond(
     proxy: &Rc<Proxy>,
     upstream_response: UpstreamResponse,
+    deadline: BodyDeadline,
     resume: Option<Box<dyn crate::relay::Resume>>,
 ) -> Response<ResponseBody> {
     let status = upstream_response.head.status;
     let mut headers = upstream_response.head.headers.clone();
     proxy.dialect().strip_response(&mut headers);
-    let mut response = Response::new(relay(proxy, upstream_response, resume));
+    let mut response = Response::new(relay(proxy, upstream_response, deadline, resume));
     *response.status_mut() = status;
     *response.headers_mut() = headers;
     response
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -7,6 +7,7 @@
 mod access_log;
 mod attempt;
 mod body;
+mod body_deadline;
 mod caller_stream;
 mod connection_budget;
 mod dead_peer;
--- a/crates/proxy/src/non_idempotent.rs
+++ b/crates/proxy/src/non_idempotent.rs
@@ -256,7 +256,7 @@
             response.attempt.finish(Outcome::Failed);
             return Err(rejection_for(Cause::Broken, Execution::Unknown));
         }
-        Ok(respond_without_resume(&self.proxy, response))
+        Ok(respond_without_resume(&self.proxy, response, self.routed.deadline))
     }
 
     fn reject(&self, status: u16, execution: Execution, recorded: Option<u16>) -> Rejection {
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -1,7 +1,7 @@
 //! Streams response bodies from upstreams to callers.
 
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use cactustrack_types::Outcome;
@@ -10,15 +10,18 @@
 use futures::{FutureExt, SinkExt};
 use http_body::{Body, Frame};
 use http_body_util::BodyExt;
+use hyper::body::Incoming;
 
 use crate::body::BodyAborted;
+use crate::body_deadline::BodyDeadline;
 use crate::exchange::UpstreamResponse;
 use crate::handler::Proxy;
 use crate::retryable::retry_after;
 use crate::{ResponseBody, ResponseKind};
 
-/// Time without data from the upstream after which a body counts as truncated.
-pub(crate) const STALL_TIMEOUT: Duration = Duration::from_secs(10);
+/// Shortest silence of an upstream within a body that counts against it when the deadline passes.
+/// Shorter ones occur on links that are in use.
+const MIN_SILENCE: Duration = Duration::from_millis(500);
 
 /// Result of reading a body: a frame, `None` at its end, or the error of its connection.
 type FrameResult = Option<Result<Frame<Bytes>, hyper::Error>>;
@@ -37,6 +40,12 @@
 enum BodyEnd {
     Complete,
     Truncated,
+    /// The deadline passed while more data of the upstream was awaited for this time.
+    DeadlinePassed {
+        silence: Duration,
+    },
+    /// The caller took no data for too long.
+    CallerStalled,
     CallerDisconnected,
 }
 
@@ -45,6 +54,7 @@
 pub(crate) fn relay(
     proxy: &Rc<Proxy>,
     mut response: UpstreamResponse,
+    deadline: BodyDeadline,
     resume: Option<Box<dyn Resume>>,
 ) -> ResponseBody {
     if response.body.is_end_stream() {
@@ -63,86 +73,136 @@
     // backpressure to the upstream.
     let (tx, rx) = mpsc::channel(0);
     let (alive_tx, alive_rx) = oneshot::channel();
-    let task = run(Rc::clone(proxy), response, first, resume, tx, alive_rx);
-    compio::runtime::spawn(task).detach();
+    let proxy = Rc::clone(proxy);
+    let forwarder = Forwarder { proxy, deadline, tx, caller: alive_rx, offset: 0 };
+    compio::runtime::spawn(forwarder.run(response, first, resume)).detach();
     ResponseBody::relayed(rx, size, alive_tx)
 }
 
-async fn run(
+/// Forwards the body of one response to its caller.
+struct Forwarder {
     proxy: Rc<Proxy>,
-    mut response: UpstreamResponse,
-    mut first: Option<FrameResult>,
-    resume: Option<Box<dyn Resume>>,
-    mut tx: FrameTx,
-    mut caller: oneshot::Receiver<()>,
-) {
-    let service = response.attempt.target().service.clone();
-    let mut offset = 0;
-    loop {
-        let forwarding =
-            forward_frames(&mut response, first.take(), &mut tx, &mut caller, &mut offset);
-        match forwarding.await {
-            BodyEnd::Complete => return complete(response),
-            BodyEnd::CallerDisconnected => return,
-            BodyEnd::Truncated => {}
-        }
-        response.attempt.finish(Outcome::CutShort);
-        let resumed = match &resume {
-            Some(resume) => resume.resume(offset).await,
-            None => None,
-        };
-        let Some(next) = resumed else {
-            proxy.metrics().aborted_responses.with_label_values(&[&*service]).inc();
-            if let Some(suppressed) = proxy.log_allowed("response truncated") {
-                slog::warn!(proxy.log(), "proxy: response truncated";
-                    "service" => &*service, "offset" => offset, "left_out" => suppressed);
-            }
-            let _ = tx.send(Err(BodyAborted)).await;
-            return;
-        };
-        response = next;
-    }
+    deadline: BodyDeadline,
+    tx: FrameTx,
+    /// Resolves when the caller disconnects.
+    caller: oneshot::Receiver<()>,
+    /// Number of bytes forwarded.
+    offset: u64,
 }
 
-async fn forward_frames(
-    response: &mut UpstreamResponse,
-    mut first: Option<FrameResult>,
-    tx: &mut FrameTx,
-    caller: &mut oneshot::Receiver<()>,
-    offset: &mut u64,
-) -> BodyEnd {
-    let UpstreamResponse { body, connection, .. } = response;
-    loop {
-        let frame = if let Some(read) = first.take() {
-            Some(Ok(read))
-        } else {
-            let reading = compio::time::timeout(STALL_TIMEOUT, body.frame());
-            let reading = std::pin::pin!(reading);
-            match select(reading, &mut *caller).await {
-                Either::Left((frame, _)) => Some(frame),
-                Either::Right(_) => None,
+impl Forwarder {
+    async fn run(
+        mut self,
+        mut response: UpstreamResponse,
+        mut first: Option<FrameResult>,
+        resume: Option<Box<dyn Resume>>,
+    ) {
+        loop {
+            let end = self.forward_frames(&mut response, first.take()).await;
+            if end == BodyEnd::Complete {
+                return complete(response);
             }
-        };
-        let Some(frame) = frame else {
-            // hyper drops the body once it has written Content-Length bytes, which can happen
-            // before the end of the upstream's body was read.
-            return if body.is_end_stream() {
-                BodyEnd::Complete
-            } else {
-                BodyEnd::CallerDisconnected
+            let attempt = response.close();
+            let service = attempt.target().service.clone();
+            match end {
+                BodyEnd::Complete | BodyEnd::CallerDisconnected => return,
+                BodyEnd::CallerStalled => {
+                    attempt.abandon();
+                    return self.abort(&service, "the caller takes no data").await;
+                }
+                BodyEnd::DeadlinePassed { silence } => {
+                    if silence >= MIN_SILENCE {
+                        attempt.finish(Outcome::CutShort);
+                    } else {
+                        attempt.abandon();
+                    }
+                    return self.abort(&service, "deadline passed").await;
+                }
+                BodyEnd::Truncated => attempt.finish(Outcome::CutShort),
+            }
+            let resumed = match &resume {
+                Some(resume) => resume.resume(self.offset).await,
+                None => None,
             };
-        };
-        match frame {
-            Ok(Some(Ok(frame))) => {
-                connection.on_progress();
-                *offset += frame.data_ref().map_or(0, |data| data.len() as u64);
-                if tx.send(Ok(frame)).await.is_err() && !body.is_end_stream() {
-                    return BodyEnd::CallerDisconnected;
+            let Some(next) = resumed else { return self.abort(&service, "truncated").await };
+            response = next;
+        }
+    }
+
+    async fn forward_frames(
+        &mut self,
+        response: &mut UpstreamResponse,
+        mut first: Option<FrameResult>,
+    ) -> BodyEnd {
+        let UpstreamResponse { body, connection, .. } = response;
+        loop {
+            let read = match first.take() {
+                Some(read) => Ok(read),
+                None => self.next_frame(body).await,
+            };
+            let frame = match read {
+                Ok(Some(Ok(frame))) => frame,
+                Ok(None) => return BodyEnd::Complete,
+                Ok(Some(Err(_))) => return BodyEnd::Truncated,
+                // hyper drops the body once it has written Content-Length bytes, which can happen
+                // before the end of the upstream's body was read.
+                Err(BodyEnd::CallerDisconnected) if body.is_end_stream() => {
+                    return BodyEnd::Complete;
                 }
+                Err(end) => return end,
+            };
+            connection.on_progress();
+            self.offset += frame.data_ref().map_or(0, |data| data.len() as u64);
+            match self.send(frame).await {
+                Err(BodyEnd::CallerDisconnected) if body.is_end_stream() => {}
+                Err(end) => return end,
+                Ok(()) => {}
+            }
+        }
+    }
+
+    /// Reads the next frame, and waits for it unless it has arrived.
+    async fn next_frame(&mut self, body: &mut Incoming) -> Result<FrameResult, BodyEnd> {
+        if let Some(frame) = body.frame().now_or_never() {
+            return Ok(frame);
+        }
+        let started = Instant::now();
+        let reading = compio::time::timeout(self.deadline.upstream_wait(), body.frame());
+        let reading = std::pin::pin!(reading);
+        let read = select(reading, &mut self.caller).await;
+        self.deadline.on_upstream_wait(started);
+        match read {
+            Either::Left((Ok(frame), _)) => Ok(frame),
+            Either::Left((Err(_), _)) if self.deadline.has_passed() => {
+                Err(BodyEnd::DeadlinePassed { silence: started.elapsed() })
             }
-            Ok(None) => return BodyEnd::Complete,
-            Ok(Some(Err(_))) | Err(_) => return BodyEnd::Truncated,
+            Either::Left((Err(_), _)) => Err(BodyEnd::Truncated),
+            Either::Right(_) => Err(BodyEnd::CallerDisconnected),
+        }
+    }
+
+    /// Hands a frame to the caller's connection, and waits until the one before was taken.
+    async fn send(&mut self, frame: Frame<Bytes>) -> Result<(), BodyEnd> {
+        let mut sending = self.tx.send(Ok(frame));
+        if let Some(sent) = (&mut sending).now_or_never() {
+            return sent.map_err(|_| BodyEnd::CallerDisconnected);
+        }
+        let sent = match self.deadline.caller_wait() {
+            Some(wait) => compio::time::timeout(wait, sending).await,
+            None => Ok(sending.await),
+        };
+        sent.map_err(|_| BodyEnd::CallerStalled)?.map_err(|_| BodyEnd::CallerDisconnected)
+    }
+
+    /// Ends the body so that the caller can tell that it is incomplete.
+    async fn abort(mut self, service: &str, reason: &str) {
+        self.proxy.metrics().aborted_responses.with_label_values(&[service]).inc();
+        if let Some(suppressed) = self.proxy.log_allowed("response not completed") {
+            slog::warn!(self.proxy.log(), "proxy: response not completed"; "service" => service,
+                "reason" => reason, "offset" => self.offset, "left_out" => suppressed);
         }
+        // Fails if the caller has disconnected, who then needs no notice.
+        let _ = self.tx.send(Err(BodyAborted)).await;
     }
 }
 
--- a/crates/proxy/src/resume.rs
+++ b/crates/proxy/src/resume.rs
@@ -11,6 +11,7 @@
 use http::HeaderMap;
 
 use crate::ExtraAttempt;
+use crate::body_deadline::BodyDeadline;
 use crate::exchange::{Cause, Reuse, UpstreamResponse, exchange, time_until};
 use crate::relay::{Resume, discard};
 use crate::retryable::RetryableRequest;
@@ -21,8 +22,7 @@
 /// A large response that can be resumed from another upstream.
 pub(crate) struct RangeResume {
     request: RefCell<RetryableRequest>,
-    /// Time at which the caller stops waiting for the body. `None` if it waits as long as it takes.
-    body_deadline: Option<Instant>,
+    body_deadline: BodyDeadline,
     resumable: ResumableResponse,
 }
 
@@ -32,6 +32,7 @@
     pub(crate) fn for_response(
         request: RetryableRequest,
         response: &UpstreamResponse,
+        body_deadline: BodyDeadline,
     ) -> Option<Box<dyn Resume>> {
         if request.routed.class != RequestClass::Large {
             return None;
@@ -44,8 +45,6 @@
             &response.head.headers,
         );
         let resumable = resumable.ok()?;
-        let covers_body = request.proxy.dialect().deadline_covers_body();
-        let body_deadline = covers_body.then_some(request.routed.deadline);
         Some(Box::new(Self { request: RefCell::new(request), body_deadline, resumable }))
     }
 
@@ -79,7 +78,7 @@
                 return None;
             }
             let timeout = Instant::now() + HEAD_TIMEOUT;
-            request.routed.deadline = self.body_deadline.map_or(timeout, |at| at.min(timeout));
+            request.routed.deadline = self.body_deadline.at().map_or(timeout, |at| at.min(timeout));
             if time_until(request.routed.deadline).is_zero() {
                 return None;
             }
--- a/tests/all/proxy.rs
+++ b/tests/all/proxy.rs
@@ -4,6 +4,7 @@
 mod attempt_limits;
 mod bad_input;
 mod bodies;
+mod body_deadline;
 mod connection_budget;
 mod echo;
 mod endless;
