End a body without end at the deadline also while its caller reads

An upstream that sends without end always has data ready, which is delivered after the deadline as well, so the body lasted for as long as its caller read.

Evidence: body_deadline::an_endless_body_ends_at_the_deadline ran for over 60 s before and passes now, within 0.5 s of the deadline.

--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -152,7 +152,11 @@
                 Err(end) => return end,
             };
             connection.on_progress();
-            self.offset += frame.data_ref().map_or(0, |data| data.len() as u64);
+            let bytes = frame.data_ref().map_or(0, |data| data.len() as u64);
+            if !self.deadline.allows(bytes) {
+                return BodyEnd::DeadlinePassed { silence: Duration::ZERO };
+            }
+            self.offset += bytes;
             match self.send(frame).await {
                 Err(BodyEnd::CallerDisconnected) if body.is_end_stream() => {}
                 Err(end) => return end,
