Reject a chunk size without end from a caller

Callers: while one caller sent zeros as the size of a chunk, the instance answered nobody.

Cause: hyper reads any number of leading zeros, and the read never has to wait, so the event loop was occupied by one connection.

Change: a line with the size of a chunk of more than 16 KiB fails the read.

Evidence: endless::endless_bytes_of_a_caller_do_not_hold_up_others hung in the case 'chunk size' before and passes now; the other cases passed before.

--- a/crates/proxy/src/caller_stream.rs
+++ b/crates/proxy/src/caller_stream.rs
@@ -9,6 +9,7 @@
 
 use compio::net::TcpStream;
 use cyper_core::HyperStream;
+use derive_more::{Display, Error};
 use http::request::Parts;
 use hyper::rt::{Read, ReadBuf, ReadBufCursor, Write};
 
@@ -30,6 +31,11 @@
     Rc::new(RefCell::new(vec![0; READ_BYTES]))
 }
 
+/// The caller sends the size of a chunk that is too long.
+#[derive(Clone, Copy, Debug, Display, Error)]
+#[display("the line with the size of a chunk is too long")]
+struct ChunkLineTooLong;
+
 /// A caller's connection, shared by hyper and by the task that reads ahead.
 pub(crate) type SharedInput = Rc<RefCell<CallerInput>>;
 
@@ -130,6 +136,9 @@
         ready!(Pin::new(&mut self.inner).poll_read(cx, read.unfilled()))?;
         buf.put_slice(read.filled());
         self.on_bytes(read.filled());
+        if self.checker.is_chunk_line_too_long() {
+            return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, ChunkLineTooLong)));
+        }
         Poll::Ready(Ok(()))
     }
 
--- a/crates/proxy/src/framing.rs
+++ b/crates/proxy/src/framing.rs
@@ -12,6 +12,10 @@
 /// is not needed.
 const MAX_LINE_BYTES: usize = 128;
 
+/// Longest line with the size of a chunk, in bytes, extensions included. hyper reads any number of
+/// leading zeros, so a caller that sends them without end would keep the event loop busy.
+const MAX_CHUNK_LINE_BYTES: usize = 16 * 1024;
+
 /// Longest head that is recorded, in bytes.
 const MAX_RECORDED_BYTES: usize = 4 * 1024;
 
@@ -55,6 +59,8 @@
     recorded: Vec<u8>,
     is_safe: bool,
     line: Vec<u8>,
+    /// Length of the current line so far, including what is not kept of it.
+    line_bytes: usize,
     is_line_truncated: bool,
     length: Option<u64>,
     has_encoding: bool,
@@ -88,6 +94,11 @@
         self.state == State::Head || (self.state == State::Start && !self.line.is_empty())
     }
 
+    /// Returns true if the line with the size of a chunk is too long.
+    pub(crate) fn is_chunk_line_too_long(&self) -> bool {
+        self.state == State::ChunkSize && self.line_bytes > MAX_CHUNK_LINE_BYTES
+    }
+
     /// Parses the next bytes of the connection.
     pub(crate) fn push(&mut self, mut bytes: &[u8]) {
         while !bytes.is_empty() {
@@ -117,6 +128,7 @@
         if self.is_recording && matches!(self.state, State::Start | State::Head) {
             self.record(&bytes[..end.map_or(bytes.len(), |end| end + 1)]);
         }
+        self.line_bytes = self.line_bytes.saturating_add(part.len());
         let room = MAX_LINE_BYTES.saturating_sub(self.line.len());
         self.is_line_truncated |= part.len() > room;
         self.line.extend_from_slice(&part[..part.len().min(room)]);
@@ -125,6 +137,7 @@
         self.on_line(line.strip_suffix(b"\r").unwrap_or(&line));
         self.line = line;
         self.line.clear();
+        self.line_bytes = 0;
         self.is_line_truncated = false;
         &bytes[end + 1..]
     }
--- a/tests/all/proxy/endless.rs
+++ b/tests/all/proxy/endless.rs
@@ -128,3 +128,47 @@
         harness.wait_for_open_connections(0);
     }
 }
+
+/// Guards against a caller whose bytes never become a request, and who keeps the event loop from
+/// serving others.
+#[test]
+fn endless_bytes_of_a_caller_do_not_hold_up_others() {
+    struct Case {
+        name: &'static str,
+        start: &'static str,
+        repeated: &'static [u8],
+    }
+    const CHUNKED: &str = "POST /n HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const TRAILERS: &str = "POST /n HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n";
+    let cases = [
+        Case { name: "no HTTP", start: "", repeated: b"x" },
+        Case { name: "empty lines", start: "", repeated: b"\r\n" },
+        Case { name: "headers", start: "GET / HTTP/1.1\r\n", repeated: b"A: b\r\n" },
+        Case { name: "chunk size", start: CHUNKED, repeated: b"0" },
+        Case { name: "chunk extension", start: CHUNKED, repeated: b"3;a=b" },
+        Case { name: "chunks", start: CHUNKED, repeated: b"3\r\nabc\r\n" },
+        Case { name: "trailers", start: TRAILERS, repeated: b"A: b\r\n" },
+    ];
+    let upstream = RawUpstream::responding("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    let blocked = RawUpstream::spawn(|_, stream| {
+        read_head(stream);
+        std::thread::sleep(Duration::from_secs(30));
+    });
+    for Case { name, start, repeated } in cases {
+        let harness = Setup::with(&[("up-0", upstream.address), ("up-1", blocked.address)]).start();
+        let mut caller = harness.connect();
+        let sending = std::thread::spawn(move || {
+            send_endlessly(&mut caller, start.as_bytes(), repeated);
+        });
+        std::thread::sleep(Duration::from_millis(200));
+        for number in 0..5 {
+            let started = Instant::now();
+            let response = harness.call(&Call::get("a", "/"));
+            assert_eq!(response.status, 200, "{name}");
+            let elapsed = started.elapsed();
+            assert!(elapsed < Duration::from_secs(5), "{name}, call {number}: {elapsed:?}");
+        }
+        drop(harness);
+        let _ = sending.join();
+    }
+}
