--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -38,5 +38,6 @@
     TrafficPolicy,
 };
 pub use pool::{Pool, PoolLimits};
+pub use read_limit::{LimitedStream, ReadLimit};
 pub use reject::{Rejection, RejectionReason};
 pub use server::{Server, ServerLimits, ServerShutdown};
--- a/crates/proxy/src/read_limit.rs
+++ b/crates/proxy/src/read_limit.rs
@@ -44,39 +44,39 @@
 
 /// Limit of one connection. Clones share it.
 #[derive(Clone, Debug)]
-pub(crate) struct ReadLimit(Rc<Cell<Phase>>);
+pub struct ReadLimit(Rc<Cell<Phase>>);
 
 impl ReadLimit {
     /// Creates a limit for a connection on which no request was sent.
-    pub(crate) fn new() -> Self {
+    pub fn new() -> Self {
         Self(Rc::new(Cell::new(Phase::Idle)))
     }
 
     /// Records that a request is sent.
-    pub(crate) fn on_request(&self) {
+    pub fn on_request(&self) {
         self.0.set(Phase::Head { bytes_left: MAX_HEAD_BYTES });
     }
 
     /// Records that the response head or a frame of the body has arrived.
-    pub(crate) fn on_progress(&self) {
+    pub fn on_progress(&self) {
         self.0.set(Phase::Body { reads_left: MAX_READS_WITHOUT_FRAME });
     }
 
     /// Records that the response is complete.
-    pub(crate) fn on_end(&self) {
+    pub fn on_end(&self) {
         self.0.set(Phase::Idle);
     }
 }
 
 /// A connection to an upstream whose reads fail once the limit is exhausted.
-pub(crate) struct LimitedStream {
+pub struct LimitedStream {
     inner: HyperStream<TcpStream>,
     limit: ReadLimit,
 }
 
 impl LimitedStream {
     /// Wraps `stream`.
-    pub(crate) fn new(stream: TcpStream, limit: ReadLimit) -> Self {
+    pub fn new(stream: TcpStream, limit: ReadLimit) -> Self {
         Self { inner: HyperStream::new_plain(stream), limit }
     }
 }
--- a/tests/all/platform.rs
+++ b/tests/all/platform.rs
@@ -4,6 +4,7 @@
 mod descriptors;
 mod dialect;
 mod documents;
+mod endless_store;
 mod examples;
 mod harness;
 mod odd_entries;
