--- a/tests/all/platform.rs
+++ b/tests/all/platform.rs
@@ -5,6 +5,7 @@
 mod dialect;
 mod documents;
 mod endless_store;
+mod endless_upstreams;
 mod examples;
 mod harness;
 mod odd_entries;
