Keep changes of one revision in one datagram

Cause: relayed changes of one revision could be split over two datagrams. A receiver has reached the revision with the first one and ignores the second, so it kept upstreams that were gone.

Change: a datagram ends at the end of a revision; a revision that does not fit is announced, and read from the store.

Evidence: relay::changes_of_one_revision_are_not_split failed before (7 removed upstreams still listed) and passes; 53 tests of sharing pass.

--- a/crates/fleet/src/relay.rs
+++ b/crates/fleet/src/relay.rs
@@ -59,7 +59,11 @@
     let mut bodies = Vec::new();
     let mut remaining = &changes[..];
     while !remaining.is_empty() {
-        let (count, content) = pack_first(remaining);
+        let Some((count, content)) = pack_first(remaining) else {
+            let topic = Topic::Upstreams;
+            bodies.push(RelayedChange::NewRevision { topic, revision });
+            return bodies;
+        };
         let last = remaining[count - 1].revision;
         remaining = &remaining[count..];
         let until = if remaining.is_empty() { revision } else { last };
@@ -75,18 +79,30 @@
 }
 
 /// Packs the first changes, halving their number until they fit in a datagram, and returns that
-/// number. It is at least one.
-fn pack_first(changes: &[UpstreamChange]) -> (usize, PackedChanges) {
+/// number. Changes of one revision stay together, since a receiver that has reached a revision
+/// ignores further changes of it. Returns `None` if those of the first revision do not fit.
+fn pack_first(changes: &[UpstreamChange]) -> Option<(usize, PackedChanges)> {
     let mut count = changes.len().min(MAX_CHANGES);
     loop {
+        count = end_of_revision(changes, count)?;
         let packed = PackedChanges::new(&changes[..count]);
         if count == 1 || packed.0.len() <= MAX_PACKED_BYTES {
-            return (count, packed);
+            return Some((count, packed));
         }
-        count = count.div_ceil(2);
+        count = (count / 2).max(1);
     }
 }
 
+/// Returns the largest number of changes, at most `max`, that does not split a revision. `None` if
+/// the first revision has more changes.
+fn end_of_revision(changes: &[UpstreamChange], max: usize) -> Option<usize> {
+    let is_end = |count: &usize| {
+        let next = changes.get(*count).map(|change| change.revision);
+        next != Some(changes[*count - 1].revision)
+    };
+    (1..=max).rev().find(is_end)
+}
+
 impl PackedChanges {
     /// Encodes and compresses changes. Entries repeat the names of a few services and failure
     /// domains, and the links of instances have little bandwidth.
--- a/tests/all/sharing/relay.rs
+++ b/tests/all/sharing/relay.rs
@@ -3,6 +3,7 @@
 use std::io::Write;
 use std::time::{Duration, Instant};
 
+use cactustrack_fleet::catalog::Catalog;
 use cactustrack_fleet::discovery::{Change, ListedUpstream, Topic};
 use cactustrack_fleet::message::{
     Body, ConfigurationPart, Datagram, Delta, FORMAT, MAX_DATAGRAM_BYTES, PackedChanges,
@@ -95,6 +96,66 @@
     assert_eq!(arrived, changes);
 }
 
+/// Guards against changes of one revision that are split over two datagrams: receivers had reached
+/// the revision with the first one and ignored the second, so they used upstreams that were gone.
+#[test]
+fn changes_of_one_revision_are_not_split() {
+    struct Case {
+        name: &'static str,
+        /// Numbers of changes of successive revisions.
+        sizes: &'static [usize],
+        /// True if the store has to be read for some of them.
+        is_read: bool,
+    }
+    let cases = [
+        Case { name: "many revisions", sizes: &[1; 200], is_read: false },
+        Case { name: "pairs", sizes: &[2; 70], is_read: false },
+        Case { name: "odd groups", sizes: &[1, 40, 30, 1, 50], is_read: false },
+        Case { name: "a large group", sizes: &[300], is_read: true },
+        Case { name: "a large group behind others", sizes: &[3, 300], is_read: true },
+    ];
+    let now = Instant::now();
+    for Case { name, sizes, is_read } in cases {
+        let mut changes = Vec::new();
+        for (revision, size) in (101..).zip(sizes) {
+            for _ in 0..*size {
+                let id = format!("upstream-{:012}", changes.len());
+                changes.push(Change::Unlisted(id.as_str().into(), revision));
+            }
+        }
+        let newest = 100 + sizes.len() as u64;
+        let read =
+            Delta { after: 90, revision: newest, after_outage: false, content: &changes[..] };
+        let mut catalog = Catalog::default();
+        let all = |number: usize| {
+            let Change::Listed(upstream) = listed(number as u64) else { unreachable!() };
+            ListedUpstream { revision: 50, ..upstream }
+        };
+        catalog.replace(now, (0..changes.len()).map(all).collect(), 90);
+        let mut announced = 0;
+        for body in to_relayed(now, Topic::Upstreams, &read) {
+            match body {
+                RelayedChange::Upstreams(Delta { after, revision, content, .. }) => {
+                    let changes = content.unpack().expect("changes");
+                    let changes = changes.into_iter().map(|c| from_upstream_change(now, c));
+                    catalog.apply(now, after, revision, changes);
+                }
+                RelayedChange::NewRevision { topic: Topic::Upstreams, revision } => {
+                    announced = revision;
+                }
+                other => panic!("{name}: {other:?}"),
+            }
+        }
+        assert_eq!(announced > 0, is_read, "{name}");
+        assert_eq!(catalog.revision() == newest, !is_read, "{name}");
+        let kept = changes.iter().filter(|change| {
+            let Change::Unlisted(id, revision) = change else { return false };
+            *revision <= catalog.revision() && catalog.get(id).is_some()
+        });
+        assert_eq!(kept.count(), 0, "{name}: removed upstreams are listed");
+    }
+}
+
 /// Guards against links that are saturated when a fleet starts. 394 upstreams are listed within two
 /// seconds, and an instance that misses a datagram reads the changes from the store. On the
 /// enlarged sinar-backup deployment, 113 instances made 660 calls in three seconds.
