Let a misdirection hold for the entry that the request was sent to

Cause: a 421 that is handled after the entry of its upstream has changed excluded the new entry until its next change. Found by the review by reading.

Change: the misdirection is recorded with the incarnation and the address that the request was sent to, and has no effect on another entry.

--- a/crates/fleet/src/catalog.rs
+++ b/crates/fleet/src/catalog.rs
@@ -9,9 +9,10 @@
 //! it has every change, and ignores what is older.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use cactustrack_types::{ServiceId, UpstreamId};
+use cactustrack_types::{Incarnation, ServiceId, UpstreamId};
 
 use crate::discovery::{Change, ListedUpstream, Revision};
 use crate::message::{ShortId, short_upstream_id};
@@ -163,11 +164,19 @@
         true
     }
 
-    /// Records that the address of an upstream belongs to another process. The upstream gets no
-    /// requests until its entry changes.
-    pub fn set_misdirected(&mut self, id: &UpstreamId) {
-        let revision = self.listed.get(id).map_or(0, |upstream| upstream.revision);
-        self.misdirected.insert(id.clone(), revision);
+    /// Records that an address of an upstream belongs to another process. The upstream gets no
+    /// requests until its entry changes. Without effect if the entry has changed since the request
+    /// was sent to that address.
+    pub fn set_misdirected(
+        &mut self,
+        id: &UpstreamId,
+        incarnation: Incarnation,
+        address: SocketAddr,
+    ) {
+        let Some(known) = self.listed.get(id) else { return };
+        if known.incarnation == incarnation && known.address == address {
+            self.misdirected.insert(id.clone(), known.revision);
+        }
     }
 
     /// Returns what upstreams stated in responses about further requests.
--- a/src/node/policy.rs
+++ b/src/node/policy.rs
@@ -214,7 +214,8 @@
     }
 
     fn on_misdirected(&self, _now: Instant, target: &Target) {
-        self.state.borrow_mut().catalog.set_misdirected(&target.upstream);
+        let catalog = &mut self.state.borrow_mut().catalog;
+        catalog.set_misdirected(&target.upstream, target.incarnation, target.address);
     }
 
     fn on_leaving(&self, now: Instant, target: &Target) {
--- a/tests/all/sharing/catalog.rs
+++ b/tests/all/sharing/catalog.rs
@@ -83,7 +83,8 @@
     let now = Instant::now();
     let mut catalog = Catalog::default();
     catalog.upsert(listed("a", 1));
-    catalog.set_misdirected(&"a".into());
+    let ListedUpstream { incarnation, address, .. } = listed("a", 1);
+    catalog.set_misdirected(&"a".into(), incarnation, address);
     assert!(usable(&catalog, now).is_empty());
     catalog.upsert(listed("a", 1));
     assert!(usable(&catalog, now).is_empty(), "the same revision of the entry has no effect");
@@ -91,6 +92,40 @@
     assert_eq!(usable(&catalog, now), ["a"]);
 }
 
+/// Guards against a new entry that is not used since a process at the address of the former one
+/// rejects requests.
+#[test]
+fn a_misdirection_holds_for_the_entry_that_the_request_was_sent_to() {
+    struct Case {
+        name: &'static str,
+        entry: ListedUpstream,
+        used: bool,
+    }
+    let address = "10.0.0.2:80".parse().expect("an address");
+    let cases = [
+        Case { name: "the same entry", entry: listed("a", 1), used: false },
+        Case {
+            name: "another address",
+            entry: ListedUpstream { address, ..listed("a", 2) },
+            used: true,
+        },
+        Case {
+            name: "another process",
+            entry: ListedUpstream { incarnation: Incarnation(2), ..listed("a", 2) },
+            used: true,
+        },
+    ];
+    for Case { name, entry, used } in cases {
+        let now = Instant::now();
+        let mut catalog = Catalog::default();
+        catalog.upsert(listed("a", 1));
+        catalog.upsert(entry);
+        let ListedUpstream { incarnation, address, .. } = listed("a", 1);
+        catalog.set_misdirected(&"a".into(), incarnation, address);
+        assert_eq!(usable(&catalog, now), if used { vec!["a"] } else { vec![] }, "{name}");
+    }
+}
+
 /// Guards against an announced shutdown that is forgotten while its upstream is still leaving, for
 /// example because its entry expired in an outage of the store and is written again, and against one
 /// that is applied to the next process under the same id.
