Bound the processor time of bytes that become no response

Cause: informational responses were bounded by 256 KiB only, and bytes without a frame by 128 reads of up to 64 KiB, which hyper parses one by one.

Change: at most 16 informational responses; 32 reads without a frame, of which two may be full and the others have 4 KiB.

--- a/crates/proxy/src/body_deadline.rs
+++ b/crates/proxy/src/body_deadline.rs
@@ -21,7 +21,7 @@
 
 /// Fewest bytes that a frame counts for in [`LATE_BYTES`], since tiny frames cost as much time as
 /// longer ones.
-const MIN_FRAME_BYTES: u64 = 16 * 1024;
+const MIN_FRAME_BYTES: u64 = 32 * 1024;
 
 /// Shortest time beyond the deadline for which a caller may take no data that waits for it.
 const CALLER_GRACE: Duration = Duration::from_secs(1);
--- a/crates/proxy/src/read_limit.rs
+++ b/crates/proxy/src/read_limit.rs
@@ -19,12 +19,24 @@
 /// single head is limited by the buffer of the connection, which is smaller.
 const MAX_HEAD_BYTES: usize = 256 * 1024;
 
-/// Largest read while a head is awaited, in bytes. Most heads are shorter.
-const HEAD_READ_BYTES: usize = 4 * 1024;
+/// Maximum number of informational responses before the response to a request. Each one is parsed as
+/// a head of its own, so that 256 KiB of them would cost much processor time.
+const MAX_INFORMATIONAL: usize = 16;
+
+/// Start of an informational response.
+const INFORMATIONAL: &[u8] = b"HTTP/1.1 1";
+
+/// Largest read while a head is awaited, or a frame after [`FULL_READS`] reads, in bytes. Most heads are
+/// shorter.
+const SMALL_READ_BYTES: usize = 4 * 1024;
 
 /// Maximum number of reads without a frame of the body. A read usually completes a frame; the size
 /// of a chunk and its extensions may arrive in several small pieces.
-const MAX_READS_WITHOUT_FRAME: usize = 128;
+const MAX_READS_WITHOUT_FRAME: usize = 32;
+
+/// Number of these reads that may fill the buffer of the connection. hyper can read on before a frame
+/// is taken. Later reads are small, since their bytes are most likely no body.
+const FULL_READS: usize = 2;
 
 /// The upstream has sent bytes that become neither a response head nor a part of the body.
 #[derive(Clone, Copy, Debug, Display, Error)]
@@ -32,29 +44,31 @@
 struct NoProgress;
 
 /// What an upstream is expected to send next.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 enum Phase {
     /// Nothing: no request is in progress. hyper itself closes the connection if bytes arrive.
+    #[default]
     Idle,
-    /// The response head, within this number of bytes.
-    Head { bytes_left: usize },
+    /// The response head, within this number of bytes and of informational responses.
+    Head { bytes_left: usize, informational_left: usize },
     /// The next frame of the body, within this number of reads.
     Body { reads_left: usize },
 }
 
 /// Limit of one connection. Clones share it.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct ReadLimit(Rc<Cell<Phase>>);
 
 impl ReadLimit {
     /// Creates a limit for a connection on which no request was sent.
     pub fn new() -> Self {
-        Self(Rc::new(Cell::new(Phase::Idle)))
+        Self::default()
     }
 
     /// Records that a request is sent.
     pub fn on_request(&self) {
-        self.0.set(Phase::Head { bytes_left: MAX_HEAD_BYTES });
+        let (bytes_left, informational_left) = (MAX_HEAD_BYTES, MAX_INFORMATIONAL);
+        self.0.set(Phase::Head { bytes_left, informational_left });
     }
 
     /// Records that the response head or a frame of the body has arrived.
@@ -87,31 +101,51 @@
         cx: &mut Context<'_>,
         mut buf: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
-        let bytes_left = match self.limit.0.get() {
+        let phase = self.limit.0.get();
+        match phase {
             Phase::Idle => return Pin::new(&mut self.inner).poll_read(cx, buf),
-            Phase::Head { bytes_left: 0 } | Phase::Body { reads_left: 0 } => {
-                let error = io::Error::new(io::ErrorKind::InvalidData, NoProgress);
-                return Poll::Ready(Err(error));
-            }
-            Phase::Body { reads_left } => {
+            Phase::Body { reads_left } if reads_left > MAX_READS_WITHOUT_FRAME - FULL_READS => {
                 ready!(Pin::new(&mut self.inner).poll_read(cx, buf))?;
                 self.limit.0.set(Phase::Body { reads_left: reads_left - 1 });
                 return Poll::Ready(Ok(()));
             }
-            Phase::Head { bytes_left } => bytes_left,
-        };
-        // Only a buffer of its own shows how many bytes the read adds.
-        let mut bytes = [0; HEAD_READ_BYTES];
+            Phase::Body { .. } | Phase::Head { .. } => {}
+        }
+        // Only a buffer of its own shows which bytes the read adds.
+        let mut bytes = [0; SMALL_READ_BYTES];
         let size = buf.remaining().min(bytes.len());
         let mut read = ReadBuf::new(&mut bytes[..size]);
         ready!(Pin::new(&mut self.inner).poll_read(cx, read.unfilled()))?;
-        let bytes_left = bytes_left.saturating_sub(read.filled().len());
-        self.limit.0.set(Phase::Head { bytes_left });
+        let Some(next) = phase.after_read(read.filled()) else {
+            let error = io::Error::new(io::ErrorKind::InvalidData, NoProgress);
+            return Poll::Ready(Err(error));
+        };
+        self.limit.0.set(next);
         buf.put_slice(read.filled());
         Poll::Ready(Ok(()))
     }
 }
 
+impl Phase {
+    /// Returns the phase after a read of `bytes`, or `None` if that exceeds the limit.
+    fn after_read(self, bytes: &[u8]) -> Option<Self> {
+        Some(match self {
+            Self::Idle => Self::Idle,
+            Self::Body { reads_left } => Self::Body { reads_left: reads_left.checked_sub(1)? },
+            Self::Head { bytes_left, informational_left } => Self::Head {
+                bytes_left: bytes_left.checked_sub(bytes.len())?,
+                informational_left: informational_left.checked_sub(count_informational(bytes))?,
+            },
+        })
+    }
+}
+
+/// Counts the informational responses that start in these bytes. One that is split over two reads is
+/// not counted, which [`MAX_HEAD_BYTES`] makes up for.
+fn count_informational(bytes: &[u8]) -> usize {
+    bytes.windows(INFORMATIONAL.len()).filter(|window| *window == INFORMATIONAL).count()
+}
+
 impl Write for LimitedStream {
     fn poll_write(
         mut self: Pin<&mut Self>,
--- a/tests/all/proxy/endless.rs
+++ b/tests/all/proxy/endless.rs
@@ -172,3 +172,16 @@
         let _ = sending.join();
     }
 }
+
+/// Guards against a response that is rejected since a few informational ones come before it.
+#[test]
+fn a_few_informational_responses_are_skipped() {
+    let early = "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n".repeat(5);
+    let upstream =
+        RawUpstream::responding(format!("{early}HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"));
+    let harness = Setup::with(&[("up-0", upstream.address)]).start();
+    for class in ["/", "/n", "/bytes/x"] {
+        let response = harness.call(&Call::get("a", class));
+        assert_eq!((response.status.as_u16(), response.text()), (200, "ok".to_owned()), "{class}");
+    }
+}
