--- a/review/standins-2/src/cases.rs
+++ b/review/standins-2/src/cases.rs
@@ -4,6 +4,7 @@
 mod grace;
 mod history;
 mod orders;
+mod refused;
 mod silence;
 mod upload;
 
@@ -22,6 +23,7 @@
         "drain" => drain::run(has_trouble, record),
         "grace" => grace::run(has_trouble, record),
         "history" => history::run(has_trouble, record),
+        "refused" => refused::run(has_trouble, record),
         "silence" => silence::run(has_trouble, record),
         "upload" => upload::run(has_trouble, record),
         _ => None,
--- a/review/standins-2/src/node.rs
+++ b/review/standins-2/src/node.rs
@@ -6,6 +6,7 @@
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio, exit};
 use std::sync::Mutex;
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -20,6 +21,17 @@
 /// Longest wait for an instance to be ready.
 const READY_LIMIT: Duration = Duration::from_secs(15);
 
+/// Time after which an instance that could not bind its addresses has ended, and number of times that
+/// it is started again with others.
+const START_CHECK: Duration = Duration::from_millis(300);
+const MAX_STARTS: usize = 5;
+
+/// Ports below those that the system gives to connections, so that none of these takes one meanwhile.
+const FIRST_PORT: u16 = 16_000;
+const PORTS_PER_CASE: u16 = 64;
+const CASES: u32 = 250;
+
+static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
 static CHILDREN: Mutex<Vec<Child>> = Mutex::new(Vec::new());
 
 /// Ends all instances, and removes their files.
@@ -46,6 +58,15 @@
     std::env::temp_dir().join(format!("standins-2-{}", std::process::id()))
 }
 
+/// Returns an address of which neither the TCP nor the UDP port is in use.
+fn free_address() -> Option<SocketAddr> {
+    let first = FIRST_PORT + (std::process::id() % CASES) as u16 * PORTS_PER_CASE;
+    let next = || first + NEXT_PORT.fetch_add(1, Ordering::Relaxed) % PORTS_PER_CASE;
+    let address = |port| SocketAddr::from(([127, 0, 0, 1], port));
+    let is_free = |at: &SocketAddr| TcpListener::bind(at).is_ok() && UdpSocket::bind(at).is_ok();
+    (0..PORTS_PER_CASE).map(|_| address(next())).find(is_free)
+}
+
 pub struct Node {
     pub front: SocketAddr,
     readiness: SocketAddr,
@@ -57,28 +78,26 @@
 }
 
 impl Node {
-    /// Starts an instance with this time between SIGTERM and SIGKILL, and waits until it is ready.
-    /// `None` if the program cannot be started.
+    /// Starts an instance with this time between SIGTERM and SIGKILL. `None` if the program cannot be
+    /// started.
     pub fn start(number: usize, store: SocketAddr, grace_s: u32) -> Option<Self> {
-        let free = |_| TcpListener::bind("127.0.0.1:0").ok();
-        let listeners: Vec<TcpListener> = (0..2).filter_map(free).collect();
-        let peers = UdpSocket::bind("127.0.0.1:0").ok()?;
-        let address = |at: usize| listeners.get(at)?.local_addr().ok();
-        let settings = folder().join(format!("node-{number}.toml"));
+        (0..MAX_STARTS).find_map(|_| Self::try_start(number, store, grace_s))
+    }
+
+    fn try_start(number: usize, store: SocketAddr, grace_s: u32) -> Option<Self> {
         fs::create_dir_all(folder()).ok()?;
         let mut node = Self {
-            front: address(0)?,
-            readiness: address(1)?,
-            settings,
+            front: free_address()?,
+            readiness: free_address()?,
+            settings: folder().join(format!("node-{number}.toml")),
             process: 0,
             name: format!("front-zone-a-{}", number + 1),
-            peers: peers.local_addr().ok()?,
+            peers: free_address()?,
             store,
         };
-        drop((listeners, peers));
         node.write_settings(grace_s);
         let log = fs::File::create(node.settings.with_extension("log")).ok()?;
-        let child = Command::new(PROGRAM)
+        let mut child = Command::new(PROGRAM)
             .arg("platform")
             .arg(&node.settings)
             .env("CACTUSTRACK_SETTINGS", &node.settings)
@@ -87,6 +106,11 @@
             .spawn()
             .ok()?;
         node.process = child.id();
+        thread::sleep(START_CHECK);
+        let has_ended = child.try_wait().is_ok_and(|status| status.is_some());
+        if has_ended {
+            return None;
+        }
         CHILDREN.lock().unwrap_or_else(|e| e.into_inner()).push(child);
         Some(node)
     }
