--- a/review/standins-2/src/cases/grace.rs
+++ b/review/standins-2/src/cases/grace.rs
@@ -17,6 +17,9 @@
 const WORK: Duration = Duration::from_millis(7_000);
 const DEADLINE: Duration = Duration::from_millis(8_000);
 
+/// One of them gets SIGHUP, a share of 0.25.
+const INSTANCES: usize = 4;
+
 const REQUESTS: usize = 3;
 const BEFORE_STOP: Duration = Duration::from_millis(300);
 
@@ -39,7 +42,7 @@
     };
     let backends: Vec<Backend> = (0..REQUESTS).map(start).collect();
     let first_grace = if has_trouble { GRACE_BEFORE_S } else { GRACE_S };
-    let nodes = super::start_nodes(1, &store, first_grace, record)?;
+    let nodes = super::start_nodes(INSTANCES, &store, first_grace, record)?;
     record.line(&format!("the settings file says grace-s={GRACE_S}, SIGHUP"));
     nodes[0].write_settings(GRACE_S);
     nodes[0].signal("-HUP");
