Announce removals that relays do not read as changes

Cause: a relay whose history the store has discarded reads the whole list and relayed nothing of what it found. The other instances compared the newest revision among the entries, as heartbeats state it, with their own. A removal leaves no entry, so nobody missed it. The same happens if all relays start again while an entry is removed.

Change: heartbeats state a digest of the list with the revision up to which it was read, and an instance with another list than one that was read further fetches the changes. A relay that reads the whole list relays the difference, which applies to lists with the digest that it started from and costs the others no call. A newer configuration that a relay finds by reading is relayed as well. The format of datagrams is 10.

--- a/crates/fleet/src/catalog.rs
+++ b/crates/fleet/src/catalog.rs
@@ -7,15 +7,21 @@
 //! Readings of the store may be applied in any order: the response to a watch can be handled after
 //! newer changes from a relay, and a whole list after both. The catalog knows up to which revision
 //! it has every change, and ignores what is older.
+//!
+//! Some removals are never delivered as changes: an instance that reads the whole list sees only that
+//! an entry is missing, or nothing if it has just started. Instances therefore compare digests of their
+//! lists, which reveal each difference.
 
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use cactustrack_types::{Incarnation, ServiceId, UpstreamId};
-use rapidhash::RapidHashMap;
+use derive_more::{Display, Error};
+use rapidhash::{RapidHashMap, RapidHashSet};
 
 use crate::discovery::{Change, ListedUpstream, Revision};
-use crate::message::{ShortId, short_upstream_id};
+use crate::message::{ListDifference, ListDigest, ListState, ShortId, hash, short_upstream_id};
+use crate::peers::mix;
 use crate::withdrawal::Withdrawals;
 
 /// Time after the end of an outage of the store by which expired entries of live upstreams are
@@ -38,8 +44,9 @@
     /// What upstreams stated in responses.
     withdrawals: Withdrawals,
     outage: Outage,
-    last_change: Revision,
     unchanged_since: Revision,
+    /// XOR of the digests of all entries, except those with a delayed removal.
+    digest: ListDigest,
 }
 
 /// A change of the list that took effect.
@@ -56,6 +63,23 @@
     },
 }
 
+/// Relayed changes cannot be applied, because earlier ones are missing.
+#[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
+#[display("changes up to revision {revision} are missing")]
+pub struct MissingChange {
+    /// Revision up to which the list has to be read.
+    pub revision: Revision,
+}
+
+impl From<AppliedChange> for Change {
+    fn from(change: AppliedChange) -> Self {
+        match change {
+            AppliedChange::Listed(upstream) => Self::Listed(upstream),
+            AppliedChange::Removed { upstream, revision } => Self::Unlisted(upstream.id, revision),
+        }
+    }
+}
+
 #[derive(Clone, Copy, Debug, Default)]
 enum Outage {
     #[default]
@@ -82,10 +106,10 @@
         self.revision
     }
 
-    /// Returns the revision of the newest change that is known, 0 if there is none. Unlike
-    /// [`Self::revision`] it does not increase with changes of other keys in the store.
-    pub fn last_change(&self) -> Revision {
-        self.last_change
+    /// Returns the state of the list in the store, as far as it is known. An entry with a delayed
+    /// removal is not part of it.
+    pub fn state(&self) -> ListState {
+        ListState { revision: self.revision, digest: self.digest }
     }
 
     /// Returns the revision since which the list has not changed, up to [`Self::revision`].
@@ -116,12 +140,12 @@
         self.revision = until;
         let apply = |change| match change {
             Change::Listed(upstream) if upstream.revision > known => {
-                self.set_last_change(upstream.revision);
+                self.set_unchanged_since(upstream.revision);
                 let is_applied = self.upsert(upstream.clone());
                 is_applied.then_some(AppliedChange::Listed(upstream))
             }
             Change::Unlisted(id, revision) if revision > known => {
-                self.set_last_change(revision);
+                self.set_unchanged_since(revision);
                 let upstream = self.get(&id).cloned();
                 self.remove(now, &id, revision);
                 upstream.map(|upstream| AppliedChange::Removed { upstream, revision })
@@ -131,8 +155,37 @@
         changes.into_iter().filter_map(apply).collect()
     }
 
-    fn set_last_change(&mut self, revision: Revision) {
-        self.last_change = self.last_change.max(revision);
+    /// Applies the difference between two states of the list and returns the changes that took effect.
+    /// `changes` is the unpacked content of the difference. Without effect if the catalog has newer
+    /// changes.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the catalog has neither of the two states, so that the difference does not say how it
+    /// has to change.
+    pub fn apply_difference(
+        &mut self,
+        now: Instant,
+        difference: &ListDifference,
+        changes: Vec<Change>,
+    ) -> Result<Vec<AppliedChange>, MissingChange> {
+        let ListState { revision, digest } = difference.state;
+        if revision <= self.revision {
+            return Ok(Vec::new());
+        }
+        let is_same = self.digest == digest;
+        if !is_same && self.digest != difference.base {
+            return Err(MissingChange { revision });
+        }
+        if difference.after_outage {
+            self.begin_outage();
+            self.end_outage(now);
+        }
+        let changes = if is_same { Vec::new() } else { changes };
+        Ok(self.apply(now, self.revision, revision, changes))
+    }
+
+    fn set_unchanged_since(&mut self, revision: Revision) {
         self.unchanged_since = self.unchanged_since.max(revision);
     }
 
@@ -142,11 +195,13 @@
         if self.listed.get(&id).is_some_and(|known| known.revision > upstream.revision) {
             return false;
         }
+        self.subtract_from_digest(&id);
         self.pending_removals.remove(&id);
         if self.misdirected.get(&id).is_some_and(|revision| *revision < upstream.revision) {
             self.misdirected.remove(&id);
         }
         self.by_short_id.insert(short_upstream_id(&id), id.clone());
+        self.digest ^= entry_digest(&upstream);
         self.listed.insert(id, upstream);
         true
     }
@@ -157,6 +212,7 @@
         if self.listed.get(id).is_some_and(|known| known.revision > revision) {
             return;
         }
+        self.subtract_from_digest(id);
         match self.relist_until(now) {
             Some(until) if self.listed.contains_key(id) => {
                 self.pending_removals.entry(id.clone()).or_insert(until);
@@ -166,26 +222,50 @@
     }
 
     /// Replaces all entries by a complete list, as it was at `revision` or later. Entries that are
-    /// missing in the list are removed. Returns false if the catalog has newer changes, in which case
-    /// the list has no effect.
-    pub fn replace(&mut self, now: Instant, list: Vec<ListedUpstream>, revision: Revision) -> bool {
+    /// missing in the list are removed. Returns the differences, or `None` if the catalog has newer
+    /// changes, in which case the list has no effect.
+    pub fn replace(
+        &mut self,
+        now: Instant,
+        list: Vec<ListedUpstream>,
+        revision: Revision,
+    ) -> Option<Vec<AppliedChange>> {
         if revision < self.revision {
-            return false;
+            return None;
         }
         self.revision = revision;
         // The list does not show when the last entry was removed.
         self.unchanged_since = revision;
-        let newest = list.iter().map(|upstream| upstream.revision).max().unwrap_or_default();
-        self.last_change = self.last_change.max(newest);
-        let is_missing = |id: &&UpstreamId| !list.iter().any(|upstream| upstream.id == **id);
-        let missing: Vec<_> = self.listed.keys().filter(is_missing).cloned().collect();
-        for id in missing {
-            self.remove(now, &id, revision);
-        }
+        let mut differences = self.remove_missing(now, &list, revision);
         for upstream in list {
-            self.upsert(upstream);
+            let known = self.listed.get(&upstream.id);
+            let is_known = known.is_some_and(|known| known.revision == upstream.revision);
+            if self.upsert(upstream.clone()) && !is_known {
+                differences.push(AppliedChange::Listed(upstream));
+            }
         }
-        true
+        Some(differences)
+    }
+
+    /// Removes the entries that are missing in a complete list and returns the removals.
+    fn remove_missing(
+        &mut self,
+        now: Instant,
+        list: &[ListedUpstream],
+        revision: Revision,
+    ) -> Vec<AppliedChange> {
+        let ids: RapidHashSet<&UpstreamId> = list.iter().map(|upstream| &upstream.id).collect();
+        let is_missing = |upstream: &&ListedUpstream| {
+            !ids.contains(&upstream.id)
+                && upstream.revision <= revision
+                && !self.pending_removals.contains_key(&upstream.id)
+        };
+        let missing: Vec<_> = self.listed.values().filter(is_missing).cloned().collect();
+        let remove = |upstream: ListedUpstream| {
+            self.remove(now, &upstream.id, revision);
+            AppliedChange::Removed { upstream, revision }
+        };
+        missing.into_iter().map(remove).collect()
     }
 
     /// Records that an address of an upstream belongs to another process. The upstream gets no
@@ -262,6 +342,12 @@
         self.relist_until(now).is_some()
     }
 
+    /// Takes an entry out of the digest before it changes. Without effect if it is not part of it.
+    fn subtract_from_digest(&mut self, id: &UpstreamId) {
+        let counted = self.listed.get(id).filter(|_| !self.pending_removals.contains_key(id));
+        self.digest ^= counted.map_or(0, entry_digest);
+    }
+
     fn remove_entry(&mut self, id: &UpstreamId) {
         self.listed.remove(id);
         self.by_short_id.remove(&short_upstream_id(id));
@@ -277,3 +363,7 @@
         }
     }
 }
+
+fn entry_digest(upstream: &ListedUpstream) -> ListDigest {
+    mix(hash(upstream.id.bytes().chain(upstream.revision.to_le_bytes())))
+}
--- a/crates/fleet/src/discovery.rs
+++ b/crates/fleet/src/discovery.rs
@@ -123,6 +123,17 @@
     Unlisted(UpstreamId, Revision),
 }
 
+impl Change {
+    /// Returns the revision of a change to the list of upstreams.
+    pub fn upstream_revision(&self) -> Option<Revision> {
+        match self {
+            Self::Listed(upstream) => Some(upstream.revision),
+            Self::Unlisted(_, revision) => Some(*revision),
+            Self::Configured(..) => None,
+        }
+    }
+}
+
 /// Required consistency of a read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Freshness {
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -16,7 +16,7 @@
 use crate::quota::ownership::ShardId;
 
 /// Version of the encoding. Datagrams with another version are ignored.
-pub const FORMAT: u8 = 9;
+pub const FORMAT: u8 = 10;
 
 /// Largest datagram, in bytes. It stays below the usual MTU of 1,500 bytes.
 pub const MAX_DATAGRAM_BYTES: usize = 1_400;
@@ -182,6 +182,8 @@
     Upstreams(Delta<PackedChanges>),
     /// A part of a configuration.
     Configuration(Delta<ConfigurationPart>),
+    /// What a relay that has read the whole list of upstreams found to differ from what it knew.
+    UpstreamList(ListDifference),
     /// A change that is too large for datagrams and has to be read from the store.
     NewRevision {
         /// Topic that changed.
@@ -228,11 +230,23 @@
 pub struct StoreView {
     /// True if the store responds to the instance.
     pub is_up: bool,
-    /// In a heartbeat, revision of the newest configuration that the instance knows, 0 if there is
-    /// none. In the instance, the revision up to which it has read.
+    /// Revision of the newest configuration that the instance knows, 0 if there is none.
     pub configuration: Revision,
-    /// The same for the list of upstreams.
-    pub upstreams: Revision,
+    /// The list of upstreams that the instance knows.
+    pub upstreams: ListState,
+}
+
+/// Digest of the entries of a list of upstreams and their revisions. Equal lists have the same digest,
+/// whatever the changes by which they came about. An empty list has digest 0.
+pub type ListDigest = u64;
+
+/// State of a list of upstreams.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ListState {
+    /// Revision up to which all changes were applied, 0 if no list was read.
+    pub revision: Revision,
+    /// Digest of the entries.
+    pub digest: ListDigest,
 }
 
 /// Changes after one revision, up to and including another one.
@@ -249,6 +263,20 @@
     pub content: T,
 }
 
+/// Difference between two states of the list of upstreams. It says nothing on the changes in between,
+/// so it applies to the first state only.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ListDifference {
+    /// Digest of the first state.
+    pub base: ListDigest,
+    /// The second state.
+    pub state: ListState,
+    /// True if an outage of the store has just ended, see [`Delta::after_outage`].
+    pub after_outage: bool,
+    /// The changes that lead from the first state to the second one.
+    pub content: PackedChanges,
+}
+
 /// Part of a configuration that exceeds the size of a datagram.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ConfigurationPart {
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -9,8 +9,9 @@
 use rapidhash::RapidHashMap;
 
 use crate::attempt_totals::Sender;
+use crate::discovery::Revision;
 use crate::message::{
-    Body, Datagram, Report, ShardSet, ShortId, StoreView, hash, short_instance_id,
+    Body, Datagram, ListState, Report, ShardSet, ShortId, StoreView, hash, short_instance_id,
 };
 use crate::quota::ownership::{Contenders, ShardId};
 use crate::report_window::ReportWindow;
@@ -439,15 +440,30 @@
         contenders
     }
 
-    /// Returns the highest revisions known to peers to which the store responds.
-    pub fn known_revisions(&self) -> StoreView {
-        let mut known = StoreView::default();
-        for peer in self.known.values().filter(|peer| peer.store.is_up) {
-            known.is_up = true;
-            known.configuration = known.configuration.max(peer.store.configuration);
-            known.upstreams = known.upstreams.max(peer.store.upstreams);
-        }
-        known
+    /// Returns true if the store responds to a peer.
+    pub fn can_reach_store(&self) -> bool {
+        self.views_of_store().next().is_some()
+    }
+
+    /// Returns the revision of the newest configuration that is known to a peer to which the store
+    /// responds, 0 if there is none.
+    pub fn newest_configuration(&self) -> Revision {
+        self.views_of_store().map(|store| store.configuration).max().unwrap_or_default()
+    }
+
+    /// Returns the newest revision at which a peer to which the store responds knows another list of
+    /// upstreams than `own`, 0 if there is none.
+    ///
+    /// Revisions alone do not show that a list has changed: that of a peer increases with each write
+    /// to the store, and the newest one among its entries not with a removal.
+    pub fn newest_other_list(&self, own: ListState) -> Revision {
+        let lists = self.views_of_store().map(|store| store.upstreams);
+        let others = lists.filter(|list| list.digest != own.digest);
+        others.map(|list| list.revision).max().unwrap_or_default()
+    }
+
+    fn views_of_store(&self) -> impl Iterator<Item = &StoreView> {
+        self.known.values().map(|peer| &peer.store).filter(|store| store.is_up)
     }
 
     /// Returns the known number of instances in the fleet, including this one.
--- a/crates/fleet/src/relay.rs
+++ b/crates/fleet/src/relay.rs
@@ -15,8 +15,8 @@
 
 use crate::discovery::{Change, ListedUpstream, Topic};
 use crate::message::{
-    ConfigurationPart, DatagramError, Delta, PackedChanges, RelayedChange, UpstreamChange,
-    UpstreamEntry, to_ms,
+    ConfigurationPart, DatagramError, Delta, ListDifference, ListDigest, ListState, PackedChanges,
+    RelayedChange, UpstreamChange, UpstreamEntry, to_ms,
 };
 
 /// Maximum number of changes to upstreams in a datagram.
@@ -55,6 +55,39 @@
     }
 }
 
+/// What a relay that has read the whole list of upstreams found to differ from what it knew.
+#[derive(Clone, Debug, PartialEq)]
+pub struct WholeListReading {
+    /// Digest of the list that the relay knew.
+    pub base: ListDigest,
+    /// The list that it read.
+    pub state: ListState,
+    /// See [`Delta::after_outage`].
+    pub after_outage: bool,
+    /// The differences.
+    pub changes: Vec<Change>,
+}
+
+impl WholeListReading {
+    /// Returns the body of a datagram with the differences. If they do not fit, the receivers have to
+    /// read the list from the store.
+    pub fn to_relayed(&self, now: Instant) -> RelayedChange {
+        let changes: Vec<_> =
+            self.changes.iter().filter_map(|change| to_upstream_change(now, change)).collect();
+        let content = PackedChanges::new(&changes);
+        if content.0.len() > MAX_PACKED_BYTES {
+            let revision = self.state.revision;
+            return RelayedChange::NewRevision { topic: Topic::Upstreams, revision };
+        }
+        RelayedChange::UpstreamList(ListDifference {
+            base: self.base,
+            state: self.state,
+            after_outage: self.after_outage,
+            content,
+        })
+    }
+}
+
 fn relayed_upstreams(now: Instant, delta: &TopicChanges<'_>) -> Vec<RelayedChange> {
     let Delta { mut after, revision, after_outage, content: changes } = *delta;
     let mut changes: Vec<_> =
--- a/src/node/confirmation.rs
+++ b/src/node/confirmation.rs
@@ -78,7 +78,7 @@
 
     fn role(&self, state: &State) -> ReaderRole {
         let now = Instant::now();
-        let is_store_up = state.store_view.is_up;
+        let is_store_up = state.is_store_up;
         if are_peers_known(now - self.started, &state.peers)
             && state.peers.is_attester(now, &self.instance, is_store_up)
         {
@@ -172,7 +172,7 @@
         if !self.is_configuration_stale() {
             return Ok(());
         }
-        let can_others_serve = self.peers.known_revisions().is_up;
+        let can_others_serve = self.peers.can_reach_store();
         Err(Rejection::configuration_stale(if can_others_serve {
             OTHERS_FRESH_RETRY_AFTER
         } else {
--- a/src/node/discovery_sync.rs
+++ b/src/node/discovery_sync.rs
@@ -11,7 +11,7 @@
 use cactustrack_fleet::discovery::{
     Change, Discovery, DiscoveryError, Freshness, Revision, Snapshot, Topic, WatchResult,
 };
-use cactustrack_fleet::message::Delta;
+use cactustrack_fleet::message::{Delta, RelayedChange};
 use cactustrack_fleet::peers::Peers;
 use cactustrack_fleet::relay;
 use cactustrack_observe::Metrics;
@@ -156,8 +156,8 @@
     fn next_action(&self, topic: Topic, was_disconnected: bool) -> Action {
         let state = self.state.borrow();
         let Some(revision) = state.revision(topic) else { return Action::Read };
-        let others = state.peers.known_revisions();
-        if was_disconnected || self.lag.check(topic, revision, &others) {
+        let elsewhere = state.newest_change_elsewhere(topic);
+        if was_disconnected || self.lag.check(topic, revision, elsewhere) {
             return Action::CatchUp(revision);
         }
         let now = Instant::now();
@@ -192,22 +192,53 @@
         self.count_call("read", read.is_ok());
         let snapshot = read?;
         let now = Instant::now();
-        let mut state = self.state.borrow_mut();
-        match topic {
-            Topic::Upstreams => state.replace_upstreams(now, snapshot),
+        let relayed = match topic {
+            Topic::Upstreams => self.replace_upstreams(now, snapshot),
             Topic::Configuration => {
                 let version = newest_version(&snapshot);
-                state.on_changes(now, topic, 0, snapshot);
+                let known = self.state.borrow().store_view().configuration;
+                let relayed = self.apply_changes(now, topic, 0, snapshot);
+                let mut state = self.state.borrow_mut();
                 if let Some(version) = version {
                     state.confirm(started, version);
                 }
+                // At the start of a fleet all instances read.
+                let is_news = known > 0 && state.store_view().configuration > known;
+                if is_news { relayed } else { Vec::new() }
             }
-        }
-        drop(state);
+        };
+        self.messenger.relay(relayed);
         self.end_outage(topic);
         Ok(())
     }
 
+    /// Replaces the list of upstreams and returns the differences if this instance is a relay. Others may
+    /// learn from nobody else of entries that were removed meanwhile.
+    fn replace_upstreams(&self, now: Instant, snapshot: Snapshot) -> Vec<RelayedChange> {
+        let mut state = self.state.borrow_mut();
+        let is_relay = state.peers.is_relay(now, &self.instance, true);
+        let reading = state.replace_upstreams(now, snapshot);
+        reading.filter(|_| is_relay).map(|reading| reading.to_relayed(now)).into_iter().collect()
+    }
+
+    /// Applies changes that were read and returns them if this instance is a relay.
+    fn apply_changes(
+        &self,
+        now: Instant,
+        topic: Topic,
+        after: Revision,
+        snapshot: Snapshot,
+    ) -> Vec<RelayedChange> {
+        let mut state = self.state.borrow_mut();
+        let after_outage = state.catalog.is_recovering(now);
+        let Snapshot { changes, revision } = &snapshot;
+        let delta = Delta { after, revision: *revision, after_outage, content: &changes[..] };
+        let is_relay = state.peers.is_relay(now, &self.instance, true);
+        let relayed = is_relay.then(|| relay::to_relayed(now, topic, &delta));
+        state.on_changes(now, topic, after, snapshot);
+        relayed.unwrap_or_default()
+    }
+
     /// Reads the upstreams as they were some seconds ago, which is cheaper for the store, and then
     /// the changes since. The list takes many calls, and after a power failure all instances read
     /// it at the same time. Returns false if the store no longer has these changes.
@@ -245,21 +276,12 @@
         self.end_outage(topic);
         let now = Instant::now();
         let is_changed = !snapshot.changes.is_empty();
-        let relayed = {
-            let mut state = self.state.borrow_mut();
-            let after_outage = state.catalog.is_recovering(now);
-            let Snapshot { changes, revision } = &snapshot;
-            let after = match topic {
-                // Nothing has changed in between, so instances that know less can apply the changes.
-                Topic::Upstreams => after.min(state.catalog.unchanged_since()),
-                Topic::Configuration => after,
-            };
-            let delta = Delta { after, revision: *revision, after_outage, content: &changes[..] };
-            let is_relay = state.peers.is_relay(now, &self.instance, true);
-            let relayed = is_relay.then(|| relay::to_relayed(now, topic, &delta));
-            state.on_changes(now, topic, after, snapshot);
-            relayed.unwrap_or_default()
+        let after = match topic {
+            // Nothing has changed in between, so instances that know less can apply the changes.
+            Topic::Upstreams => after.min(self.state.borrow().catalog.unchanged_since()),
+            Topic::Configuration => after,
         };
+        let relayed = self.apply_changes(now, topic, after, snapshot);
         self.messenger.relay(relayed);
         if is_changed {
             compio::time::sleep(WATCH_BATCH_DELAY).await;
@@ -355,14 +377,14 @@
     fn on_store_available(&self) {
         if self.store_availability.mark_available() {
             slog::info!(self.log, "store: available");
-            self.state.borrow_mut().store_view.is_up = true;
+            self.state.borrow_mut().is_store_up = true;
         }
     }
 
     fn on_store_unavailable(&self, error: &DiscoveryError) {
         if self.store_availability.mark_unavailable() {
             slog::warn!(self.log, "store: unavailable"; "error" => %error);
-            self.state.borrow_mut().store_view.is_up = false;
+            self.state.borrow_mut().is_store_up = false;
             // The heartbeat makes another instance a relay in place of this one.
             self.messenger.announce();
         }
--- a/src/node/lag.rs
+++ b/src/node/lag.rs
@@ -4,7 +4,6 @@
 use std::time::{Duration, Instant};
 
 use cactustrack_fleet::discovery::{Revision, Topic};
-use cactustrack_fleet::message::StoreView;
 
 /// Time within which a relay normally delivers a change that other instances already know. A
 /// change that is missing for longer is read from the store, which costs a call.
@@ -14,10 +13,12 @@
 /// store calls of the fleet over time.
 const MAX_READ_JITTER: Duration = Duration::from_millis(200);
 
-/// Newest revision known in the fleet for one topic, and since when this instance lags behind it.
+/// How far this instance lags behind others on one topic.
 #[derive(Default)]
 struct TopicLag {
+    /// Newest revision that has to be read from the store.
     revision: Cell<Revision>,
+    /// Time since which this instance has lagged behind.
     since: Cell<Option<Instant>>,
 }
 
@@ -40,16 +41,19 @@
         }
     }
 
-    /// Compares the own revision with those that other instances report. Returns true if this
-    /// instance has lagged behind for longer than a relay normally takes.
-    pub(crate) fn check(&self, topic: Topic, own: Revision, others: &StoreView) -> bool {
+    /// Records the revision of a change that a relay sent and that cannot be applied, because earlier
+    /// ones are missing. Another relay may still deliver these.
+    pub(crate) fn record_gap(&self, topic: Topic, revision: Revision) {
+        let newest = &self.lag(topic).revision;
+        newest.set(newest.get().max(revision));
+    }
+
+    /// Returns true if this instance, which has read up to the revision `own`, has lagged behind for
+    /// longer than a relay normally takes. `reported` is the revision of the newest change that other
+    /// instances know and this one does not, 0 if there is none.
+    pub(crate) fn check(&self, topic: Topic, own: Revision, reported: Revision) -> bool {
         let lag = self.lag(topic);
-        let reported = match topic {
-            Topic::Configuration => others.configuration,
-            Topic::Upstreams => others.upstreams,
-        };
-        lag.revision.set(lag.revision.get().max(reported));
-        if lag.revision.get() <= own {
+        if lag.revision.get().max(reported) <= own {
             lag.since.set(None);
             return false;
         }
--- a/src/node/messenger.rs
+++ b/src/node/messenger.rs
@@ -12,6 +12,8 @@
 
 use cactustrack_fleet::attempt_totals::Sender;
 use cactustrack_fleet::batching::NoticeBatching;
+use cactustrack_fleet::catalog::MissingChange;
+use cactustrack_fleet::discovery::Topic;
 use cactustrack_fleet::freshness::Attestation;
 use cactustrack_fleet::message::{
     Body, Datagram, FORMAT, MAX_DATAGRAM_BYTES, Notice, RelayedChange, Report, short_instance_id,
@@ -258,7 +260,7 @@
                 in_flight: state.view.load().own(),
                 peers: state.peers.sample_addresses(),
                 leaving: state.shutdown.is_some(),
-                store: state.announced_store_view(),
+                store: state.store_view(),
                 failure_domain: self.own.failure_domain.clone(),
                 totals: state.view.next_totals(),
                 stamp: to_stamp(time_since_boot()),
@@ -444,7 +446,14 @@
     /// Applies a change that a relay or hub sent.
     fn on_change(&self, now: Instant, change: RelayedChange) {
         match change {
-            RelayedChange::Upstreams(delta) => self.state.borrow_mut().on_upstreams(now, &delta),
+            RelayedChange::Upstreams(delta) => {
+                let result = self.state.borrow_mut().on_upstreams(now, &delta);
+                self.record_gap(result);
+            }
+            RelayedChange::UpstreamList(difference) => {
+                let result = self.state.borrow_mut().on_list_difference(now, &difference);
+                self.record_gap(result);
+            }
             RelayedChange::Configuration(delta) => {
                 self.state.borrow_mut().on_configuration(delta);
             }
@@ -453,6 +462,15 @@
             }
         }
     }
+
+    /// Makes this instance read the upstreams from the store unless another relay delivers what is
+    /// missing.
+    fn record_gap(&self, result: Result<(), MissingChange>) {
+        if let Err(error) = result {
+            slog::debug!(self.log, "members: relayed changes cannot be applied"; "error" => %error);
+            self.lag.record_gap(Topic::Upstreams, error.revision);
+        }
+    }
 }
 
 /// Accepts notices to be sent to the other instances.
--- a/src/node/quota_claims.rs
+++ b/src/node/quota_claims.rs
@@ -312,7 +312,7 @@
     }
 
     async fn claim_due(&self) {
-        if !self.state.borrow().store_view.is_up {
+        if !self.state.borrow().is_store_up {
             return;
         }
         let now = time_since_boot();
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -8,15 +8,15 @@
 use std::time::{Duration, Instant};
 
 use cactustrack_fleet::budget::{BudgetDecision, BudgetLimits, SlackShare};
-use cactustrack_fleet::catalog::{AppliedChange, Catalog};
+use cactustrack_fleet::catalog::{AppliedChange, Catalog, MissingChange};
 use cactustrack_fleet::discovery::{Change, Revision, Snapshot, Topic};
 use cactustrack_fleet::freshness::FreshnessTracker;
 use cactustrack_fleet::message::{
-    ConfigurationPart, Delta, GrantRequest, Notice, PackedChanges, QuotaOutcome, QuotaRequest,
-    ShortId, StoreView,
+    ConfigurationPart, Delta, GrantRequest, ListDifference, Notice, PackedChanges, QuotaOutcome,
+    QuotaRequest, ShortId, StoreView,
 };
 use cactustrack_fleet::peers::{AcceptedReport, Peers};
-use cactustrack_fleet::relay::{self, Assembly};
+use cactustrack_fleet::relay::{self, Assembly, WholeListReading};
 use cactustrack_fleet::shutdown::ShutdownPlan;
 use cactustrack_fleet::suspension::SuspensionDetector;
 use cactustrack_fleet::view::FleetView;
@@ -96,8 +96,10 @@
     pub(crate) peers: Peers,
     /// Notices queued for the other instances.
     pub(crate) outbox: Vec<Notice>,
-    /// Availability of the store and the revisions that this instance has read.
-    pub(crate) store_view: StoreView,
+    /// True if the store responds to this instance.
+    pub(crate) is_store_up: bool,
+    /// Revision up to which the configuration has been read, 0 if it has not been read.
+    configuration_read: Revision,
     /// Revision of the newest configuration that was read or relayed, 0 if there is none.
     newest_configuration: Revision,
     /// Received parts of a relayed configuration that is not complete yet.
@@ -124,7 +126,8 @@
             view: FleetView::new(instance),
             peers: Peers::default(),
             outbox: Vec::new(),
-            store_view: StoreView { is_up: true, ..StoreView::default() },
+            is_store_up: true,
+            configuration_read: 0,
             newest_configuration: 0,
             assembly: Assembly::default(),
             started: Instant::now(),
@@ -209,22 +212,36 @@
             slog::info!(self.log, "members: changes ignored, newer ones are known";
                 "after" => after, "revision" => until, "known" => known);
         }
-        for change in self.catalog.apply(now, after, until, changes) {
-            match change {
-                AppliedChange::Listed(upstream) => {
-                    slog::info!(self.log, "members: upstream is listed";
-                        "upstream" => &*upstream.id, "service" => &*upstream.service,
-                        "leaving" => upstream.leaving, "revision" => upstream.revision);
-                    self.view.set_incarnation(&upstream.id, upstream.incarnation);
-                }
-                AppliedChange::Removed { upstream, revision } => {
-                    slog::info!(self.log, "members: upstream is no longer listed";
-                        "upstream" => &*upstream.id, "service" => &*upstream.service,
-                        "revision" => revision);
-                }
+        let applied = self.catalog.apply(now, after, until, changes);
+        self.on_applied(&applied);
+    }
+
+    fn on_applied(&mut self, changes: &[AppliedChange]) {
+        for change in changes {
+            self.log_applied(change);
+            self.set_incarnation(change);
+        }
+    }
+
+    fn set_incarnation(&mut self, change: &AppliedChange) {
+        if let AppliedChange::Listed(upstream) = change {
+            self.view.set_incarnation(&upstream.id, upstream.incarnation);
+        }
+    }
+
+    fn log_applied(&self, change: &AppliedChange) {
+        match change {
+            AppliedChange::Listed(upstream) => {
+                slog::info!(self.log, "members: upstream is listed";
+                    "upstream" => &*upstream.id, "service" => &*upstream.service,
+                    "leaving" => upstream.leaving, "revision" => upstream.revision);
+            }
+            AppliedChange::Removed { upstream, revision } => {
+                slog::info!(self.log, "members: upstream is no longer listed";
+                    "upstream" => &*upstream.id, "service" => &*upstream.service,
+                    "revision" => revision);
             }
         }
-        self.store_view.upstreams = self.catalog.revision();
     }
 
     /// Processes notices of another instance. Notices about upstreams that are not listed here are
@@ -251,8 +268,8 @@
     /// Revision up to which a topic has been read, or `None` if it has not been read.
     pub(crate) fn revision(&self, topic: Topic) -> Option<Revision> {
         let revision = match topic {
-            Topic::Configuration => self.store_view.configuration,
-            Topic::Upstreams => self.store_view.upstreams,
+            Topic::Configuration => self.configuration_read,
+            Topic::Upstreams => self.catalog.revision(),
         };
         (revision > 0).then_some(revision)
     }
@@ -262,40 +279,87 @@
         self.newest_configuration = self.newest_configuration.max(revision);
     }
 
-    /// Returns what the heartbeat states about the store: the revisions of the newest changes. The
-    /// revisions up to which this instance has read increase with each write to the store, and
-    /// other instances would read again because of them.
-    pub(crate) fn announced_store_view(&self) -> StoreView {
+    /// Returns what the heartbeat states about the store.
+    pub(crate) fn store_view(&self) -> StoreView {
         StoreView {
-            is_up: self.store_view.is_up,
+            is_up: self.is_store_up,
+            // The revision up to which this instance has read increases with each write to the store,
+            // and other instances would read again because of it.
             configuration: self.newest_configuration,
-            upstreams: self.catalog.last_change(),
+            upstreams: self.catalog.state(),
+        }
+    }
+
+    /// Returns the revision of the newest change of a topic that other instances know and this one
+    /// does not, 0 if there is none.
+    pub(crate) fn newest_change_elsewhere(&self, topic: Topic) -> Revision {
+        match topic {
+            Topic::Configuration => self.peers.newest_configuration(),
+            Topic::Upstreams => self.peers.newest_other_list(self.catalog.state()),
         }
     }
 
     fn advance_configuration(&mut self, revision: Revision) {
-        self.store_view.configuration = revision.max(self.store_view.configuration);
+        self.configuration_read = revision.max(self.configuration_read);
     }
 
     /// Applies changes of the upstream list sent by a relay. They are ignored if earlier changes
     /// are missing; the topic is then read from the store.
-    pub(crate) fn on_upstreams(&mut self, now: Instant, delta: &Delta<PackedChanges>) {
-        if !self.catalog.needs(delta.after, delta.revision) {
-            return;
+    ///
+    /// # Errors
+    ///
+    /// States the newest change that is missing here.
+    pub(crate) fn on_upstreams(
+        &mut self,
+        now: Instant,
+        delta: &Delta<PackedChanges>,
+    ) -> Result<(), MissingChange> {
+        let known = self.catalog.revision();
+        if delta.revision <= known {
+            return Ok(());
+        }
+        let Some(changes) = self.unpack(now, &delta.content) else { return Ok(()) };
+        if delta.after > known {
+            let newest = changes.iter().filter_map(Change::upstream_revision).max();
+            return newest.map_or(Ok(()), |revision| Err(MissingChange { revision }));
         }
-        let changes = match delta.content.unpack() {
-            Ok(changes) => changes,
-            Err(error) => {
-                slog::warn!(self.log, "members: relayed changes ignored"; "error" => %error);
-                return;
-            }
-        };
         if delta.after_outage {
             self.catalog.begin_outage();
             self.catalog.end_outage(now);
         }
-        let changes = changes.into_iter().map(|change| relay::from_upstream_change(now, change));
-        self.apply_upstream_changes(now, delta.after, delta.revision, changes.collect());
+        self.apply_upstream_changes(now, delta.after, delta.revision, changes);
+        Ok(())
+    }
+
+    /// Applies what a relay that has read the whole list of upstreams found to differ from what it
+    /// knew. It is ignored if this instance knew another list.
+    ///
+    /// # Errors
+    ///
+    /// States the revision of the list if it has to be read from the store.
+    pub(crate) fn on_list_difference(
+        &mut self,
+        now: Instant,
+        difference: &ListDifference,
+    ) -> Result<(), MissingChange> {
+        let Some(changes) = self.unpack(now, &difference.content) else { return Ok(()) };
+        let applied = self.catalog.apply_difference(now, difference, changes)?;
+        self.on_applied(&applied);
+        Ok(())
+    }
+
+    /// Unpacks relayed changes, and logs if they are malformed.
+    fn unpack(&self, now: Instant, content: &PackedChanges) -> Option<Vec<Change>> {
+        match content.unpack() {
+            Ok(changes) => {
+                let changes = changes.into_iter();
+                Some(changes.map(|change| relay::from_upstream_change(now, change)).collect())
+            }
+            Err(error) => {
+                slog::warn!(self.log, "members: relayed changes ignored"; "error" => %error);
+                None
+            }
+        }
     }
 
     /// Adds a part of a configuration sent by a relay. Each configuration is complete in itself, so
@@ -312,28 +376,40 @@
         }
     }
 
-    /// Replaces the list of upstreams, unless newer changes are known.
-    pub(crate) fn replace_upstreams(&mut self, now: Instant, snapshot: Snapshot) {
+    /// Replaces the list of upstreams, unless newer changes are known. Returns what differs from the
+    /// list before, which other instances may know. `None` if nothing was known before.
+    pub(crate) fn replace_upstreams(
+        &mut self,
+        now: Instant,
+        snapshot: Snapshot,
+    ) -> Option<WholeListReading> {
         let Snapshot { changes, revision } = snapshot;
         let listed = changes.into_iter().filter_map(|change| match change {
             Change::Listed(upstream) => Some(upstream),
             _ => None,
         });
         let list: Vec<_> = listed.collect();
-        let (count, known) = (list.len(), self.catalog.revision());
-        let incarnations: Vec<_> =
-            list.iter().map(|upstream| (upstream.id.clone(), upstream.incarnation)).collect();
-        if !self.catalog.replace(now, list, revision) {
+        let (count, before) = (list.len(), self.catalog.state());
+        let Some(differences) = self.catalog.replace(now, list, revision) else {
             slog::info!(self.log, "members: upstream list ignored, newer changes are known";
-                "revision" => revision, "known" => known);
-            return;
-        }
+                "revision" => revision, "known" => before.revision);
+            return None;
+        };
         slog::info!(self.log, "members: upstream list read";
-            "count" => count, "revision" => revision);
-        for (id, incarnation) in &incarnations {
-            self.view.set_incarnation(id, *incarnation);
+            "count" => count, "differences" => differences.len(), "revision" => revision);
+        let is_first = before.revision == 0;
+        for change in &differences {
+            self.set_incarnation(change);
+            if !is_first {
+                self.log_applied(change);
+            }
         }
-        self.store_view.upstreams = revision;
+        (!is_first).then(|| WholeListReading {
+            base: before.digest,
+            state: self.catalog.state(),
+            after_outage: self.catalog.is_recovering(now),
+            changes: differences.into_iter().map(Change::from).collect(),
+        })
     }
 
     /// Returns the quota of a client account.
@@ -363,7 +439,7 @@
         if self.is_configuration_stale() {
             return Err("the configuration in force is not confirmed");
         }
-        if self.store_view.upstreams == 0 { Err("no list of upstreams was read") } else { Ok(()) }
+        if self.catalog.revision() == 0 { Err("no list of upstreams was read") } else { Ok(()) }
     }
 
     /// Puts a configuration in force unless the same or a newer version already is. Versions may
--- a/tests/all/platform.rs
+++ b/tests/all/platform.rs
@@ -14,6 +14,7 @@
 mod odd_entries;
 mod quota;
 mod relaying;
+mod removals;
 mod revocation;
 mod route_command;
 mod shutdown;
--- a/tests/all/sharing.rs
+++ b/tests/all/sharing.rs
@@ -13,6 +13,7 @@
 mod freshness;
 mod hedge;
 mod hubs;
+mod list_differences;
 mod load;
 mod pending;
 mod placement;
