Delay removals after outages of the store only, and until a fixed time

Cause: any failed call began an outage, in which removals are delayed since entries of live upstreams may have expired. A flag carried the outage to other instances, which began one of their own at the time of arrival, up to 0.6 s late, however short the time that was left at the sender. And one relay spoke for the store even if only it had been cut off.

Change: half a second without a response is an outage, since entries expire only after 4.5 s of silence. Messages state the time that is left. A delay that only a relay asked for ends when another relay reports the removal without one. The sums of all parts are checked at compile time against 2 s.

--- a/crates/fleet/src/catalog.rs
+++ b/crates/fleet/src/catalog.rs
@@ -2,7 +2,8 @@
 //!
 //! During an outage of the store, the entries of live upstreams expire because their owners cannot
 //! renew them. The owners write these entries again shortly after the end of the outage. A removal
-//! during that period is therefore delayed, and has no effect if the entry is written again.
+//! during that period is therefore delayed ([`crate::outage`]), and has no effect if the entry is
+//! written again.
 //!
 //! Readings of the store may be applied in any order: the response to a watch can be handled after
 //! newer changes from a relay, and a whole list after both. The catalog knows up to which revision
@@ -13,22 +14,20 @@
 //! lists, which reveal each difference.
 
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use cactustrack_types::{Incarnation, ServiceId, UpstreamId};
 use derive_more::{Display, Error};
 use rapidhash::{RapidHashMap, RapidHashSet};
 
 use crate::discovery::{Change, ListedUpstream, Revision};
-use crate::message::{ListDifference, ListDigest, ListState, ShortId, hash, short_upstream_id};
+use crate::message::{
+    ListDifference, ListDigest, ListState, ShortId, from_ms, hash, short_upstream_id,
+};
+use crate::outage::Outages;
 use crate::peers::mix;
 use crate::withdrawal::Withdrawals;
 
-/// Time after the end of an outage of the store by which expired entries of live upstreams are
-/// listed again. This takes about two seconds, part of which passes before the instance detects the
-/// end of the outage.
-const RELIST_PERIOD: Duration = Duration::from_millis(1_600);
-
 /// Listed upstreams, including those that are leaving.
 #[derive(Debug, Default)]
 pub struct Catalog {
@@ -43,7 +42,7 @@
     misdirected: RapidHashMap<UpstreamId, u64>,
     /// What upstreams stated in responses.
     withdrawals: Withdrawals,
-    outage: Outage,
+    outages: Outages,
     unchanged_since: Revision,
     /// XOR of the digests of all entries, except those with a delayed removal.
     digest: ListDigest,
@@ -80,25 +79,15 @@
     }
 }
 
-#[derive(Clone, Copy, Debug, Default)]
-enum Outage {
-    #[default]
-    None,
-    Ongoing,
-    EndedAt(Instant),
-}
-
 impl Catalog {
-    /// Records that the store does not respond.
-    pub fn begin_outage(&mut self) {
-        self.outage = Outage::Ongoing;
+    /// Returns the outages of the store that were noticed.
+    pub fn outages(&self) -> &Outages {
+        &self.outages
     }
 
-    /// Records that the store responds.
-    pub fn end_outage(&mut self, now: Instant) {
-        if matches!(self.outage, Outage::Ongoing) {
-            self.outage = Outage::EndedAt(now);
-        }
+    /// Returns the outages of the store that were noticed, to record what becomes known of them.
+    pub fn outages_mut(&mut self) -> &mut Outages {
+        &mut self.outages
     }
 
     /// Returns the revision up to which all changes were applied, 0 if no list was read.
@@ -177,10 +166,7 @@
         if !is_same && self.digest != difference.base {
             return Err(MissingChange { revision });
         }
-        if difference.after_outage {
-            self.begin_outage();
-            self.end_outage(now);
-        }
+        self.outages.on_relayed(now, from_ms(difference.recovery_ms));
         let changes = if is_same { Vec::new() } else { changes };
         Ok(self.apply(now, self.revision, revision, changes))
     }
@@ -213,7 +199,7 @@
             return;
         }
         self.subtract_from_digest(id);
-        match self.relist_until(now) {
+        match self.outages.recovery_until(now) {
             Some(until) if self.listed.contains_key(id) => {
                 self.pending_removals.entry(id.clone()).or_insert(until);
             }
@@ -221,6 +207,31 @@
         }
     }
 
+    /// Applies delayed removals at once that a relay reports which has noticed no outage. Those that are
+    /// delayed by an outage that this instance has noticed itself stay delayed. Returns the ids.
+    pub fn confirm_removals(&mut self, now: Instant, changes: &[Change]) -> Vec<UpstreamId> {
+        if !self.outages.own_recovery_left(now).is_zero() {
+            return Vec::new();
+        }
+        let is_confirmed = |change: &Change| match change {
+            Change::Unlisted(id, revision) if self.pending_removals.contains_key(id) => {
+                let known = self.listed.get(id);
+                known.is_some_and(|known| known.revision < *revision).then(|| id.clone())
+            }
+            _ => None,
+        };
+        let confirmed: Vec<_> = changes.iter().filter_map(is_confirmed).collect();
+        for id in &confirmed {
+            self.remove_entry(id);
+        }
+        confirmed
+    }
+
+    /// Returns true if removals are delayed.
+    pub fn has_pending_removals(&self) -> bool {
+        !self.pending_removals.is_empty()
+    }
+
     /// Replaces all entries by a complete list, as it was at `revision` or later. Entries that are
     /// missing in the list are removed. Returns the differences, or `None` if the catalog has newer
     /// changes, in which case the list has no effect.
@@ -337,11 +348,6 @@
         self.listed.is_empty()
     }
 
-    /// Returns true while entries that expired in an outage may be listed again.
-    pub fn is_recovering(&self, now: Instant) -> bool {
-        self.relist_until(now).is_some()
-    }
-
     /// Takes an entry out of the digest before it changes. Without effect if it is not part of it.
     fn subtract_from_digest(&mut self, id: &UpstreamId) {
         let counted = self.listed.get(id).filter(|_| !self.pending_removals.contains_key(id));
@@ -354,14 +360,6 @@
         self.pending_removals.remove(id);
         self.misdirected.remove(id);
     }
-
-    fn relist_until(&self, now: Instant) -> Option<Instant> {
-        match self.outage {
-            Outage::None => None,
-            Outage::Ongoing => Some(now + RELIST_PERIOD),
-            Outage::EndedAt(at) => Some(at + RELIST_PERIOD).filter(|until| *until > now),
-        }
-    }
 }
 
 fn entry_digest(upstream: &ListedUpstream) -> ListDigest {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -21,7 +21,8 @@
 //! upstream with the smallest one, and [`admission`] rejects requests that would wait for too long.
 //! [`batching`] decides when notices are sent.
 //! [`catalog`] holds the listed upstreams and those that take no requests by their own word
-//! ([`withdrawal`]), and [`discovery`] is the interface to the store that lists them. A few
+//! ([`withdrawal`]), keeps entries that expired in an [`outage`] of the store for a while, and
+//! [`discovery`] is the interface to the store that lists them. A few
 //! instances watch the store and [`relay`] its changes to the others.
 //!
 //! [`quota`] bounds the requests of client accounts over the whole fleet.
@@ -45,6 +46,7 @@
 pub mod load;
 pub mod message;
 pub mod observers;
+pub mod outage;
 pub mod peers;
 pub mod pending;
 pub mod placement;
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -256,9 +256,9 @@
     pub after: Revision,
     /// Revision of the receiver after it has applied the changes.
     pub revision: Revision,
-    /// True if an outage of the store has just ended. Entries that expired during the outage may be
-    /// written again.
-    pub after_outage: bool,
+    /// Time for which entries that expired in an outage of the store may still be written again, in
+    /// milliseconds. Zero if the sender has noticed no outage.
+    pub recovery_ms: u32,
     /// The changes.
     pub content: T,
 }
@@ -271,8 +271,8 @@
     pub base: ListDigest,
     /// The second state.
     pub state: ListState,
-    /// True if an outage of the store has just ended, see [`Delta::after_outage`].
-    pub after_outage: bool,
+    /// See [`Delta::recovery_ms`].
+    pub recovery_ms: u32,
     /// The changes that lead from the first state to the second one.
     pub content: PackedChanges,
 }
@@ -484,6 +484,11 @@
     u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
 }
 
+/// Converts milliseconds of a datagram to a duration.
+pub fn from_ms(ms: u32) -> Duration {
+    Duration::from_millis(u64::from(ms))
+}
+
 /// Converts a time since the boot of the machine to a stamp.
 pub fn to_stamp(since_boot: Duration) -> Stamp {
     Stamp::try_from(since_boot.as_millis()).unwrap_or(Stamp::MAX)
--- a/crates/fleet/src/relay.rs
+++ b/crates/fleet/src/relay.rs
@@ -5,7 +5,7 @@
 
 use std::collections::HashMap;
 use std::io::{self, Read as _, Write};
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use cactustrack_types::{Configuration, Version};
 use derive_more::{Display, Error};
@@ -16,7 +16,7 @@
 use crate::discovery::{Change, ListedUpstream, Topic};
 use crate::message::{
     ConfigurationPart, DatagramError, Delta, ListDifference, ListDigest, ListState, PackedChanges,
-    RelayedChange, UpstreamChange, UpstreamEntry, to_ms,
+    RelayedChange, UpstreamChange, UpstreamEntry, from_ms, to_ms,
 };
 
 /// Maximum number of changes to upstreams in a datagram.
@@ -62,8 +62,8 @@
     pub base: ListDigest,
     /// The list that it read.
     pub state: ListState,
-    /// See [`Delta::after_outage`].
-    pub after_outage: bool,
+    /// See [`Delta::recovery_ms`].
+    pub recovery_ms: u32,
     /// The differences.
     pub changes: Vec<Change>,
 }
@@ -82,14 +82,14 @@
         RelayedChange::UpstreamList(ListDifference {
             base: self.base,
             state: self.state,
-            after_outage: self.after_outage,
+            recovery_ms: self.recovery_ms,
             content,
         })
     }
 }
 
 fn relayed_upstreams(now: Instant, delta: &TopicChanges<'_>) -> Vec<RelayedChange> {
-    let Delta { mut after, revision, after_outage, content: changes } = *delta;
+    let Delta { mut after, revision, recovery_ms, content: changes } = *delta;
     let mut changes: Vec<_> =
         changes.iter().filter_map(|change| to_upstream_change(now, change)).collect();
     changes.sort_by_key(|change| change.revision);
@@ -98,7 +98,7 @@
         // The store keeps its history for some time only, so instances that know an old revision
         // would have to read the whole list after a lost datagram.
         let content = PackedChanges::new(&[]);
-        let delta = Delta { after, revision, after_outage, content };
+        let delta = Delta { after, revision, recovery_ms, content };
         return vec![RelayedChange::Upstreams(delta)];
     }
     let mut remaining = &changes[..];
@@ -114,7 +114,7 @@
         bodies.push(RelayedChange::Upstreams(Delta {
             after,
             revision: until,
-            after_outage,
+            recovery_ms,
             content,
         }));
         after = until;
@@ -167,7 +167,7 @@
 }
 
 fn relayed_configuration(delta: &TopicChanges<'_>) -> Vec<RelayedChange> {
-    let Delta { after, after_outage, content: changes, .. } = *delta;
+    let Delta { after, recovery_ms, content: changes, .. } = *delta;
     let newest = changes.iter().rev().find_map(|change| match change {
         Change::Configured(configuration, revision) => Some((configuration, *revision)),
         _ => None,
@@ -188,7 +188,7 @@
             count: parts as u16,
             bytes: bytes.to_vec(),
         };
-        RelayedChange::Configuration(Delta { after, revision, after_outage, content })
+        RelayedChange::Configuration(Delta { after, revision, recovery_ms, content })
     };
     bytes.chunks(PART_BYTES).enumerate().map(part).collect()
 }
@@ -237,7 +237,7 @@
 pub fn from_upstream_change(now: Instant, change: UpstreamChange) -> Change {
     let UpstreamChange { id, revision, entry } = change;
     let Some(entry) = entry else { return Change::Unlisted(id, revision) };
-    let cold = Duration::from_millis(u64::from(entry.cold_ms));
+    let cold = from_ms(entry.cold_ms);
     Change::Listed(ListedUpstream {
         id,
         service: entry.service,
--- a/src/node/discovery_sync.rs
+++ b/src/node/discovery_sync.rs
@@ -11,7 +11,8 @@
 use cactustrack_fleet::discovery::{
     Change, Discovery, DiscoveryError, Freshness, Revision, Snapshot, Topic, WatchResult,
 };
-use cactustrack_fleet::message::{Delta, RelayedChange};
+use cactustrack_fleet::message::{Delta, RelayedChange, to_ms};
+use cactustrack_fleet::outage::{MIN_OUTAGE, RELIST_PERIOD};
 use cactustrack_fleet::peers::Peers;
 use cactustrack_fleet::relay;
 use cactustrack_observe::Metrics;
@@ -19,7 +20,7 @@
 use futures::future::{Either, select};
 use slog::Logger;
 
-use super::lag::LagTracker;
+use super::lag::{LagTracker, RELAY_DELIVERY_TIMEOUT};
 use super::messenger::PeerMessenger;
 use super::state::{SharedState, time_since_boot};
 use super::store_availability::StoreAvailability;
@@ -34,6 +35,30 @@
 /// only one call; the first change after an idle period is still seen at once.
 const WATCH_BATCH_DELAY: Duration = Duration::from_millis(600);
 
+/// Time within which all instances apply a removal that the store has acknowledged, as long as the
+/// store, the instances and their links are sound.
+const REMOVAL_LIMIT: Duration = Duration::from_secs(2);
+
+/// Time for the messages and calls on the way of a change from the store to an instance, and for work
+/// that is in progress meanwhile.
+const DELIVERY_MARGIN: Duration = Duration::from_millis(300);
+
+// The longest way of a removal: all relays pause, and the changes before it have not arrived, so the
+// instance waits for another relay and then reads. If a relay has noticed an outage that the others have
+// not, the removal takes effect when the first of these delivers it, after their pause.
+const _: () = {
+    let on_time = WATCH_BATCH_DELAY.as_millis()
+        + LAG_CHECK_INTERVAL.as_millis()
+        + RELAY_DELIVERY_TIMEOUT.as_millis()
+        + LAG_CHECK_INTERVAL.as_millis()
+        + DELIVERY_MARGIN.as_millis();
+    assert!(on_time <= REMOVAL_LIMIT.as_millis());
+    // A removal that a relay reads after an outage is delayed from the end of the outage.
+    assert!(RELIST_PERIOD.as_millis() + DELIVERY_MARGIN.as_millis() <= REMOVAL_LIMIT.as_millis());
+    // A watch that is cut is repeated after one backoff.
+    assert!(MIN_BACKOFF.as_millis() * 2 < MIN_OUTAGE.as_millis());
+};
+
 /// Time to live of the registration without renewal.
 const REGISTRATION_TTL: Duration = Duration::from_secs(15);
 
@@ -128,6 +153,7 @@
                 Action::Watch(_) | Action::CatchUp(_) if is_history_unreadable => Action::Read,
                 action => action,
             };
+            let started = Instant::now();
             let running = std::pin::pin!(self.run_action(topic, action));
             let unavailable = std::pin::pin!(self.store_availability.wait_until_unavailable());
             match select(running, unavailable).await {
@@ -141,12 +167,18 @@
                         "error" => %error);
                     // The same watch would return the same events again.
                     is_history_unreadable = matches!(error, DiscoveryError::Malformed { .. });
-                    self.begin_outage(topic);
+                    let since = match action {
+                        // The watch waited for an unknown time before it was cut.
+                        Action::Watch(_) => Instant::now(),
+                        _ => started,
+                    };
+                    self.on_store_failure(topic, since);
                     was_disconnected = true;
                     backoff.pause().await;
                 }
                 Either::Right(_) => {
-                    self.begin_outage(topic);
+                    let since = self.store_availability.unavailable_since();
+                    self.on_store_failure(topic, since.unwrap_or_else(Instant::now));
                     was_disconnected = true;
                 }
             }
@@ -208,7 +240,7 @@
             }
         };
         self.messenger.relay(relayed);
-        self.end_outage(topic);
+        self.on_store_response(topic);
         Ok(())
     }
 
@@ -230,9 +262,9 @@
         snapshot: Snapshot,
     ) -> Vec<RelayedChange> {
         let mut state = self.state.borrow_mut();
-        let after_outage = state.catalog.is_recovering(now);
+        let recovery_ms = to_ms(state.catalog.outages().own_recovery_left(now));
         let Snapshot { changes, revision } = &snapshot;
-        let delta = Delta { after, revision: *revision, after_outage, content: &changes[..] };
+        let delta = Delta { after, revision: *revision, recovery_ms, content: &changes[..] };
         let is_relay = state.peers.is_relay(now, &self.instance, true);
         let relayed = is_relay.then(|| relay::to_relayed(now, topic, &delta));
         state.on_changes(now, topic, after, snapshot);
@@ -256,7 +288,7 @@
         state.replace_upstreams(now, stale);
         state.on_changes(now, topic, after, newer);
         drop(state);
-        self.end_outage(topic);
+        self.on_store_response(topic);
         Ok(true)
     }
 
@@ -273,7 +305,7 @@
                 "topic" => %topic);
             return self.read(topic).await;
         };
-        self.end_outage(topic);
+        self.on_store_response(topic);
         let now = Instant::now();
         let is_changed = !snapshot.changes.is_empty();
         let after = match topic {
@@ -289,15 +321,17 @@
         Ok(())
     }
 
-    fn begin_outage(&self, topic: Topic) {
+    /// Records that calls for a topic have failed since a time.
+    fn on_store_failure(&self, topic: Topic, since: Instant) {
         if topic == Topic::Upstreams {
-            self.state.borrow_mut().catalog.begin_outage();
+            self.state.borrow_mut().catalog.outages_mut().on_failure(since);
         }
     }
 
-    fn end_outage(&self, topic: Topic) {
+    /// Records that a call for a topic got a response.
+    fn on_store_response(&self, topic: Topic) {
         if topic == Topic::Upstreams {
-            self.state.borrow_mut().catalog.end_outage(Instant::now());
+            self.state.borrow_mut().catalog.outages_mut().on_response(Instant::now());
         }
     }
 
@@ -310,6 +344,7 @@
         let mut backoff = Backoff::new();
         let mut is_registered = false;
         loop {
+            let started = Instant::now();
             let result = if is_registered {
                 self.discovery.renew().await
             } else {
@@ -326,7 +361,7 @@
                     continue;
                 }
                 Err(error) => {
-                    self.on_store_unavailable(&error);
+                    self.on_store_unavailable(&error, started);
                     backoff.pause().await;
                     continue;
                 }
@@ -381,8 +416,8 @@
         }
     }
 
-    fn on_store_unavailable(&self, error: &DiscoveryError) {
-        if self.store_availability.mark_unavailable() {
+    fn on_store_unavailable(&self, error: &DiscoveryError, since: Instant) {
+        if self.store_availability.mark_unavailable(since) {
             slog::warn!(self.log, "store: unavailable"; "error" => %error);
             self.state.borrow_mut().is_store_up = false;
             // The heartbeat makes another instance a relay in place of this one.
--- a/src/node/lag.rs
+++ b/src/node/lag.rs
@@ -7,7 +7,7 @@
 
 /// Time within which a relay normally delivers a change that other instances already know. A
 /// change that is missing for longer is read from the store, which costs a call.
-const RELAY_DELIVERY_TIMEOUT: Duration = Duration::from_millis(400);
+pub(super) const RELAY_DELIVERY_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Largest random delay before a change that no relay sends is read from the store. It spreads the
 /// store calls of the fleet over time.
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -13,7 +13,7 @@
 use cactustrack_fleet::freshness::FreshnessTracker;
 use cactustrack_fleet::message::{
     ConfigurationPart, Delta, GrantRequest, ListDifference, Notice, PackedChanges, QuotaOutcome,
-    QuotaRequest, ShortId, StoreView,
+    QuotaRequest, ShortId, StoreView, from_ms, to_ms,
 };
 use cactustrack_fleet::peers::{AcceptedReport, Peers};
 use cactustrack_fleet::relay::{self, Assembly, WholeListReading};
@@ -213,12 +213,12 @@
                 "after" => after, "revision" => until, "known" => known);
         }
         let applied = self.catalog.apply(now, after, until, changes);
-        self.on_applied(&applied);
+        self.on_applied(now, &applied);
     }
 
-    fn on_applied(&mut self, changes: &[AppliedChange]) {
+    fn on_applied(&mut self, now: Instant, changes: &[AppliedChange]) {
         for change in changes {
-            self.log_applied(change);
+            self.log_applied(now, change);
             self.set_incarnation(change);
         }
     }
@@ -229,7 +229,7 @@
         }
     }
 
-    fn log_applied(&self, change: &AppliedChange) {
+    fn log_applied(&self, now: Instant, change: &AppliedChange) {
         match change {
             AppliedChange::Listed(upstream) => {
                 slog::info!(self.log, "members: upstream is listed";
@@ -237,9 +237,11 @@
                     "leaving" => upstream.leaving, "revision" => upstream.revision);
             }
             AppliedChange::Removed { upstream, revision } => {
+                let until = self.catalog.outages().recovery_until(now);
+                let delay = until.map_or(Duration::ZERO, |until| until - now);
                 slog::info!(self.log, "members: upstream is no longer listed";
                     "upstream" => &*upstream.id, "service" => &*upstream.service,
-                    "revision" => revision);
+                    "revision" => revision, "delay_ms" => to_ms(delay));
             }
         }
     }
@@ -316,6 +318,7 @@
     ) -> Result<(), MissingChange> {
         let known = self.catalog.revision();
         if delta.revision <= known {
+            self.confirm_removals(now, delta);
             return Ok(());
         }
         let Some(changes) = self.unpack(now, &delta.content) else { return Ok(()) };
@@ -323,14 +326,23 @@
             let newest = changes.iter().filter_map(Change::upstream_revision).max();
             return newest.map_or(Ok(()), |revision| Err(MissingChange { revision }));
         }
-        if delta.after_outage {
-            self.catalog.begin_outage();
-            self.catalog.end_outage(now);
-        }
+        self.catalog.outages_mut().on_relayed(now, from_ms(delta.recovery_ms));
         self.apply_upstream_changes(now, delta.after, delta.revision, changes);
         Ok(())
     }
 
+    /// Applies removals that were delayed because of an outage that one relay noticed, if another relay
+    /// has noticed none: the first one was cut off from the store.
+    fn confirm_removals(&mut self, now: Instant, delta: &Delta<PackedChanges>) {
+        if delta.recovery_ms > 0 || !self.catalog.has_pending_removals() {
+            return;
+        }
+        let Some(changes) = self.unpack(now, &delta.content) else { return };
+        for id in self.catalog.confirm_removals(now, &changes) {
+            slog::info!(self.log, "members: delayed removal is confirmed"; "upstream" => &*id);
+        }
+    }
+
     /// Applies what a relay that has read the whole list of upstreams found to differ from what it
     /// knew. It is ignored if this instance knew another list.
     ///
@@ -344,7 +356,7 @@
     ) -> Result<(), MissingChange> {
         let Some(changes) = self.unpack(now, &difference.content) else { return Ok(()) };
         let applied = self.catalog.apply_difference(now, difference, changes)?;
-        self.on_applied(&applied);
+        self.on_applied(now, &applied);
         Ok(())
     }
 
@@ -401,13 +413,13 @@
         for change in &differences {
             self.set_incarnation(change);
             if !is_first {
-                self.log_applied(change);
+                self.log_applied(now, change);
             }
         }
         (!is_first).then(|| WholeListReading {
             base: before.digest,
             state: self.catalog.state(),
-            after_outage: self.catalog.is_recovering(now),
+            recovery_ms: to_ms(self.catalog.outages().own_recovery_left(now)),
             changes: differences.into_iter().map(Change::from).collect(),
         })
     }
--- a/src/node/store_availability.rs
+++ b/src/node/store_availability.rs
@@ -1,29 +1,37 @@
 //! Availability of the store for this instance.
 
 use std::cell::{Cell, RefCell};
+use std::time::Instant;
 
 use futures::channel::oneshot;
 
 /// Availability of the store, with the tasks that wait for it to change.
 pub(crate) struct StoreAvailability {
-    is_available: Cell<bool>,
+    /// Time since which the store does not respond, `None` while it does.
+    unavailable_since: Cell<Option<Instant>>,
     waiters: RefCell<Vec<oneshot::Sender<()>>>,
 }
 
 impl StoreAvailability {
     /// Creates the state of a store that is assumed to be available.
     pub(crate) fn new() -> Self {
-        Self { is_available: Cell::new(true), waiters: RefCell::default() }
+        Self { unavailable_since: Cell::new(None), waiters: RefCell::default() }
     }
 
     /// Records that the store responds. Returns true if it was unavailable before.
     pub(crate) fn mark_available(&self) -> bool {
-        self.set(true)
+        self.set(None)
     }
 
-    /// Records that the store does not respond. Returns true if it was available before.
-    pub(crate) fn mark_unavailable(&self) -> bool {
-        self.set(false)
+    /// Records that a call that started at `since` got no response. Returns true if the store was
+    /// available before.
+    pub(crate) fn mark_unavailable(&self, since: Instant) -> bool {
+        self.set(Some(self.unavailable_since.get().unwrap_or(since)))
+    }
+
+    /// Returns the time since which the store does not respond, `None` if it does.
+    pub(crate) fn unavailable_since(&self) -> Option<Instant> {
+        self.unavailable_since.get()
     }
 
     /// Waits until the store is available.
@@ -44,8 +52,14 @@
         rx
     }
 
-    fn set(&self, is_available: bool) -> bool {
-        let is_changed = self.is_available.replace(is_available) != is_available;
+    fn is_available(&self) -> bool {
+        self.unavailable_since.get().is_none()
+    }
+
+    fn set(&self, unavailable_since: Option<Instant>) -> bool {
+        let was_available = self.is_available();
+        self.unavailable_since.set(unavailable_since);
+        let is_changed = self.is_available() != was_available;
         if is_changed {
             // Sending fails only if the waiting task has dropped its receiver.
             for tx in self.waiters.take() {
@@ -56,7 +70,7 @@
     }
 
     async fn wait_for(&self, is_available: bool) {
-        while self.is_available.get() != is_available {
+        while self.is_available() != is_available {
             let rx = self.add_waiter();
             // A dropped sender ends the wait as well.
             let _ = rx.await;
--- a/tests/all/platform/removals.rs
+++ b/tests/all/platform/removals.rs
@@ -25,6 +25,9 @@
 /// Number of requests to each instance. An instance that has an upstream in use sends it some of them.
 const REQUESTS: usize = 20;
 
+/// Time from the cut of watches to a removal: they wait again.
+const AFTER_CUT: Duration = Duration::from_millis(400);
+
 fn start_connected_fleet(upstreams: usize) -> Harness {
     let harness = Harness::start(upstreams, INSTANCES, &[SEARCH]);
     let expected = format!("\"instances_heard\":{INSTANCES}");
@@ -131,3 +134,25 @@
         assert_eq!(count_requests_to(&harness, 2), 0, "{name}: requests after the removal");
     }
 }
+
+/// Guards against an upstream that stays in use for longer after its removal because the store has cut
+/// watches. The relays took this for an outage, and the other instances delayed the removal for as long
+/// as after an outage, counted from the arrival of what the relays sent, which could be late already.
+#[test]
+fn watches_that_are_cut_delay_no_removals() {
+    const ROUNDS: usize = 6;
+    let harness = start_connected_fleet(3);
+    for round in 0..ROUNDS {
+        harness.store.cut_watches();
+        thread::sleep(AFTER_CUT);
+        harness.store.remove("servers/up-1");
+        thread::sleep(BETWEEN_REMOVALS);
+        harness.store.remove("servers/up-2");
+        thread::sleep(DRAIN_LIMIT);
+        assert_eq!(count_requests_to(&harness, 2), 0, "round {round}: requests after the removal");
+        for upstream in [1, 2] {
+            harness.put_upstream(upstream, "ready");
+        }
+        thread::sleep(DRAIN_LIMIT);
+    }
+}
--- a/tests/all/platform/store.rs
+++ b/tests/all/platform/store.rs
@@ -1,7 +1,7 @@
 //! Fake of the store of the users' platform, with fault injection.
 
 use std::collections::{BTreeMap, HashMap};
-use std::convert::Infallible;
+use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, mpsc};
@@ -20,10 +20,10 @@
 use hyper::service::service_fn;
 use serde_json::{Value, json};
 
-/// Interval at which pending watches and stop requests are checked.
 /// Maximum number of entries in each part of a transaction.
 const MAX_TXN_ENTRIES: usize = 32;
 
+/// Interval at which pending watches and stop requests are checked.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 
 /// Responses of the fake store to calls.
@@ -67,6 +67,8 @@
     compacted: u64,
     leases: HashMap<u64, Lease>,
     mode: Mode,
+    /// Number of times that the pending watches were cut.
+    cuts: u64,
     calls: HashMap<String, u64>,
     /// Revision and entries that stale reads return. `None` returns the current state.
     stale: Option<(u64, BTreeMap<String, Entry>)>,
@@ -140,6 +142,11 @@
         content.is_first_page_current = true;
     }
 
+    /// Closes the connections of all pending watches without a response.
+    pub(super) fn cut_watches(&self) {
+        lock(&self.content).cuts += 1;
+    }
+
     /// Compacts the history of all changes up to now.
     pub(super) fn compact_history(&self) {
         let mut content = lock(&self.content);
@@ -322,7 +329,7 @@
 async fn serve(stream: TcpStream, content: Arc<Mutex<Content>>) {
     let service = service_fn(move |req: Request<Incoming>| {
         let content = Arc::clone(&content);
-        async move { Ok::<_, Infallible>(respond(req, &content).await) }
+        async move { respond(req, &content).await }
     });
     let connection = http1::Builder::new()
         .timer(CompioTimer)
@@ -330,7 +337,11 @@
     let _ = connection.await;
 }
 
-async fn respond(req: Request<Incoming>, content: &Mutex<Content>) -> Response<Full<Bytes>> {
+/// Responds to a call. Fails to close the connection.
+async fn respond(
+    req: Request<Incoming>,
+    content: &Mutex<Content>,
+) -> io::Result<Response<Full<Bytes>>> {
     let (head, body) = req.into_parts();
     let path = head.uri.path().to_owned();
     *lock(content).calls.entry(path.clone()).or_default() += 1;
@@ -338,7 +349,7 @@
     match mode {
         Mode::Serving => {}
         Mode::Silent => futures::future::pending::<()>().await,
-        Mode::Busy => return json_response(StatusCode::SERVICE_UNAVAILABLE, &json!({})),
+        Mode::Busy => return Ok(json_response(StatusCode::SERVICE_UNAVAILABLE, &json!({}))),
     }
     let bytes = body.collect().await.map(http_body_util::Collected::to_bytes).unwrap_or_default();
     let body: Value = serde_json::from_slice(&bytes).unwrap_or_default();
@@ -348,7 +359,7 @@
     let mut content = lock(content);
     content.expire();
     let (status, body) = dispatch(&head.method, &path, &head.uri, &body, &mut content);
-    json_response(status, &body)
+    Ok(json_response(status, &body))
 }
 
 fn dispatch(
@@ -386,11 +397,12 @@
     }
 }
 
-async fn watch(uri: &Uri, content: &Mutex<Content>) -> Response<Full<Bytes>> {
+async fn watch(uri: &Uri, content: &Mutex<Content>) -> io::Result<Response<Full<Bytes>>> {
     let prefix = query_parameter(uri, "path-prefix");
     let after = query_parameter(uri, "after").parse().unwrap_or_default();
     let wait = Duration::from_millis(query_parameter(uri, "wait-ms").parse().unwrap_or_default());
     let until = Instant::now() + wait;
+    let cuts = lock(content).cuts;
     loop {
         // A watch that was pending when the store became silent gets no response either.
         if lock(content).mode == Mode::Silent {
@@ -398,15 +410,16 @@
         }
         {
             let content = lock(content);
+            if cuts != content.cuts {
+                return Err(io::ErrorKind::ConnectionReset.into());
+            }
             if after < content.compacted {
-                return json_response(StatusCode::GONE, &json!({}));
+                return Ok(json_response(StatusCode::GONE, &json!({})));
             }
             let events = content.events(&prefix, after);
             if !events.is_empty() || Instant::now() >= until {
-                return json_response(
-                    StatusCode::OK,
-                    &json!({"events": events, "as-of": content.rev}),
-                );
+                let body = json!({"events": events, "as-of": content.rev});
+                return Ok(json_response(StatusCode::OK, &body));
             }
         }
         compio::time::sleep(POLL_INTERVAL).await;
--- a/tests/all/sharing.rs
+++ b/tests/all/sharing.rs
@@ -15,6 +15,7 @@
 mod hubs;
 mod list_differences;
 mod load;
+mod outages;
 mod pending;
 mod placement;
 mod progress;
--- a/tests/all/sharing/catalog.rs
+++ b/tests/all/sharing/catalog.rs
@@ -6,6 +6,9 @@
 use cactustrack_fleet::discovery::ListedUpstream;
 use cactustrack_types::Incarnation;
 
+/// An outage in which entries expire.
+const OUTAGE: Duration = Duration::from_secs(3);
+
 fn listed(id: &str, revision: u64) -> ListedUpstream {
     ListedUpstream {
         id: id.into(),
@@ -51,11 +54,11 @@
         catalog.upsert(listed("a", 1));
         catalog.upsert(listed("b", 2));
         if case.outage {
-            catalog.begin_outage();
+            catalog.outages_mut().on_failure(now - OUTAGE);
         }
         let replaced = catalog.replace(now, vec![listed("b", 2)], 8);
         assert!(replaced.is_some(), "the list is newer");
-        catalog.end_outage(now);
+        catalog.outages_mut().on_response(now);
         if case.is_listed_again {
             catalog.upsert(listed("a", 9));
         }
@@ -71,8 +74,8 @@
     let now = Instant::now();
     let mut catalog = Catalog::default();
     catalog.upsert(listed("a", 1));
-    catalog.begin_outage();
-    catalog.end_outage(now);
+    catalog.outages_mut().on_failure(now - OUTAGE);
+    catalog.outages_mut().on_response(now);
     let later = now + Duration::from_secs(3);
     catalog.remove(later, &"a".into(), 5);
     assert!(usable(&catalog, later).is_empty());
--- a/tests/all/sharing/catalog_history.rs
+++ b/tests/all/sharing/catalog_history.rs
@@ -195,7 +195,7 @@
         let difference = ListDifference {
             base,
             state: relay.state(),
-            after_outage: false,
+            recovery_ms: 0,
             content: PackedChanges(Vec::new()),
         };
         (difference, found.unwrap_or_default().into_iter().map(Change::from).collect())
--- a/tests/all/sharing/list_differences.rs
+++ b/tests/all/sharing/list_differences.rs
@@ -60,7 +60,7 @@
     let base = relay.state().digest;
     let differences = relay.replace(now, entries(&[6, 150]), 300).expect("a newer list");
     let changes = differences.into_iter().map(Change::from).collect();
-    let reading = WholeListReading { base, state: relay.state(), after_outage: false, changes };
+    let reading = WholeListReading { base, state: relay.state(), recovery_ms: 0, changes };
     let RelayedChange::UpstreamList(difference) = reading.to_relayed(now) else {
         panic!("the difference fits into a datagram");
     };
@@ -91,7 +91,7 @@
     let now = Instant::now();
     let changes: Vec<Change> = (0..394).map(listed).collect();
     let state = ListState { revision: 600, digest: 1 };
-    let reading = WholeListReading { base: 0, state, after_outage: false, changes };
+    let reading = WholeListReading { base: 0, state, recovery_ms: 0, changes };
     let expected = RelayedChange::NewRevision { topic: Topic::Upstreams, revision: 600 };
     assert_eq!(reading.to_relayed(now), expected);
 }
--- a/tests/all/sharing/relay.rs
+++ b/tests/all/sharing/relay.rs
@@ -92,7 +92,7 @@
     };
     with_accounts.accounts = (0..ACCOUNTS).map(account).collect();
     let changes = [Change::Configured(Box::new(with_accounts.clone()), 9)];
-    let read = Delta { after: 1, revision: 9, after_outage: false, content: &changes[..] };
+    let read = Delta { after: 1, revision: 9, recovery_ms: 0, content: &changes[..] };
     let bodies = to_relayed(Instant::now(), Topic::Configuration, &read);
     let bytes: usize = bodies
         .iter()
@@ -130,7 +130,7 @@
         let is_changed = !changes.is_empty();
         let (read_up_to, after) = (relay.revision(), relay.unchanged_since());
         stated_after = after;
-        let read = Delta { after, revision: until, after_outage: false, content: &changes[..] };
+        let read = Delta { after, revision: until, recovery_ms: 0, content: &changes[..] };
         let bodies = to_relayed(now, Topic::Upstreams, &read);
         relay.apply(now, read_up_to, until, changes);
         assert_eq!(relay.state().digest != unchanged, is_changed);
@@ -154,7 +154,7 @@
     let now = Instant::now();
     let mut changes: Vec<Change> = (0..25).map(listed).collect();
     changes.push(Change::Unlisted("upstream-gone".into(), 130));
-    let read = Delta { after: 90, revision: 140, after_outage: true, content: &changes[..] };
+    let read = Delta { after: 90, revision: 140, recovery_ms: 700, content: &changes[..] };
     let bodies = to_relayed(now, Topic::Upstreams, &read);
     let (mut known, mut arrived) = (90, Vec::new());
     for body in bodies {
@@ -166,7 +166,7 @@
             panic!("not a delta of upstreams");
         };
         assert_eq!(delta.after, known, "no change is missing");
-        assert!(delta.after_outage);
+        assert_eq!(delta.recovery_ms, 700);
         known = delta.revision;
         let changes = delta.content.unpack().expect("changes");
         arrived.extend(changes.into_iter().map(|change| from_upstream_change(now, change)));
@@ -203,8 +203,7 @@
             }
         }
         let newest = 100 + sizes.len() as u64;
-        let read =
-            Delta { after: 90, revision: newest, after_outage: false, content: &changes[..] };
+        let read = Delta { after: 90, revision: newest, recovery_ms: 0, content: &changes[..] };
         let mut catalog = Catalog::default();
         let all = |number: usize| {
             let Change::Listed(upstream) = listed(number as u64) else { unreachable!() };
@@ -242,7 +241,7 @@
 fn the_list_of_a_large_fleet_fits_into_few_datagrams() {
     let now = Instant::now();
     let changes: Vec<Change> = (0..394).map(listed).collect();
-    let read = Delta { after: 90, revision: 600, after_outage: false, content: &changes[..] };
+    let read = Delta { after: 90, revision: 600, recovery_ms: 0, content: &changes[..] };
     let bodies = to_relayed(now, Topic::Upstreams, &read);
     assert!(bodies.len() <= 12, "{} datagrams", bodies.len());
     for body in bodies {
@@ -265,8 +264,7 @@
 fn a_configuration_is_reassembled_from_the_parts_of_several_relays() {
     let parts = |version: u64| -> Vec<ConfigurationPart> {
         let changes = [Change::Configured(Box::new(distinct_configuration(version, 250)), version)];
-        let read =
-            Delta { after: 1, revision: version, after_outage: false, content: &changes[..] };
+        let read = Delta { after: 1, revision: version, recovery_ms: 0, content: &changes[..] };
         let bodies = to_relayed(Instant::now(), Topic::Configuration, &read);
         let part = |body| match body {
             RelayedChange::Configuration(delta) => delta.content,
@@ -299,7 +297,7 @@
         |bytes: &[u8]| ConfigurationPart { version: 7, index: 0, count: 1, bytes: bytes.to_vec() };
     let valid = {
         let changes = [Change::Configured(Box::new(configuration(7, 3)), 9)];
-        let read = Delta { after: 1, revision: 9, after_outage: false, content: &changes[..] };
+        let read = Delta { after: 1, revision: 9, recovery_ms: 0, content: &changes[..] };
         match &to_relayed(Instant::now(), Topic::Configuration, &read)[..] {
             [RelayedChange::Configuration(delta)] => delta.content.clone(),
             other => panic!("{other:?}"),
@@ -316,7 +314,7 @@
 #[test]
 fn a_large_configuration_is_read_from_the_store() {
     let changes = [Change::Configured(Box::new(configuration(7, 2_000)), 9)];
-    let read = Delta { after: 1, revision: 9, after_outage: false, content: &changes[..] };
+    let read = Delta { after: 1, revision: 9, recovery_ms: 0, content: &changes[..] };
     let bodies = to_relayed(Instant::now(), Topic::Configuration, &read);
     assert_eq!(bodies, [RelayedChange::NewRevision { topic: Topic::Configuration, revision: 9 }]);
 }
@@ -418,7 +416,7 @@
     const HEADER_BYTES: usize = 28;
     const OTHERS: usize = 112;
     let changes = [Change::Configured(Box::new(configuration(7, 20)), 9)];
-    let read = Delta { after: 1, revision: 9, after_outage: false, content: &changes[..] };
+    let read = Delta { after: 1, revision: 9, recovery_ms: 0, content: &changes[..] };
     let bodies = to_relayed(Instant::now(), Topic::Configuration, &read);
     let bytes: usize = bodies
         .into_iter()
