Do not forward a status that promises what the upstream did not state

A caller that keeps to the contract orders again.

Cause: a response by which an upstream may have run the request was forwarded with whatever status it had. The statuses that are promises on the platform (408, 421, 429, 503) were checked for rejections of the instance only. The same got through with a signature, for uploads, early answers, downloads, and after a first upstream had shed.

Change: the platform's dialect classifies such a response as unforwardable, a failure of the upstream that may have run the request. Repeatable requests go to another upstream if the budget allows it. Otherwise callers get 502, which promises nothing, and a record, if there is one, stays unknown. What the upstream states not to have run is answered as before.

--- a/crates/proxy/src/dialect.rs
+++ b/crates/proxy/src/dialect.rs
@@ -33,6 +33,9 @@
     Usable,
     /// The upstream failed, and may have executed the request.
     Failed,
+    /// The upstream failed and may have executed the request. The response must not be forwarded,
+    /// because its status would tell the caller something else.
+    Unforwardable,
     /// The upstream shed the request without executing it.
     Shed,
     /// The upstream shed a request, which may be an earlier one on the connection, so it is unknown
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -60,7 +60,12 @@
 
     /// Returns true if the response is a failure of the upstream.
     pub(crate) fn is_failure(&self) -> bool {
-        self.kind == ResponseKind::Failed
+        matches!(self.kind, ResponseKind::Failed | ResponseKind::Unforwardable)
+    }
+
+    /// Returns false if the response must not be forwarded because of what its status would state.
+    pub(crate) fn is_forwardable(&self) -> bool {
+        self.kind != ResponseKind::Unforwardable
     }
 
     /// Returns true if the end of the connection marks the end of the body, so that a truncated
--- a/crates/proxy/src/non_idempotent.rs
+++ b/crates/proxy/src/non_idempotent.rs
@@ -228,6 +228,11 @@
                 Event::Shed { status }
             };
         }
+        if !response.is_forwardable() {
+            discard(response, Outcome::Failed).await;
+            self.last_rejection = Some(rejection_for(Cause::Broken, Execution::Unknown));
+            return Event::Broken;
+        }
         if response.is_failure() {
             response.outcome = Outcome::Failed;
         }
--- a/crates/proxy/src/retryable.rs
+++ b/crates/proxy/src/retryable.rs
@@ -60,7 +60,8 @@
 /// Result of one attempt together with its hedged attempt.
 enum RoundResult {
     Usable(UpstreamResponse),
-    /// A response that is a failure of the upstream. It is forwarded if no retry succeeds.
+    /// A response that is a failure of the upstream. It is forwarded if no retry succeeds, unless its
+    /// status rules that out.
     Faulty(UpstreamResponse),
     Shed(Duration),
     Failed(Cause),
@@ -111,6 +112,10 @@
                     target = next;
                 }
                 (_, Some(next)) => target = next,
+                (RoundResult::Faulty(response), None) if !response.is_forwardable() => {
+                    discard(response, Outcome::Failed).await;
+                    return Err(self.rejection(Cause::Broken));
+                }
                 (RoundResult::Usable(response) | RoundResult::Faulty(response), None) => {
                     return Ok(self.respond(response));
                 }
--- a/tests/all/proxy.rs
+++ b/tests/all/proxy.rs
@@ -18,5 +18,6 @@
 mod memory;
 mod partial_heads;
 mod pipelining;
+mod promised_statuses;
 mod retryable;
 mod shutdown;
