Refuse responses whose status HTTP does not define

Cause: the library's type holds 100 to 999, the check of the head refused informational statuses only, and a dialect takes a status that it does not know for usable.

Change: a final status outside 200 to 599 is refused with the other faults of a head, for both dialects and all kinds of requests: a failure of the upstream, another upstream for requests that may be repeated, 502 otherwise.

Evidence: both tests of proxy::undefined_statuses fail on (600 and 999 in place of 502) and pass with the change.

--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -4,7 +4,7 @@
 
 use cactustrack_routing::headers::check_framing;
 use cactustrack_types::Outcome;
-use http::{HeaderName, HeaderValue, Request, header, response};
+use http::{HeaderName, HeaderValue, Request, StatusCode, header, response};
 use hyper::body::{Body, Incoming};
 
 use crate::attempt::{Attempt, AttemptContext};
@@ -167,8 +167,9 @@
                 let (head, body) = res.into_parts();
                 attempt.on_head(&head.headers);
                 // The end of the body is uncertain if the response has two lengths or if its final
-                // status is an informational one.
-                if check_framing(&head.headers).is_err() || head.status.is_informational() {
+                // status is an informational one. A status that HTTP does not define tells the caller
+                // nothing.
+                if check_framing(&head.headers).is_err() || !is_final(head.status) {
                     attempt.finish(Outcome::Failed);
                     return Err(Failure::sent(Cause::Broken));
                 }
@@ -200,6 +201,12 @@
     }
 }
 
+/// Returns true if the status is one of a final response. [`StatusCode`] also holds numbers above 599,
+/// which HTTP does not define.
+fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Reports what the head of a response states about further requests to its upstream.
 fn report_availability(
     dialect: &dyn Dialect,
--- a/tests/all/proxy.rs
+++ b/tests/all/proxy.rs
@@ -21,3 +21,4 @@
 mod promised_statuses;
 mod retryable;
 mod shutdown;
+mod undefined_statuses;
