State a time at which a token of the quota is due

Cause: a refusal states the time until a token is due in whole milliseconds, cut off, so a caller that came exactly then was up to a millisecond early and was refused again.

The conversion stands once, at the buckets, in place of the node and its test double.

Evidence: sharing::quota::bucket::a_token_is_due_at_the_stated_time fails without the change (rate 0.7, 1428 ms in place of 1429) and passes with it; 49 of 49 tests of quotas pass.

--- a/crates/fleet/src/quota/bucket.rs
+++ b/crates/fleet/src/quota/bucket.rs
@@ -7,7 +7,7 @@
 
 use super::ownership::{ShardId, shard_of};
 use super::{MAX_RETRY_AFTER, QuotaLimits, TOKEN_VALIDITY};
-use crate::message::{QuotaLevel, ShortId};
+use crate::message::{QuotaLevel, QuotaOutcome, ShortId, to_ms};
 
 /// Share of the slack that is available in the bucket. The rest covers requests that reach upstreams
 /// later than their tokens were granted, and the tokens of new owners.
@@ -70,6 +70,20 @@
     reserved_until: Duration,
 }
 
+impl From<Decision> for QuotaOutcome {
+    /// The answer states whole milliseconds, rounded up past the time, so that the token is due by then
+    /// unless the time is limited to [`MAX_RETRY_AFTER`].
+    fn from(decision: Decision) -> Self {
+        match decision {
+            Decision::Granted(tokens) => Self::Granted { tokens },
+            Decision::Exhausted { retry_after } => {
+                let max = to_ms(MAX_RETRY_AFTER);
+                Self::Exhausted { retry_after_ms: to_ms(retry_after).saturating_add(1).min(max) }
+            }
+        }
+    }
+}
+
 impl Bucket {
     /// Creates the bucket of an account that has used no token since this instance owns the shard.
     fn new(limits: BucketLimits, owned_since: Duration, now: Duration) -> Self {
--- a/src/node/quota.rs
+++ b/src/node/quota.rs
@@ -12,7 +12,7 @@
     short_account_id, to_ms,
 };
 use cactustrack_fleet::quota::allowance::{ANSWER_TIMEOUT, Allowances};
-use cactustrack_fleet::quota::bucket::{BucketLimits, Buckets, Decision};
+use cactustrack_fleet::quota::bucket::{BucketLimits, Buckets};
 use cactustrack_fleet::quota::ownership::{Ownership, ShardId, shard_of};
 use cactustrack_fleet::quota::transfer::IncomingTransfers;
 use cactustrack_fleet::quota::{QuotaLimits, TOKEN_VALIDITY};
@@ -110,12 +110,7 @@
         };
         let limits = BucketLimits::new(quota, &self.limits);
         let mut buckets = self.buckets.borrow_mut();
-        match buckets.take(now, owned_since, account, limits, tokens) {
-            Decision::Granted(tokens) => QuotaOutcome::Granted { tokens },
-            Decision::Exhausted { retry_after } => {
-                QuotaOutcome::Exhausted { retry_after_ms: to_ms(retry_after).max(1) }
-            }
-        }
+        buckets.take(now, owned_since, account, limits, tokens).into()
     }
 
     /// Applies the answer of an owner. Returns the account if requests still wait for its tokens.
--- a/tests/all/sharing/quota/bucket.rs
+++ b/tests/all/sharing/quota/bucket.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use cactustrack_fleet::message::QuotaLevel;
+use cactustrack_fleet::message::{QuotaLevel, QuotaOutcome};
 use cactustrack_fleet::quota::bucket::{BucketLimits, Buckets, Decision};
 use cactustrack_fleet::quota::ownership::shard_of;
 use cactustrack_fleet::quota::{MAX_RETRY_AFTER, QuotaLimits};
@@ -169,3 +169,27 @@
     let decision = buckets.take(claimed, CLAIMED, other, limits, 100);
     assert_eq!(decision, Decision::Granted(16), "shard {kept} was not lost");
 }
+
+/// Guards against a refusal that states a time at which no token is due yet. The time is sent in whole
+/// milliseconds, and a caller that came at the stated time was refused again.
+#[test]
+fn a_token_is_due_at_the_stated_time() {
+    const ACCOUNT: u32 = 7;
+    for rate in [0.7, 3.0, 10.0, 55.5] {
+        let limits = BucketLimits::new(Quota { rate, burst: 0.0 }, &LIMITS);
+        for offset_us in (0..3_000).step_by(37) {
+            let mut buckets = Buckets::default();
+            let mut now = CLAIMED + Duration::from_secs(60) + Duration::from_micros(offset_us);
+            let mut take = |now| buckets.take(now, CLAIMED, ACCOUNT, limits, 1);
+            let stated = loop {
+                match QuotaOutcome::from(take(now)) {
+                    QuotaOutcome::Exhausted { retry_after_ms } => break retry_after_ms,
+                    outcome => assert_eq!(outcome, QuotaOutcome::Granted { tokens: 1 }),
+                }
+                now += Duration::from_micros(offset_us);
+            };
+            let decision = take(now + Duration::from_millis(u64::from(stated)));
+            assert_eq!(decision, Decision::Granted(1), "rate {rate}, {offset_us} us, {stated} ms");
+        }
+    }
+}
--- a/tests/all/sharing/quota/node.rs
+++ b/tests/all/sharing/quota/node.rs
@@ -7,11 +7,11 @@
 use cactustrack_fleet::discovery::{
     ClaimOutcome, HeldShard, Lease, Revision, ShardClaim, ShardOwner,
 };
-use cactustrack_fleet::message::{QuotaLevel, QuotaOutcome, ShortId, to_ms};
+use cactustrack_fleet::message::{QuotaLevel, QuotaOutcome, ShortId};
 use cactustrack_fleet::peers::Peers;
 use cactustrack_fleet::quota::TOKEN_VALIDITY;
 use cactustrack_fleet::quota::allowance::Allowances;
-use cactustrack_fleet::quota::bucket::{BucketLimits, Buckets, Decision};
+use cactustrack_fleet::quota::bucket::{BucketLimits, Buckets};
 use cactustrack_fleet::quota::ownership::{Ownership, ShardId, shard_of};
 use cactustrack_fleet::quota::transfer::{Incoming, IncomingTransfers, OutgoingTransfers};
 use cactustrack_types::{Incarnation, InstanceId};
@@ -132,12 +132,7 @@
         let Some(since) = self.ownership.granting_since(now, shard_of(account)) else {
             return QuotaOutcome::NotOwner;
         };
-        match self.buckets.take(now, since, account, limits, tokens) {
-            Decision::Granted(tokens) => QuotaOutcome::Granted { tokens },
-            Decision::Exhausted { retry_after } => {
-                QuotaOutcome::Exhausted { retry_after_ms: to_ms(retry_after) }
-            }
-        }
+        self.buckets.take(now, since, account, limits, tokens).into()
     }
 
     /// Decides on a request without asking the owner, if that is possible.
