Split registration and the list of upstreams out of grown files

src/node/discovery_sync.rs keeps the topics in sync; registration.rs has the registration of the instance and the reads of the others. src/node/upstream_list.rs has the changes to the list of upstreams that were in state.rs. Moves only, besides a comment and visibility.

--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -23,11 +23,13 @@
 mod quota_claims;
 mod quota_preview;
 mod quota_transfer;
+mod registration;
 mod route_explanation;
 mod run;
 mod state;
 mod status;
 mod store_availability;
+mod upstream_list;
 
 pub use instance::{Instance, ShutdownHandle};
 pub use offline::OfflineInstance;
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -8,15 +8,14 @@
 use std::time::{Duration, Instant};
 
 use cactustrack_fleet::budget::{BudgetDecision, BudgetLimits, SlackShare};
-use cactustrack_fleet::catalog::{AppliedChange, Catalog, MissingChange};
+use cactustrack_fleet::catalog::Catalog;
 use cactustrack_fleet::discovery::{Change, Revision, Snapshot, Topic};
 use cactustrack_fleet::freshness::FreshnessTracker;
 use cactustrack_fleet::message::{
-    ConfigurationPart, Delta, GrantRequest, ListDifference, Notice, PackedChanges, QuotaOutcome,
-    QuotaRequest, ShortId, StoreView, from_ms, to_ms,
+    ConfigurationPart, Delta, GrantRequest, Notice, QuotaOutcome, QuotaRequest, ShortId, StoreView,
 };
 use cactustrack_fleet::peers::{AcceptedReport, Peers};
-use cactustrack_fleet::relay::{self, Assembly, WholeListReading};
+use cactustrack_fleet::relay::Assembly;
 use cactustrack_fleet::shutdown::ShutdownPlan;
 use cactustrack_fleet::suspension::SuspensionDetector;
 use cactustrack_fleet::view::FleetView;
@@ -200,52 +199,6 @@
         }
     }
 
-    fn apply_upstream_changes(
-        &mut self,
-        now: Instant,
-        after: Revision,
-        until: Revision,
-        changes: Vec<Change>,
-    ) {
-        let known = self.catalog.revision();
-        if until < known {
-            slog::info!(self.log, "members: changes ignored, newer ones are known";
-                "after" => after, "revision" => until, "known" => known);
-        }
-        let applied = self.catalog.apply(now, after, until, changes);
-        self.on_applied(now, &applied);
-    }
-
-    fn on_applied(&mut self, now: Instant, changes: &[AppliedChange]) {
-        for change in changes {
-            self.log_applied(now, change);
-            self.set_incarnation(change);
-        }
-    }
-
-    fn set_incarnation(&mut self, change: &AppliedChange) {
-        if let AppliedChange::Listed(upstream) = change {
-            self.view.set_incarnation(&upstream.id, upstream.incarnation);
-        }
-    }
-
-    fn log_applied(&self, now: Instant, change: &AppliedChange) {
-        match change {
-            AppliedChange::Listed(upstream) => {
-                slog::info!(self.log, "members: upstream is listed";
-                    "upstream" => &*upstream.id, "service" => &*upstream.service,
-                    "leaving" => upstream.leaving, "revision" => upstream.revision);
-            }
-            AppliedChange::Removed { upstream, revision } => {
-                let until = self.catalog.outages().recovery_until(now);
-                let delay = until.map_or(Duration::ZERO, |until| until - now);
-                slog::info!(self.log, "members: upstream is no longer listed";
-                    "upstream" => &*upstream.id, "service" => &*upstream.service,
-                    "revision" => revision, "delay_ms" => to_ms(delay));
-            }
-        }
-    }
-
     /// Processes notices of another instance. Notices about upstreams that are not listed here are
     /// ignored, since those upstreams get no requests from this instance. Returns the number of
     /// ignored notices.
@@ -305,75 +258,6 @@
         self.configuration_read = revision.max(self.configuration_read);
     }
 
-    /// Applies changes of the upstream list sent by a relay. They are ignored if earlier changes
-    /// are missing; the topic is then read from the store.
-    ///
-    /// # Errors
-    ///
-    /// States the newest change that is missing here.
-    pub(crate) fn on_upstreams(
-        &mut self,
-        now: Instant,
-        delta: &Delta<PackedChanges>,
-    ) -> Result<(), MissingChange> {
-        let known = self.catalog.revision();
-        if delta.revision <= known {
-            self.confirm_removals(now, delta);
-            return Ok(());
-        }
-        let Some(changes) = self.unpack(now, &delta.content) else { return Ok(()) };
-        if delta.after > known {
-            let newest = changes.iter().filter_map(Change::upstream_revision).max();
-            return newest.map_or(Ok(()), |revision| Err(MissingChange { revision }));
-        }
-        self.catalog.outages_mut().on_relayed(now, from_ms(delta.recovery_ms));
-        self.apply_upstream_changes(now, delta.after, delta.revision, changes);
-        Ok(())
-    }
-
-    /// Applies removals that were delayed because of an outage that one relay noticed, if another relay
-    /// has noticed none: the first one was cut off from the store.
-    fn confirm_removals(&mut self, now: Instant, delta: &Delta<PackedChanges>) {
-        if delta.recovery_ms > 0 || !self.catalog.has_pending_removals() {
-            return;
-        }
-        let Some(changes) = self.unpack(now, &delta.content) else { return };
-        for id in self.catalog.confirm_removals(now, &changes) {
-            slog::info!(self.log, "members: delayed removal is confirmed"; "upstream" => &*id);
-        }
-    }
-
-    /// Applies what a relay that has read the whole list of upstreams found to differ from what it
-    /// knew. It is ignored if this instance knew another list.
-    ///
-    /// # Errors
-    ///
-    /// States the revision of the list if it has to be read from the store.
-    pub(crate) fn on_list_difference(
-        &mut self,
-        now: Instant,
-        difference: &ListDifference,
-    ) -> Result<(), MissingChange> {
-        let Some(changes) = self.unpack(now, &difference.content) else { return Ok(()) };
-        let applied = self.catalog.apply_difference(now, difference, changes)?;
-        self.on_applied(now, &applied);
-        Ok(())
-    }
-
-    /// Unpacks relayed changes, and logs if they are malformed.
-    fn unpack(&self, now: Instant, content: &PackedChanges) -> Option<Vec<Change>> {
-        match content.unpack() {
-            Ok(changes) => {
-                let changes = changes.into_iter();
-                Some(changes.map(|change| relay::from_upstream_change(now, change)).collect())
-            }
-            Err(error) => {
-                slog::warn!(self.log, "members: relayed changes ignored"; "error" => %error);
-                None
-            }
-        }
-    }
-
     /// Adds a part of a configuration sent by a relay. Each configuration is complete in itself, so
     /// earlier versions may be missing.
     pub(crate) fn on_configuration(&mut self, delta: Delta<ConfigurationPart>) {
@@ -388,42 +272,6 @@
         }
     }
 
-    /// Replaces the list of upstreams, unless newer changes are known. Returns what differs from the
-    /// list before, which other instances may know. `None` if nothing was known before.
-    pub(crate) fn replace_upstreams(
-        &mut self,
-        now: Instant,
-        snapshot: Snapshot,
-    ) -> Option<WholeListReading> {
-        let Snapshot { changes, revision } = snapshot;
-        let listed = changes.into_iter().filter_map(|change| match change {
-            Change::Listed(upstream) => Some(upstream),
-            _ => None,
-        });
-        let list: Vec<_> = listed.collect();
-        let (count, before) = (list.len(), self.catalog.state());
-        let Some(differences) = self.catalog.replace(now, list, revision) else {
-            slog::info!(self.log, "members: upstream list ignored, newer changes are known";
-                "revision" => revision, "known" => before.revision);
-            return None;
-        };
-        slog::info!(self.log, "members: upstream list read";
-            "count" => count, "differences" => differences.len(), "revision" => revision);
-        let is_first = before.revision == 0;
-        for change in &differences {
-            self.set_incarnation(change);
-            if !is_first {
-                self.log_applied(now, change);
-            }
-        }
-        (!is_first).then(|| WholeListReading {
-            base: before.digest,
-            state: self.catalog.state(),
-            recovery_ms: to_ms(self.catalog.outages().own_recovery_left(now)),
-            changes: differences.into_iter().map(Change::from).collect(),
-        })
-    }
-
     /// Returns the quota of a client account.
     pub(crate) fn quota_of(&self, account: ShortId) -> Option<Quota> {
         self.in_force.as_ref()?.quotas.get(&account).copied()
