--- a/crates/fleet/src/catalog.rs
+++ b/crates/fleet/src/catalog.rs
@@ -9,9 +9,9 @@
 //! newer changes from a relay, and a whole list after both. The catalog knows up to which revision
 //! it has every change, and ignores what is older.
 //!
-//! Some removals are never delivered as changes: an instance that reads the whole list sees only that
-//! an entry is missing, or nothing if it has just started. Instances therefore compare digests of their
-//! lists, which reveal each difference.
+//! Some removals are never delivered as changes: an instance that reads the whole list sees only
+//! that an entry is missing, or nothing if it has just started. Instances therefore compare digests
+//! of their lists, which reveal each difference.
 
 use std::net::SocketAddr;
 use std::time::Instant;
@@ -144,14 +144,14 @@
         changes.into_iter().filter_map(apply).collect()
     }
 
-    /// Applies the difference between two states of the list and returns the changes that took effect.
-    /// `changes` is the unpacked content of the difference. Without effect if the catalog has newer
-    /// changes.
+    /// Applies the difference between two states of the list and returns the changes that took
+    /// effect. `changes` is the unpacked content of the difference. Without effect if the catalog
+    /// has newer changes.
     ///
     /// # Errors
     ///
-    /// Fails if the catalog has neither of the two states, so that the difference does not say how it
-    /// has to change.
+    /// Fails if the catalog has neither of the two states, so that the difference does not say how
+    /// it has to change.
     pub fn apply_difference(
         &mut self,
         now: Instant,
@@ -207,8 +207,9 @@
         }
     }
 
-    /// Applies delayed removals at once that a relay reports which has noticed no outage. Those that are
-    /// delayed by an outage that this instance has noticed itself stay delayed. Returns the ids.
+    /// Applies delayed removals at once that a relay reports which has noticed no outage. Those
+    /// that are delayed by an outage that this instance has noticed itself stay delayed. Returns
+    /// the ids.
     pub fn confirm_removals(&mut self, now: Instant, changes: &[Change]) -> Vec<UpstreamId> {
         if !self.outages.own_recovery_left(now).is_zero() {
             return Vec::new();
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -236,8 +236,8 @@
     pub upstreams: ListState,
 }
 
-/// Digest of the entries of a list of upstreams and their revisions. Equal lists have the same digest,
-/// whatever the changes by which they came about. An empty list has digest 0.
+/// Digest of the entries of a list of upstreams and their revisions. Equal lists have the same
+/// digest, whatever the changes by which they came about. An empty list has digest 0.
 pub type ListDigest = u64;
 
 /// State of a list of upstreams.
@@ -263,8 +263,8 @@
     pub content: T,
 }
 
-/// Difference between two states of the list of upstreams. It says nothing on the changes in between,
-/// so it applies to the first state only.
+/// Difference between two states of the list of upstreams. It says nothing on the changes in
+/// between, so it applies to the first state only.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ListDifference {
     /// Digest of the first state.
--- a/crates/fleet/src/outage.rs
+++ b/crates/fleet/src/outage.rs
@@ -1,8 +1,8 @@
 //! Outages of the store, in which entries of live upstreams expire.
 //!
-//! A failed call alone is no outage: the store may cut a watch that waits and respond to the next call
-//! at once. An outage that is over delays removals until a fixed time, also at instances that hear of
-//! it from a relay, so the delay does not grow with the time that the message takes.
+//! A failed call alone is no outage: the store may cut a watch that waits and respond to the next
+//! call at once. An outage that is over delays removals until a fixed time, also at instances that
+//! hear of it from a relay, so the delay does not grow with the time that the message takes.
 
 use std::time::{Duration, Instant};
 
@@ -11,10 +11,10 @@
 /// end of the outage.
 pub const RELIST_PERIOD: Duration = Duration::from_millis(1_600);
 
-/// Shortest time without a response that counts as an outage. Owners write their entries every 1.5 s,
-/// an entry expires after three times that, and is written again within 2 s of an outage, so those of
-/// live upstreams expire only in outages of more than about a second. Reconnecting after a watch was
-/// cut takes less than half of this time.
+/// Shortest time without a response that counts as an outage. Owners write their entries every 1.5
+/// s, an entry expires after three times that, and is written again within 2 s of an outage, so
+/// those of live upstreams expire only in outages of more than about a second. Reconnecting after a
+/// watch was cut takes less than half of this time.
 pub const MIN_OUTAGE: Duration = Duration::from_millis(500);
 
 /// Outages of the store that this instance or a relay has noticed.
@@ -52,14 +52,15 @@
         self.relayed_recovery_until = self.relayed_recovery_until.max(Some(until));
     }
 
-    /// Returns the time at which a removal that is read now takes effect, `None` if that is at once.
+    /// Returns the time at which a removal that is read now takes effect, `None` if that is at
+    /// once.
     pub fn recovery_until(&self, now: Instant) -> Option<Instant> {
         let relayed = self.relayed_recovery_until.filter(|until| *until > now);
         self.own_recovery(now).max(relayed)
     }
 
-    /// Returns the remaining time of the recovery from an outage that this instance has noticed, zero
-    /// if there is none.
+    /// Returns the remaining time of the recovery from an outage that this instance has noticed,
+    /// zero if there is none.
     pub fn own_recovery_left(&self, now: Instant) -> Duration {
         let until = self.own_recovery(now);
         until.map_or(Duration::ZERO, |until| until.saturating_duration_since(now))
--- a/crates/fleet/src/quota/bucket.rs
+++ b/crates/fleet/src/quota/bucket.rs
@@ -71,8 +71,8 @@
 }
 
 impl From<Decision> for QuotaOutcome {
-    /// The answer states whole milliseconds, rounded up past the time, so that the token is due by then
-    /// unless the time is limited to [`MAX_RETRY_AFTER`].
+    /// The answer states whole milliseconds, rounded up past the time, so that the token is due by
+    /// then unless the time is limited to [`MAX_RETRY_AFTER`].
     fn from(decision: Decision) -> Self {
         match decision {
             Decision::Granted(tokens) => Self::Granted { tokens },
--- a/crates/fleet/src/relay.rs
+++ b/crates/fleet/src/relay.rs
@@ -69,8 +69,8 @@
 }
 
 impl WholeListReading {
-    /// Returns the body of a datagram with the differences. If they do not fit, the receivers have to
-    /// read the list from the store.
+    /// Returns the body of a datagram with the differences. If they do not fit, the receivers have
+    /// to read the list from the store.
     pub fn to_relayed(&self, now: Instant) -> RelayedChange {
         let changes: Vec<_> =
             self.changes.iter().filter_map(|change| to_upstream_change(now, change)).collect();
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -167,8 +167,8 @@
                 let (head, body) = res.into_parts();
                 attempt.on_head(&head.headers);
                 // The end of the body is uncertain if the response has two lengths or if its final
-                // status is an informational one. A status that HTTP does not define tells the caller
-                // nothing.
+                // status is an informational one. A status that HTTP does not define tells the
+                // caller nothing.
                 if check_framing(&head.headers).is_err() || !is_final(head.status) {
                     attempt.finish(Outcome::Failed);
                     return Err(Failure::sent(Cause::Broken));
@@ -201,8 +201,8 @@
     }
 }
 
-/// Returns true if the status is one of a final response. [`StatusCode`] also holds numbers above 599,
-/// which HTTP does not define.
+/// Returns true if the status is one of a final response. [`StatusCode`] also holds numbers above
+/// 599, which HTTP does not define.
 fn is_final(status: StatusCode) -> bool {
     (200..600).contains(&status.as_u16())
 }
--- a/crates/proxy/src/retryable.rs
+++ b/crates/proxy/src/retryable.rs
@@ -60,8 +60,8 @@
 /// Result of one attempt together with its hedged attempt.
 enum RoundResult {
     Usable(UpstreamResponse),
-    /// A response that is a failure of the upstream. It is forwarded if no retry succeeds, unless its
-    /// status rules that out.
+    /// A response that is a failure of the upstream. It is forwarded if no retry succeeds, unless
+    /// its status rules that out.
     Faulty(UpstreamResponse),
     Shed(Duration),
     Failed(Cause),
--- a/src/node/discovery_sync.rs
+++ b/src/node/discovery_sync.rs
@@ -54,13 +54,13 @@
 /// store, the instances and their links are sound.
 const REMOVAL_LIMIT: Duration = Duration::from_secs(2);
 
-/// Time for the messages and calls on the way of a change from the store to an instance, and for work
-/// that is in progress meanwhile.
+/// Time for the messages and calls on the way of a change from the store to an instance, and for
+/// work that is in progress meanwhile.
 const DELIVERY_MARGIN: Duration = Duration::from_millis(300);
 
-// The longest way of a removal: all relays pause, and the changes before it have not arrived, so the
-// instance waits for another relay and then reads. If a relay has noticed an outage that the others have
-// not, the removal takes effect when the first of these delivers it, after their pause.
+// The longest way of a removal: all relays pause, and the changes before it have not arrived, so
+// the instance waits for another relay and then reads. If a relay has noticed an outage that the
+// others have not, the removal takes effect when the first of these delivers it, after their pause.
 const _: () = {
     let on_time = WATCH_BATCH_DELAY.as_millis()
         + LAG_CHECK_INTERVAL.as_millis()
@@ -218,8 +218,8 @@
         Ok(())
     }
 
-    /// Replaces the list of upstreams and returns the differences if this instance is a relay. Others may
-    /// learn from nobody else of entries that were removed meanwhile.
+    /// Replaces the list of upstreams and returns the differences if this instance is a relay.
+    /// Others may learn from nobody else of entries that were removed meanwhile.
     fn replace_upstreams(&self, now: Instant, snapshot: Snapshot) -> Vec<RelayedChange> {
         let mut state = self.state.borrow_mut();
         let is_relay = state.peers.is_relay(now, &self.instance, true);
--- a/src/node/lag.rs
+++ b/src/node/lag.rs
@@ -41,16 +41,16 @@
         }
     }
 
-    /// Records the revision of a change that a relay sent and that cannot be applied, because earlier
-    /// ones are missing. Another relay may still deliver these.
+    /// Records the revision of a change that a relay sent and that cannot be applied, because
+    /// earlier ones are missing. Another relay may still deliver these.
     pub(crate) fn record_gap(&self, topic: Topic, revision: Revision) {
         let newest = &self.lag(topic).revision;
         newest.set(newest.get().max(revision));
     }
 
-    /// Returns true if this instance, which has read up to the revision `own`, has lagged behind for
-    /// longer than a relay normally takes. `reported` is the revision of the newest change that other
-    /// instances know and this one does not, 0 if there is none.
+    /// Returns true if this instance, which has read up to the revision `own`, has lagged behind
+    /// for longer than a relay normally takes. `reported` is the revision of the newest change that
+    /// other instances know and this one does not, 0 if there is none.
     pub(crate) fn check(&self, topic: Topic, own: Revision, reported: Revision) -> bool {
         let lag = self.lag(topic);
         if lag.revision.get().max(reported) <= own {
--- a/src/node/registration.rs
+++ b/src/node/registration.rs
@@ -19,9 +19,9 @@
 /// health check.
 const RELAY_RENEWAL_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Time after the start of the process of a first read of the registered instances. If all instances
-/// restart at once, the registrations of the earlier processes let them discover each other within
-/// half a second.
+/// Time after the start of the process of a first read of the registered instances. If all
+/// instances restart at once, the registrations of the earlier processes let them discover each
+/// other within half a second.
 const EARLIER_INSTANCES_READ: Duration = Duration::from_millis(100);
 
 /// Times after the start of the process at which the registered instances are read at first. There
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -238,8 +238,8 @@
     pub(crate) fn store_view(&self) -> StoreView {
         StoreView {
             is_up: self.is_store_up,
-            // The revision up to which this instance has read increases with each write to the store,
-            // and other instances would read again because of it.
+            // The revision up to which this instance has read increases with each write to the
+            // store, and other instances would read again because of it.
             configuration: self.newest_configuration,
             upstreams: self.catalog.state(),
         }
--- a/src/node/upstream_list.rs
+++ b/src/node/upstream_list.rs
@@ -36,8 +36,8 @@
         Ok(())
     }
 
-    /// Applies removals that were delayed because of an outage that one relay noticed, if another relay
-    /// has noticed none: the first one was cut off from the store.
+    /// Applies removals that were delayed because of an outage that one relay noticed, if another
+    /// relay has noticed none: the first one was cut off from the store.
     fn confirm_removals(&mut self, now: Instant, delta: &Delta<PackedChanges>) {
         if delta.recovery_ms > 0 || !self.catalog.has_pending_removals() {
             return;
@@ -79,8 +79,8 @@
         }
     }
 
-    /// Replaces the list of upstreams, unless newer changes are known. Returns what differs from the
-    /// list before, which other instances may know. `None` if nothing was known before.
+    /// Replaces the list of upstreams, unless newer changes are known. Returns what differs from
+    /// the list before, which other instances may know. `None` if nothing was known before.
     pub(crate) fn replace_upstreams(
         &mut self,
         now: Instant,
@@ -115,8 +115,8 @@
         })
     }
 
-    /// Applies changes after one revision, up to another one. Those that newer readings have superseded
-    /// have no effect.
+    /// Applies changes after one revision, up to another one. Those that newer readings have
+    /// superseded have no effect.
     pub(super) fn apply_upstream_changes(
         &mut self,
         now: Instant,
--- a/tests/all/platform/removals.rs
+++ b/tests/all/platform/removals.rs
@@ -22,7 +22,8 @@
 /// the first one.
 const BETWEEN_REMOVALS: Duration = Duration::from_millis(50);
 
-/// Number of requests to each instance. An instance that has an upstream in use sends it some of them.
+/// Number of requests to each instance. An instance that has an upstream in use sends it some of
+/// them.
 const REQUESTS: usize = 20;
 
 /// Time from the cut of watches to a removal: they wait again.
@@ -135,9 +136,10 @@
     }
 }
 
-/// Guards against an upstream that stays in use for longer after its removal because the store has cut
-/// watches. The relays took this for an outage, and the other instances delayed the removal for as long
-/// as after an outage, counted from the arrival of what the relays sent, which could be late already.
+/// Guards against an upstream that stays in use for longer after its removal because the store has
+/// cut watches. The relays took this for an outage, and the other instances delayed the removal for
+/// as long as after an outage, counted from the arrival of what the relays sent, which could be
+/// late already.
 #[test]
 fn watches_that_are_cut_delay_no_removals() {
     const ROUNDS: usize = 6;
--- a/tests/all/proxy/promised_statuses.rs
+++ b/tests/all/proxy/promised_statuses.rs
@@ -40,9 +40,9 @@
     assert!(!response.headers.contains_key("retry-after"), "{name}");
 }
 
-/// Guards against a caller that is told that its request was not executed and never will be, although
-/// an upstream that fails after the execution has answered with such a status. The caller would order
-/// again.
+/// Guards against a caller that is told that its request was not executed and never will be,
+/// although an upstream that fails after the execution has answered with such a status. The caller
+/// would order again.
 #[test]
 fn a_promise_that_the_upstream_did_not_make_is_not_forwarded() {
     struct Case {
@@ -87,8 +87,8 @@
     }
 }
 
-/// Guards against a false promise of the second upstream, after the first one has stated that it did
-/// not execute the request.
+/// Guards against a false promise of the second upstream, after the first one has stated that it
+/// did not execute the request.
 #[test]
 fn a_promise_of_the_second_upstream_is_not_forwarded() {
     for path in ["/n/x", "/x"] {
--- a/tests/all/proxy/undefined_statuses.rs
+++ b/tests/all/proxy/undefined_statuses.rs
@@ -29,8 +29,8 @@
     Call::get("a", path).with_header("cactustrack-request-id", "id-1")
 }
 
-/// Guards against a caller that gets a status such as 000 or 999 as an answer, and against an upstream
-/// in trouble that stays in use because such an answer counts as usable.
+/// Guards against a caller that gets a status such as 000 or 999 as an answer, and against an
+/// upstream in trouble that stays in use because such an answer counts as usable.
 #[test]
 fn a_response_with_an_undefined_status_is_a_failure() {
     for dialect in DIALECTS {
@@ -49,8 +49,8 @@
     }
 }
 
-/// Guards against a request that fails although another upstream can serve it, and against one that is
-/// executed twice.
+/// Guards against a request that fails although another upstream can serve it, and against one that
+/// is executed twice.
 #[test]
 fn only_repeatable_requests_are_sent_again_after_an_undefined_status() {
     for dialect in DIALECTS {
--- a/tests/all/sharing/catalog_history.rs
+++ b/tests/all/sharing/catalog_history.rs
@@ -41,8 +41,8 @@
     Relay(u64, u64),
     /// The store returns two pages of an age, given as shares of the history in percent.
     List(u64, u64),
-    /// A relay sends the difference between the lists at two revisions, given as shares of the history
-    /// in percent.
+    /// A relay sends the difference between the lists at two revisions, given as shares of the
+    /// history in percent.
     RelayDifference(u64, u64),
     /// One of the pending readings is handled.
     Handle(usize),
--- a/tests/all/sharing/list_differences.rs
+++ b/tests/all/sharing/list_differences.rs
@@ -23,9 +23,9 @@
     }
 }
 
-/// Guards against a removal that an instance never learns of, because relays that read the whole list
-/// find an entry missing and tell nobody. Also guards against a difference that is applied to a list
-/// which it does not belong to.
+/// Guards against a removal that an instance never learns of, because relays that read the whole
+/// list find an entry missing and tell nobody. Also guards against a difference that is applied to
+/// a list which it does not belong to.
 #[test]
 fn a_difference_applies_to_the_list_that_the_relay_knew() {
     struct Case {
@@ -97,8 +97,8 @@
 }
 
 /// Guards against an instance that does not see that its list differs from that of another one: the
-/// newest revision among the entries of a list does not show that one is missing. Also guards against
-/// instances that read the list although it has not changed.
+/// newest revision among the entries of a list does not show that one is missing. Also guards
+/// against instances that read the list although it has not changed.
 #[test]
 fn a_list_that_differs_from_a_newer_one_is_noticed() {
     struct Case {
--- a/tests/all/sharing/outages.rs
+++ b/tests/all/sharing/outages.rs
@@ -83,8 +83,8 @@
     assert_eq!(outages.recovery_until(end), Some(end + RELIST_PERIOD), "no longer than an own one");
 }
 
-/// Guards against a removal that takes effect too late at an instance to which the store responds all
-/// the time, because a relay that was cut off from the store reports it first.
+/// Guards against a removal that takes effect too late at an instance to which the store responds
+/// all the time, because a relay that was cut off from the store reports it first.
 #[test]
 fn a_relay_that_was_cut_off_delays_no_removal_beyond_the_limit() {
     const REMOVED_AT: Revision = 200;
@@ -124,8 +124,8 @@
     }
 }
 
-/// Guards against live upstreams that are dropped after an outage because a relay that has not noticed
-/// it confirms the removal of their entries, and against a confirmation of another entry.
+/// Guards against live upstreams that are dropped after an outage because a relay that has not
+/// noticed it confirms the removal of their entries, and against a confirmation of another entry.
 #[test]
 fn removals_after_an_own_outage_are_not_confirmed_by_others() {
     struct Case {
--- a/tests/all/sharing/quota/bucket.rs
+++ b/tests/all/sharing/quota/bucket.rs
@@ -170,8 +170,8 @@
     assert_eq!(decision, Decision::Granted(16), "shard {kept} was not lost");
 }
 
-/// Guards against a refusal that states a time at which no token is due yet. The time is sent in whole
-/// milliseconds, and a caller that came at the stated time was refused again.
+/// Guards against a refusal that states a time at which no token is due yet. The time is sent in
+/// whole milliseconds, and a caller that came at the stated time was refused again.
 #[test]
 fn a_token_is_due_at_the_stated_time() {
     const ACCOUNT: u32 = 7;
