--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -454,8 +454,9 @@
     /// Returns the newest revision at which a peer to which the store responds knows another list
     /// of upstreams than `own`, 0 if there is none.
     ///
-    /// Revisions alone do not show that a list has changed: that of a peer increases with each
-    /// write to the store, and the newest one among its entries not with a removal.
+    /// Revisions alone do not show that a list has changed: the one up to which a peer has read
+    /// increases with each write to the store, and the newest one among the entries does not
+    /// change when one is removed.
     pub fn newest_other_list(&self, own: ListState) -> Revision {
         let lists = self.views_of_store().map(|store| store.upstreams);
         let others = lists.filter(|list| list.digest != own.digest);
--- a/tests/all/sharing/list_differences.rs
+++ b/tests/all/sharing/list_differences.rs
@@ -4,7 +4,7 @@
 
 use cactustrack_fleet::catalog::Catalog;
 use cactustrack_fleet::discovery::{Change, Topic};
-use cactustrack_fleet::message::{Body, ListState, RelayedChange, StoreView};
+use cactustrack_fleet::message::{Body, ListState, MAX_DATAGRAM_BYTES, RelayedChange, StoreView};
 use cactustrack_fleet::peers::Peers;
 use cactustrack_fleet::relay::{WholeListReading, from_upstream_change};
 
@@ -89,11 +89,17 @@
 #[test]
 fn a_difference_that_does_not_fit_is_read_from_the_store() {
     let now = Instant::now();
-    let changes: Vec<Change> = (0..394).map(listed).collect();
-    let state = ListState { revision: 600, digest: 1 };
-    let reading = WholeListReading { base: 0, state, recovery_ms: 0, changes };
-    let expected = RelayedChange::NewRevision { topic: Topic::Upstreams, revision: 600 };
-    assert_eq!(reading.to_relayed(now), expected);
+    let state = ListState { revision: u64::MAX, digest: u64::MAX };
+    let mut is_read = false;
+    for count in (0..394).step_by(5) {
+        let changes = (0..count).map(listed).collect();
+        let reading = WholeListReading { base: u64::MAX, state, recovery_ms: 1_600, changes };
+        let relayed = reading.to_relayed(now);
+        is_read = matches!(&relayed, RelayedChange::NewRevision { topic: Topic::Upstreams, .. });
+        let bytes = datagram("front-attica-a-20", 1, Body::Forward(relayed)).encode();
+        assert!(bytes.len() <= MAX_DATAGRAM_BYTES, "{count} changes: {} bytes", bytes.len());
+    }
+    assert!(is_read, "394 changes do not fit");
 }
 
 /// Guards against an instance that does not see that its list differs from that of another one: the
