--- a/tests/all/platform/removals.rs
+++ b/tests/all/platform/removals.rs
@@ -85,10 +85,16 @@
     control.requests() - before
 }
 
+/// Returns the number of times that the list of upstreams was read.
+fn count_list_reads(harness: &Harness) -> u64 {
+    harness.store.calls_for_prefix("/cactustrack/kv-range", "servers/")
+}
+
 /// Guards against an upstream that stays in use after its removal. A whole list shows only that an
 /// entry is missing. If the relays did not read the removal from the history, because the store had
 /// compacted it or because they were starting, no other instance learned of it, and these used the
 /// upstream until another entry changed.
+/// Also guards against a fleet whose instances all read the list from the store when its relays do.
 #[test]
 fn removals_that_no_relay_reads_from_the_history_are_in_force_everywhere() {
     struct Case {
@@ -109,6 +115,7 @@
         },
         Case { name: "both", is_history_compacted: true, are_others_restarted: true },
     ];
+    let relays = (0..INSTANCES).filter(|instance| is_relay(*instance)).count() as u64;
     let observer = (0..INSTANCES).find(|instance| !is_relay(*instance)).expect("not a relay");
     for Case { name, is_history_compacted, are_others_restarted } in cases {
         let mut harness = start_connected_fleet(3);
@@ -120,6 +127,7 @@
         thread::sleep(BETWEEN_REMOVALS);
         harness.store.remove("servers/up-2");
         let removed = Instant::now();
+        let reads_before = count_list_reads(&harness);
         if is_history_compacted {
             harness.store.compact_history();
         }
@@ -129,6 +137,10 @@
             }
         }
         thread::sleep(DRAIN_LIMIT.saturating_sub(removed.elapsed()));
+        if !are_others_restarted {
+            let reads = count_list_reads(&harness) - reads_before;
+            assert_eq!(reads, relays, "{name}: reads of the list");
+        }
         for instance in &harness.instances {
             wait_for("the instance to be ready", || instance.is_ready());
         }
--- a/tests/all/platform/store.rs
+++ b/tests/all/platform/store.rs
@@ -70,6 +70,8 @@
     /// Number of times that the pending watches were cut.
     cuts: u64,
     calls: HashMap<String, u64>,
+    /// Numbers of calls to a path for the keys with a prefix.
+    calls_for_prefix: HashMap<(String, String), u64>,
     /// Revision and entries that stale reads return. `None` returns the current state.
     stale: Option<(u64, BTreeMap<String, Entry>)>,
     /// Maximum number of items in a page of a range. `None` returns all items at once.
@@ -169,6 +171,12 @@
         content.entries.keys().filter(|key| key.starts_with(prefix)).cloned().collect()
     }
 
+    /// Returns the number of calls to a path for the keys with a prefix.
+    pub(super) fn calls_for_prefix(&self, path: &str, prefix: &str) -> u64 {
+        let key = (path.to_owned(), prefix.to_owned());
+        lock(&self.content).calls_for_prefix.get(&key).copied().unwrap_or_default()
+    }
+
     /// Returns the number of calls to a path.
     pub(super) fn calls(&self, path: &str) -> u64 {
         lock(&self.content).calls.get(path).copied().unwrap_or_default()
@@ -226,6 +234,12 @@
         known
     }
 
+    fn count_call(&mut self, path: &str, prefix: &str) {
+        *self.calls.entry(path.to_owned()).or_default() += 1;
+        let key = (path.to_owned(), prefix.to_owned());
+        *self.calls_for_prefix.entry(key).or_default() += 1;
+    }
+
     fn expire(&mut self) {
         let now = Instant::now();
         let ended = self.leases.iter().filter(|(_, lease)| lease.until <= now);
@@ -344,7 +358,8 @@
 ) -> io::Result<Response<Full<Bytes>>> {
     let (head, body) = req.into_parts();
     let path = head.uri.path().to_owned();
-    *lock(content).calls.entry(path.clone()).or_default() += 1;
+    let prefix = query_parameter(&head.uri, "path-prefix");
+    lock(content).count_call(&path, &prefix);
     let mode = lock(content).mode;
     match mode {
         Mode::Serving => {}
