--- a/tests/all/sharing/list_differences.rs
+++ b/tests/all/sharing/list_differences.rs
@@ -8,20 +8,7 @@
 use cactustrack_fleet::peers::Peers;
 use cactustrack_fleet::relay::{WholeListReading, from_upstream_change};
 
-use super::relay::{datagram, listed};
-
-fn heartbeat(store: StoreView) -> Body {
-    Body::Heartbeat {
-        in_flight: Vec::new(),
-        peers: Vec::new(),
-        leaving: false,
-        store,
-        failure_domain: "domain-a".into(),
-        totals: Vec::new(),
-        stamp: 0,
-        quota_shards: 0,
-    }
-}
+use super::relay::{datagram, heartbeat, listed};
 
 /// Guards against a removal that an instance never learns of, because relays that read the whole
 /// list find an entry missing and tell nobody. Also guards against a difference that is applied to
--- a/tests/all/sharing/relay.rs
+++ b/tests/all/sharing/relay.rs
@@ -37,6 +37,19 @@
     Datagram { format: FORMAT, from: from.into(), incarnation, sequence, version: 1, body }
 }
 
+pub(super) fn heartbeat(store: StoreView) -> Body {
+    Body::Heartbeat {
+        in_flight: Vec::new(),
+        peers: Vec::new(),
+        leaving: false,
+        store,
+        failure_domain: "domain-a".into(),
+        totals: Vec::new(),
+        stamp: 0,
+        quota_shards: 0,
+    }
+}
+
 fn configuration(version: u64, routes: usize) -> Configuration {
     let route = |number: usize| Route {
         host: "shop.example".into(),
@@ -345,16 +358,7 @@
             let mut peers = Peers::default();
             for other in (0..instances).filter(|other| other != own) {
                 let store = StoreView { is_up: is_up(other), ..StoreView::default() };
-                let body = Body::Heartbeat {
-                    in_flight: Vec::new(),
-                    peers: Vec::new(),
-                    leaving: false,
-                    store,
-                    failure_domain: "domain-a".into(),
-                    totals: Vec::new(),
-                    stamp: 0,
-                    quota_shards: 0,
-                };
+                let body = heartbeat(store);
                 let address = format!("10.0.0.{other}:7540").parse().expect("an address");
                 peers.accept(now, address, &datagram(&name(other), 1, body));
             }
