--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -2,7 +2,7 @@
 # Plays the case of claim.txt. Exits with 1 if the rule was broken, 0 if it held, 2 if the case could
 # not run. TROUBLE=0 leaves out the drill of the store.
 cd "$(dirname "$0")/../.." || exit 2
-for program in target/review-3/drill_route target/release/cactustrackd; do
+for program in target/review-3/drill_drain target/release/cactustrackd; do
     [ -x "$program" ] || { echo "$program is not built"; exit 2; }
 done
-exec target/review-3/drill_route target/release/cactustrackd review/14/record.txt
+exec target/review-3/drill_drain target/release/cactustrackd review/14/record.txt
