--- a/review/stand-ins-3/drill_drain.rs
+++ b/review/stand-ins-3/drill_drain.rs
@@ -104,8 +104,10 @@
     }
     record.say(&format!("{} requests sent, {} run", sent_at.len(), runs.len()));
     for (run, after) in &late {
-        record.say(&format!("DRAIN: {} reached {} {after:.2} s after the acknowledgement",
-            run.id, run.backend));
+        record.say(&format!(
+            "DRAIN: {} reached {} {after:.2} s after the acknowledgement",
+            run.id, run.backend
+        ));
     }
     record.say(if late.is_empty() { "DRAIN held" } else { "DRAIN was broken" });
     Ok(late.is_empty())
--- a/review/stand-ins-3/drill_quota.rs
+++ b/review/stand-ins-3/drill_quota.rs
@@ -49,9 +49,8 @@
     let runs: Runs = Arc::default();
     let store = Store::start(&record);
     let folder = Folder::new("cactustrack-review");
-    let rows: Vec<_> = (0..TENANTS)
-        .map(|n| format!("[\"tenant-{n}\",[\"key-{n}\"],0,{RATE},{BURST}]"))
-        .collect();
+    let rows: Vec<_> =
+        (0..TENANTS).map(|n| format!("[\"tenant-{n}\",[\"key-{n}\"],0,{RATE},{BURST}]")).collect();
     let routes = [("/pay/", "non_idempotent", "svc-a")];
     let text = configuration(3, &routes, &["svc-a"], &rows.join(","));
     store.put("op/config", &text);
@@ -145,8 +144,11 @@
         let most = times.iter().map(|(sent, _)| in_window(*sent)).max().unwrap_or(0);
         let is_broken = most as f64 > limit;
         is_kept &= !is_broken;
-        record.say(&format!("{name}: {} run, at most {most} in {WINDOW_S} s, limit {limit:.0}{}",
-            times.len(), if is_broken { ": QUOTA was broken" } else { "" }));
+        record.say(&format!(
+            "{name}: {} run, at most {most} in {WINDOW_S} s, limit {limit:.0}{}",
+            times.len(),
+            if is_broken { ": QUOTA was broken" } else { "" }
+        ));
     }
     is_kept
 }
@@ -158,14 +160,18 @@
     is_over: AtomicBool,
 }
 
-fn client(tenant: usize, to: SocketAddr, sent: Arc<Sent>, record: Record) -> thread::JoinHandle<()> {
+fn client(
+    tenant: usize,
+    to: SocketAddr,
+    sent: Arc<Sent>,
+    record: Record,
+) -> thread::JoinHandle<()> {
     thread::spawn(move || {
         while !sent.is_over.load(Ordering::SeqCst) {
             let id = format!("{:016x}", sent.next.fetch_add(1, Ordering::SeqCst));
             sent.at.lock().unwrap().insert(id.clone(), record.now());
             let key = format!("key-{tenant}");
-            let answer =
-                request(to, "POST", "/pay/p", &id, Some(&key), Duration::from_secs(4));
+            let answer = request(to, "POST", "/pay/p", &id, Some(&key), Duration::from_secs(4));
             record.line(&format!("tenant-{tenant} got {id} {}", answer.status));
             sleep_s(0.1);
         }
--- a/review/stand-ins-3/drill_revoke.rs
+++ b/review/stand-ins-3/drill_revoke.rs
@@ -96,15 +96,20 @@
     let late: Vec<_> = late.collect();
     for run in &late {
         let after = sent_at[&run.id] - revoked;
-        record.line(&format!("CONFIG: {} with the revoked key, sent {after:.1} s after the \
-            acknowledgement, was run by {}", run.id, run.backend));
+        record.line(&format!(
+            "CONFIG: {} with the revoked key, sent {after:.1} s after the \
+            acknowledgement, was run by {}",
+            run.id, run.backend
+        ));
     }
     let count = late.len();
     record.say(&if count == 0 {
         "CONFIG held".to_owned()
     } else {
-        format!("CONFIG was broken: {count} requests with the revoked key were run, sent later than \
-                 {REVOKE_S} s after the acknowledgement")
+        format!(
+            "CONFIG was broken: {count} requests with the revoked key were run, sent later than \
+                 {REVOKE_S} s after the acknowledgement"
+        )
     });
     Ok(late.is_empty())
 }
@@ -163,14 +168,18 @@
     is_over: AtomicBool,
 }
 
-fn client(tenant: usize, to: SocketAddr, sent: Arc<Sent>, record: Record) -> thread::JoinHandle<()> {
+fn client(
+    tenant: usize,
+    to: SocketAddr,
+    sent: Arc<Sent>,
+    record: Record,
+) -> thread::JoinHandle<()> {
     thread::spawn(move || {
         while !sent.is_over.load(Ordering::SeqCst) {
             let id = format!("{:016x}", sent.next.fetch_add(1, Ordering::SeqCst));
             sent.at.lock().unwrap().insert(id.clone(), record.now());
             let key = format!("key-{tenant}");
-            let answer =
-                request(to, "POST", "/pay/p", &id, Some(&key), Duration::from_secs(4));
+            let answer = request(to, "POST", "/pay/p", &id, Some(&key), Duration::from_secs(4));
             record.line(&format!("tenant-{tenant} got {id} {}", answer.status));
             sleep_s(0.5);
         }
--- a/review/stand-ins-3/drill_route.rs
+++ b/review/stand-ins-3/drill_route.rs
@@ -25,7 +25,8 @@
 
 /// The operator's configuration. Version 7 adds a route, and version 8 moves the first one.
 fn version(number: u64) -> String {
-    let mut routes = vec![("/orders/", "non_idempotent", if number >= 8 { "svc-b" } else { "svc-a" })];
+    let mut routes =
+        vec![("/orders/", "non_idempotent", if number >= 8 { "svc-b" } else { "svc-a" })];
     if number >= 7 {
         routes.push(("/search/", "idempotent", "svc-a"));
     }
@@ -92,19 +93,26 @@
     let (runs, sent_at) = (runs.lock().unwrap(), sent.at.lock().unwrap());
     let old: Vec<_> = backends.iter().filter(|backend| backend.service == "svc-a").collect();
     let late = runs.iter().filter(|run| old.iter().any(|backend| backend.id == run.backend));
-    let late = late.filter(|run| sent_at.get(&run.id).is_some_and(|at| *at > moved + CONFIG_APPLY_S.max(STABLE_WINDOW_S)));
+    let late = late.filter(|run| {
+        sent_at.get(&run.id).is_some_and(|at| *at > moved + CONFIG_APPLY_S.max(STABLE_WINDOW_S))
+    });
     let late: Vec<_> = late.collect();
     for run in &late {
         let after = sent_at[&run.id] - moved;
-        record.line(&format!("CONFIG: {}, sent {after:.1} s after the acknowledgement, was run by {} \
-            of the old service", run.id, run.backend));
+        record.line(&format!(
+            "CONFIG: {}, sent {after:.1} s after the acknowledgement, was run by {} \
+            of the old service",
+            run.id, run.backend
+        ));
     }
     let count = late.len();
     record.say(&if count == 0 {
         "CONFIG held".to_owned()
     } else {
-        format!("CONFIG was broken: {count} requests were run by the old service, sent later than \
-                 {STABLE_WINDOW_S} s after the acknowledgement")
+        format!(
+            "CONFIG was broken: {count} requests were run by the old service, sent later than \
+                 {STABLE_WINDOW_S} s after the acknowledgement"
+        )
     });
     Ok(late.is_empty())
 }
--- a/review/stand-ins-3/lib.rs
+++ b/review/stand-ins-3/lib.rs
@@ -163,7 +163,8 @@
         }
         _ => {
             let from = *at;
-            while *at < b.len() && matches!(b[*at], b'0'..=b'9' | b'-' | b'+' | b'.' | b'e' | b'E') {
+            while *at < b.len() && matches!(b[*at], b'0'..=b'9' | b'-' | b'+' | b'.' | b'e' | b'E')
+            {
                 *at += 1;
             }
             std::str::from_utf8(&b[from..*at]).ok()?.parse().ok().map(Json::Num)
@@ -319,6 +320,8 @@
     rev: u64,
     created: u64,
     lease: u64,
+    /// The fields of a backend's entry but `seq`.
+    entry: Option<String>,
 }
 
 impl Item {
@@ -349,7 +352,7 @@
 impl Content {
     fn put(&mut self, rev: u64, key: &str, value: String, lease: u64) {
         let created = self.items.get(key).map_or(rev, |item| item.created);
-        let item = Item { value, rev, created, lease };
+        let item = Item { value, rev, created, lease, entry: None };
         self.history.push_back((key.to_owned(), rev, item.json(key)));
         self.items.insert(key.to_owned(), item);
     }
@@ -486,6 +489,30 @@
         Some(rev)
     }
 
+    /// Writes the entry of a backend, which changes when more than `seq` changes. Returns its revision.
+    /// Without effect if the store is away.
+    pub fn put_entry(&self, beat: &Beat) -> Option<u64> {
+        let (mutex, changed) = &*self.state;
+        let mut state = mutex.lock().unwrap();
+        if state.is_away {
+            return None;
+        }
+        let known = state.content.items.get(&beat.key);
+        let is_same = known.is_some_and(|item| item.entry.as_deref() == Some(&*beat.fields));
+        if is_same {
+            return known.map(|item| item.rev);
+        }
+        state.content.rev += 1;
+        let rev = state.content.rev;
+        let value = format!("{{{},\"seq\":{}}}", beat.fields, beat.seq);
+        state.content.put(rev, &beat.key, base64(value.as_bytes()), 0);
+        if let Some(item) = state.content.items.get_mut(&beat.key) {
+            item.entry = Some(beat.fields.clone());
+        }
+        changed.notify_all();
+        Some(rev)
+    }
+
     pub fn remove(&self, key: &str) -> Option<u64> {
         let (mutex, changed) = &*self.state;
         let mut state = mutex.lock().unwrap();
@@ -543,7 +570,8 @@
         drop(state);
         changed.notify_all();
         let age = (left - at).as_secs_f64();
-        self.record.say(&format!("store: back from a copy {age:.1} s old, era {era}, revision {rev}"));
+        self.record
+            .say(&format!("store: back from a copy {age:.1} s old, era {era}, revision {rev}"));
     }
 
     fn serve(&self, stream: TcpStream) -> io::Result<()> {
@@ -609,7 +637,8 @@
                         return (410, "{}".to_owned());
                     }
                     let events = state.content.history.iter();
-                    let events = events.filter(|(key, rev, _)| *rev > after && key.starts_with(&prefix));
+                    let events =
+                        events.filter(|(key, rev, _)| *rev > after && key.starts_with(&prefix));
                     let events: Vec<_> = events.map(|(_, _, json)| json.clone()).collect();
                     let left = until.saturating_duration_since(Instant::now());
                     if !events.is_empty() || left.is_zero() {
@@ -633,7 +662,8 @@
                 (200, format!("{{\"lease\":{id},\"ttl-s_time\":{}}}", ttl.as_secs_f64()))
             }
             ("POST", _) if path.starts_with("/cactustrack/kv-keep/") => {
-                let lease = rest("/cactustrack/kv-keep/").and_then(|id| state.content.leases.get_mut(&id));
+                let lease =
+                    rest("/cactustrack/kv-keep/").and_then(|id| state.content.leases.get_mut(&id));
                 match lease {
                     Some(lease) => {
                         lease.until = Instant::now() + lease.ttl;
@@ -709,6 +739,15 @@
 
 pub type Runs = Arc<Mutex<Vec<Run>>>;
 
+/// A write of a backend's entry.
+#[derive(Clone, Debug)]
+pub struct Beat {
+    pub key: String,
+    /// The fields of the entry but `seq`.
+    pub fields: String,
+    pub seq: u64,
+}
+
 /// Stand-in of a backend.
 #[derive(Clone)]
 pub struct Backend {
@@ -787,24 +826,22 @@
         }
     }
 
-    /// The entry, without what changes with each write.
-    fn entry(&self) -> String {
+    /// Returns the next write of the entry.
+    pub fn next_beat(&self) -> Beat {
         let state = if self.is_leaving.load(Ordering::SeqCst) { "draining" } else { "ready" };
         let warmup = self.warm_at.saturating_duration_since(Instant::now()).as_secs_f64();
-        format!(
-            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"zone-a\",\"version\":\"v1\",\
-             \"capacity\":4,\"state\":\"{state}\",\"warmup-left-s\":{warmup:.2},\"seq\":{},\"born\":{}}}",
-            self.service,
-            self.address,
-            // The entry changes when more than `seq` changes, so a constant one will do.
-            self.seq.load(Ordering::SeqCst),
-            self.born
-        )
+        let fields = format!(
+            "\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"zone-a\",\"version\":\"v1\",\
+             \"capacity\":4,\"state\":\"{state}\",\"warmup-left-s\":{warmup:.2},\"born\":{}",
+            self.service, self.address, self.born
+        );
+        let seq = self.seq.fetch_add(1, Ordering::SeqCst) + 1;
+        Beat { key: format!("servers/{}", self.id), fields, seq }
     }
 
     /// Writes the entry, as each heartbeat does. Returns its revision if the store has accepted it.
     pub fn write(&self, store: &Store) -> Option<u64> {
-        store.put(&format!("servers/{}", self.id), &self.entry())
+        store.put_entry(&self.next_beat())
     }
 
     /// Writes the entry at once and with each heartbeat until the backend ends.
@@ -1001,7 +1038,12 @@
 pub type RouteRow<'a> = (&'a str, &'a str, &'a str);
 
 /// Returns the operator's configuration. `tenants` are rows of the table, or empty.
-pub fn configuration(version: u64, routes: &[RouteRow], services: &[&str], tenants: &str) -> String {
+pub fn configuration(
+    version: u64,
+    routes: &[RouteRow],
+    services: &[&str],
+    tenants: &str,
+) -> String {
     let rows: Vec<_> = routes
         .iter()
         .enumerate()
