--- a/review/stand-ins-3/drill_drain.rs
+++ b/review/stand-ins-3/drill_drain.rs
@@ -12,6 +12,11 @@
 
 const DRAIN_S: f64 = 2.0;
 const INSTANCES: usize = 6;
+const BACKENDS: usize = 8;
+/// Backends that are added, a quarter of them.
+const ADDED: usize = 2;
+/// Backends that leave, a quarter of the first ones.
+const LEAVING: usize = 2;
 
 fn main() {
     play(run)
@@ -24,7 +29,7 @@
     let folder = Folder::new("cactustrack-review");
     let routes = [("/orders/", "non_idempotent", "svc-a"), ("/search/", "idempotent", "svc-a")];
     store.put("op/config", &configuration(3, &routes, &["svc-a"], ""));
-    let first: Vec<_> = (1..=3)
+    let first: Vec<_> = (1..=BACKENDS)
         .map(|n| Backend::start(&format!("i-a{n}"), "svc-a", Duration::ZERO, &runs, &record))
         .collect();
     first.iter().for_each(|backend| backend.register(&store));
@@ -48,8 +53,8 @@
         .enumerate()
         .map(|(n, machine)| client(n, machine.front, Arc::clone(&sent), record.clone()))
         .collect();
-    record.say("traffic starts; four backends are added (scale_out)");
-    let added: Vec<_> = (1..=4)
+    record.say("traffic starts; two backends are added (scale_out)");
+    let added: Vec<_> = (1..=ADDED)
         .map(|n| {
             Backend::start(&format!("i-b{n}"), "svc-a", Duration::from_secs(3), &runs, &record)
         })
@@ -66,20 +71,20 @@
     record.say(&format!("store: revision {}; {}", store.revision(), store.items("").join(" ")));
     // The clients rest when the backends begin to leave.
     sleep_s(PERIOD_S - record.now() % PERIOD_S + 1.0);
-    // The old backends leave, as at the end of a release. Each serves on for some seconds.
+    // Some backends leave. Each serves on for some seconds.
     let mut acknowledged = Vec::new();
-    for backend in &first {
+    for backend in &first[..LEAVING] {
         backend.is_leaving.store(true, Ordering::SeqCst);
         let rev = backend.write(&store).ok_or("the store did not accept the report")?;
         acknowledged.push((backend.id.clone(), record.now()));
         record.say(&format!("{} reports draining, acknowledged at revision {rev}", backend.id));
     }
     sleep_s(10.0);
-    for backend in &first {
+    for backend in &first[..LEAVING] {
         backend.is_gone.store(true, Ordering::SeqCst);
         store.remove(&format!("servers/{}", backend.id));
     }
-    record.say("the old backends have ended");
+    record.say("the backends that left have ended");
     sleep_s(3.0);
     sent.is_over.store(true, Ordering::SeqCst);
     for client in clients {
