Recognize entries of a copy that a relay has read

What callers saw: an upstream that had left was used again when the store came back from a copy that still held its entry, with the same incarnation, number of the write and revision number as it was last known. The instance that had read the list itself kept it out of use; those that heard of the copy through a relay sent it requests until it was removed once more.

Cause: whether an entry may come from the copy was decided by the first position of the era, which only a whole list that the instance read itself recorded. An instance that learns of the era from a relay's difference kept the position of an earlier era, below every entry of the new one.

Change: the catalog advances its position in one place, before entries are applied, and records the start of the era there. What comes by a relay and what is read go the same way.

--- a/crates/fleet/src/catalog.rs
+++ b/crates/fleet/src/catalog.rs
@@ -140,7 +140,7 @@
         changes: impl IntoIterator<Item = Change>,
     ) -> Vec<AppliedChange> {
         let known = self.revision;
-        self.revision = until;
+        self.advance(until);
         if until.era() != known.era() {
             self.unchanged_since = until;
         }
@@ -188,6 +188,12 @@
         Ok(self.apply_all(now, revision, changes))
     }
 
+    /// Records the revision up to which all changes are applied, before they are.
+    fn advance(&mut self, revision: Revision) {
+        self.newest_writes.on_position(revision);
+        self.revision = revision;
+    }
+
     fn set_unchanged_since(&mut self, revision: Revision) {
         self.unchanged_since = self.unchanged_since.max(revision);
     }
@@ -268,8 +274,7 @@
             self.outages.on_restored(now);
             self.extend_pending_removals(now);
         }
-        self.newest_writes.on_list(revision);
-        self.revision = revision;
+        self.advance(revision);
         // The list does not show when the last entry was removed.
         self.unchanged_since = revision;
         let mut differences = self.remove_missing(now, &list, revision);
--- a/crates/fleet/src/newest_writes.rs
+++ b/crates/fleet/src/newest_writes.rs
@@ -47,14 +47,16 @@
 pub struct NewestWrites {
     removals: RapidHashMap<UpstreamId, Removal>,
     overrides: RapidHashMap<UpstreamId, Override>,
-    /// First position that was read in the current era. Later entries are not from the copy that the
-    /// era began with.
+    /// First known position in the current era. Later entries are not from the copy that the era began
+    /// with.
     era_start: Revision,
 }
 
 impl NewestWrites {
-    /// Records the position up to which a whole list was read.
-    pub fn on_list(&mut self, revision: Revision) {
+    /// Records the position up to which the list is known, whether it was read here or by a relay. Entries
+    /// up to the first position of an era may be from the copy that the era began with, so it has to be
+    /// recorded before these entries are.
+    pub fn on_position(&mut self, revision: Revision) {
         if revision.era() != self.era_start.era() {
             self.era_start = revision;
         }
--- a/tests/all/platform/store_history.rs
+++ b/tests/all/platform/store_history.rs
@@ -119,6 +119,40 @@
     assert_eq!([received(1), received(2)], before, "requests at upstreams that have left");
 }
 
+/// Guards against an upstream that has left and gets requests again from instances which learn from a
+/// relay that the store came back from a copy. The copy contains the entry as they last knew it. Also
+/// guards against its use while the entry is removed once more.
+#[test]
+fn an_upstream_that_a_copy_brings_back_gets_no_requests() {
+    const RETURNED: usize = 1;
+    /// Time for which the entry is in the store again.
+    const LISTED_TIME: Duration = Duration::from_secs(4);
+    let harness = start_fleet(4);
+    lose_writes(&harness, || {
+        harness.store.remove("servers/up-1");
+        thread::sleep(APPLY_LIMIT);
+    });
+    let restored = Instant::now();
+    let control = &harness.upstreams.all[RETURNED].control;
+    let before = control.requests();
+    let send_until = |end: Duration| {
+        while restored.elapsed() < end {
+            let refusing = refusing(&harness, "/search/x");
+            assert!(refusing.is_empty(), "not served by {refusing:?}");
+        }
+    };
+    send_until(LISTED_TIME);
+    let returned = control.requests() - before;
+    harness.store.remove("servers/up-1");
+    send_until(LISTED_TIME + APPLY_LIMIT);
+    let removed_again = control.requests() - before - returned;
+    assert_eq!(
+        [returned, removed_again],
+        [0, 0],
+        "requests, and since the entry was removed again"
+    );
+}
+
 /// Guards against instances that read the store again and again after it came back from a copy.
 #[test]
 fn a_store_that_lost_writes_is_read_a_few_times_only() {
--- a/tests/all/sharing/newest_writes.rs
+++ b/tests/all/sharing/newest_writes.rs
@@ -4,8 +4,10 @@
 
 use cactustrack_fleet::catalog::Catalog;
 use cactustrack_fleet::discovery::{Change, ListedUpstream, Revision};
+use cactustrack_fleet::message::RelayedChange;
 use cactustrack_fleet::newest_writes::{EARLIER_INCARNATION_PERIOD, REMOVED_PERIOD};
 use cactustrack_fleet::outage::RELIST_PERIOD;
+use cactustrack_fleet::relay::{WholeListReading, from_upstream_change};
 use cactustrack_types::{Incarnation, ServiceId};
 
 /// Era in which the tests begin.
@@ -189,6 +191,65 @@
     }
 }
 
+/// Guards against an upstream that has left and is used again by the instances which learn from a relay,
+/// not by a read of their own, that the store came back from a copy which contains the entry as it was
+/// last known.
+#[test]
+fn an_entry_that_a_relay_reads_from_a_copy_is_not_used() {
+    struct Case {
+        name: &'static str,
+        /// Changes before the restore.
+        changes: Vec<Change>,
+        copied: ListedUpstream,
+    }
+    let removed = || Change::Unlisted("a".into(), at(25));
+    let draining = || Change::Listed(entry(1, 9, true, at(23)));
+    let cases = [
+        Case {
+            name: "removed",
+            changes: vec![removed()],
+            copied: entry(1, 5, false, restored_at(20)),
+        },
+        Case {
+            name: "removed, with a newer number that left the revision as it was",
+            changes: vec![removed()],
+            copied: entry(1, 8, false, restored_at(20)),
+        },
+        Case {
+            name: "draining",
+            changes: vec![draining()],
+            copied: entry(1, 5, false, restored_at(20)),
+        },
+        Case {
+            name: "draining, then removed",
+            changes: vec![draining(), removed()],
+            copied: entry(1, 5, false, restored_at(20)),
+        },
+    ];
+    for Case { name, changes, copied } in cases {
+        let now = Instant::now();
+        let known = || {
+            let mut catalog = Catalog::default();
+            catalog.replace(now, vec![entry(1, 5, false, at(20))], at(20));
+            catalog.apply(now, at(20), at(25), changes.clone());
+            catalog
+        };
+        let (mut relay, mut other) = (known(), known());
+        let base = relay.state().digest;
+        let read = relay.replace(now, vec![copied], restored_at(23)).expect("a newer list");
+        let changes = read.into_iter().map(Change::from).collect();
+        let reading = WholeListReading { base, state: relay.state(), recovery_ms: 0, changes };
+        let RelayedChange::UpstreamList(difference) = reading.to_relayed(now) else {
+            panic!("{name}: the difference fits into a datagram");
+        };
+        let changes = difference.content.unpack().expect("changes").into_iter();
+        let changes = changes.map(|change| from_upstream_change(now, change)).collect();
+        other.apply_difference(now, &difference, changes).expect("the list that the relay knew");
+        assert!(!is_used(&relay, now), "{name}: used by the relay");
+        assert!(!is_used(&other, now), "{name}: used by another instance");
+    }
+}
+
 /// Guards against a draining upstream that is used again because the store came back from a copy in
 /// which it was not draining yet.
 #[test]
