Remove an upstream at once whose earlier removal is in effect

What callers could see: an upstream that had left got requests for up to 1.6 s when the entry that a copy of the store had brought back was removed again shortly after an outage, and the time ended meanwhile for which the earlier removal is known to be in effect (10 s). The log stated a delay for such removals in any case.

Cause: each removal after an outage is delayed, since the entry of a live upstream may have expired. A removal that is in effect already needs no such delay.

Change: only the removal of an entry that is in effect is delayed, and the log states the delay of the removal itself.

Evidence: sharing::newest_writes::an_entry_that_a_copy_brings_back_is_removed_at_once fails without the change and passes with it.

--- a/crates/fleet/src/catalog.rs
+++ b/crates/fleet/src/catalog.rs
@@ -14,7 +14,7 @@
 //! of their lists, which reveal each difference.
 
 use std::net::SocketAddr;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use cactustrack_types::{Incarnation, ServiceId, UpstreamId};
 use derive_more::{Display, Error};
@@ -217,21 +217,28 @@
         true
     }
 
-    /// Removes an entry. During and shortly after an outage the removal is delayed. A removal that
-    /// is older than the entry has no effect.
+    /// Removes an entry. During and shortly after an outage the removal is delayed, unless an earlier
+    /// one is in effect and the store came back from a copy since. A removal that is older than the entry
+    /// has no effect.
     pub fn remove(&mut self, now: Instant, id: &UpstreamId, revision: Revision) {
         if self.listed.get(id).is_some_and(|known| known.revision > revision) {
             return;
         }
         self.subtract_from_digest(id);
         match self.outages.recovery_until(now) {
-            Some(until) if self.listed.contains_key(id) => {
+            Some(until) if self.get(id).is_some() => {
                 self.pending_removals.entry(id.clone()).or_insert(until);
             }
             _ => self.remove_entry(now, id),
         }
     }
 
+    /// Returns the time until a removal takes effect, zero if none is delayed.
+    pub fn removal_delay(&self, now: Instant, id: &str) -> Duration {
+        let until = self.pending_removals.get(id);
+        until.map_or(Duration::ZERO, |until| until.saturating_duration_since(now))
+    }
+
     /// Applies delayed removals at once that a relay reports which has noticed no outage. Those
     /// that are delayed by an outage that this instance has noticed itself stay delayed. Returns
     /// the ids.
--- a/src/node/upstream_list.rs
+++ b/src/node/upstream_list.rs
@@ -1,6 +1,6 @@
 //! Changes to the list of upstreams, as they arrive from the store and from relays.
 
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use cactustrack_fleet::catalog::{AppliedChange, MissingChange};
 use cactustrack_fleet::discovery::{Change, Revision, Snapshot};
@@ -160,8 +160,7 @@
                     "is_superseded" => self.catalog.is_superseded(&upstream.id));
             }
             AppliedChange::Removed { upstream, revision } => {
-                let until = self.catalog.outages().recovery_until(now);
-                let delay = until.map_or(Duration::ZERO, |until| until - now);
+                let delay = self.catalog.removal_delay(now, &upstream.id);
                 slog::info!(self.log, "members: upstream is no longer listed";
                     "upstream" => &*upstream.id, "service" => &*upstream.service,
                     "incarnation" => upstream.incarnation.0, "sequence" => upstream.sequence,
--- a/tests/all/sharing/newest_writes.rs
+++ b/tests/all/sharing/newest_writes.rs
@@ -337,3 +337,22 @@
     catalog.expire(later);
     assert!(is_used(&catalog, later), "a live upstream is removed");
 }
+
+/// Guards against an upstream that has left and is used again at the end of the time for which its
+/// removal is known to be in effect, because the removal of the entry that a copy has brought back is
+/// delayed.
+#[test]
+fn an_entry_that_a_copy_brings_back_is_removed_at_once() {
+    let now = Instant::now();
+    let mut catalog = Catalog::default();
+    catalog.replace(now, vec![entry(1, 5, false, at(20))], at(20));
+    apply(&mut catalog, now, Change::Unlisted("a".into(), at(25)));
+    catalog.replace(now, vec![entry(1, 5, false, restored_at(20))], restored_at(23));
+    let removed = now + REMOVED_PERIOD - Duration::from_millis(100);
+    catalog.outages_mut().on_restored(removed);
+    apply(&mut catalog, removed, Change::Unlisted("a".into(), restored_at(30)));
+    assert!(!catalog.has_pending_removals(), "the removal is delayed");
+    let later = now + REMOVED_PERIOD;
+    catalog.expire(later);
+    assert!(!is_used(&catalog, later), "an upstream that has left is used");
+}
