Apply removals of a sound relay while cut off from the store

What callers saw: an instance that was cut off from the store, and that its peers reached, sent requests to an upstream up to 2.27 s after its removal (bound 2 s).

Cause: an instance delays removals by 1.6 s during an outage of the store, since entries of live upstreams may have expired. It took being cut off for such an outage, also where the relay that reports the removal has had the store all the while.

Change: a removal that a relay without an outage reports takes effect at once while the own outage goes on. Once the store responds to this instance again, removals stay delayed as before. The same holds for what relays find in a whole list.

--- a/crates/fleet/src/catalog.rs
+++ b/crates/fleet/src/catalog.rs
@@ -239,11 +239,11 @@
         until.map_or(Duration::ZERO, |until| until.saturating_duration_since(now))
     }
 
-    /// Applies delayed removals at once that a relay reports which has noticed no outage. Those
-    /// that are delayed by an outage that this instance has noticed itself stay delayed. Returns
-    /// the ids.
+    /// Applies delayed removals at once that a relay reports which has noticed no outage. They stay
+    /// delayed if the store has responded to this instance again after an outage, but not while this
+    /// instance alone is cut off from it. Returns the ids.
     pub fn confirm_removals(&mut self, now: Instant, changes: &[Change]) -> Vec<UpstreamId> {
-        if !self.outages.own_recovery_left(now).is_zero() {
+        if self.outages.is_recovering(now) {
             return Vec::new();
         }
         let is_confirmed = |change: &Change| match change {
--- a/crates/fleet/src/outage.rs
+++ b/crates/fleet/src/outage.rs
@@ -72,6 +72,12 @@
         until.map_or(Duration::ZERO, |until| until.saturating_duration_since(now))
     }
 
+    /// Returns true if this instance has noticed the end of an outage, and expired entries may still be
+    /// written again. While the outage goes on, only other instances know what the store holds.
+    pub fn is_recovering(&self, now: Instant) -> bool {
+        self.own_recovery_until.is_some_and(|until| until > now)
+    }
+
     fn own_recovery(&self, now: Instant) -> Option<Instant> {
         if self.is_ongoing(now) {
             return Some(now + RELIST_PERIOD);
--- a/src/node/upstream_list.rs
+++ b/src/node/upstream_list.rs
@@ -22,29 +22,32 @@
         delta: &Delta<PackedChanges>,
     ) -> Result<(), MissingChange> {
         let known = self.catalog.revision();
-        if delta.revision <= known {
-            self.confirm_removals(now, delta);
+        if delta.revision <= known && !self.catalog.has_pending_removals() {
             return Ok(());
         }
         let Some(changes) = self.unpack(now, &delta.content) else { return Ok(()) };
+        if delta.revision <= known {
+            self.confirm_removals(now, delta.recovery_ms, &changes);
+            return Ok(());
+        }
         if delta.after > known {
             let newest = changes.iter().filter_map(Change::upstream_revision).max();
             return newest.map_or(Ok(()), |revision| Err(MissingChange { revision }));
         }
         self.catalog.outages_mut().on_relayed(now, from_ms(delta.recovery_ms));
         let source = ChangeSource::Relay;
-        self.apply_upstream_changes(now, source, delta.after, delta.revision, changes);
+        self.apply_upstream_changes(now, source, delta.after, delta.revision, changes.clone());
+        self.confirm_removals(now, delta.recovery_ms, &changes);
         Ok(())
     }
 
-    /// Applies removals that were delayed because of an outage that one relay noticed, if another
-    /// relay has noticed none: the first one was cut off from the store.
-    fn confirm_removals(&mut self, now: Instant, delta: &Delta<PackedChanges>) {
-        if delta.recovery_ms > 0 || !self.catalog.has_pending_removals() {
+    /// Applies removals that were delayed because of an outage that one relay or this instance noticed,
+    /// if another relay has noticed none: the first one, or this instance, is cut off from the store.
+    fn confirm_removals(&mut self, now: Instant, recovery_ms: u32, changes: &[Change]) {
+        if recovery_ms > 0 || !self.catalog.has_pending_removals() {
             return;
         }
-        let Some(changes) = self.unpack(now, &delta.content) else { return };
-        for id in self.catalog.confirm_removals(now, &changes) {
+        for id in self.catalog.confirm_removals(now, changes) {
             slog::info!(self.log, "members: delayed removal is confirmed"; "upstream" => &*id);
         }
     }
@@ -61,8 +64,9 @@
         difference: &ListDifference,
     ) -> Result<(), MissingChange> {
         let Some(changes) = self.unpack(now, &difference.content) else { return Ok(()) };
-        let applied = self.catalog.apply_difference(now, difference, changes)?;
+        let applied = self.catalog.apply_difference(now, difference, changes.clone())?;
         self.on_applied(now, ChangeSource::Relay, &applied);
+        self.confirm_removals(now, difference.recovery_ms, &changes);
         Ok(())
     }
 
--- a/tests/all/sharing/outages.rs
+++ b/tests/all/sharing/outages.rs
@@ -171,3 +171,31 @@
         assert_eq!(is_used(&catalog, now), expected, "{name}");
     }
 }
+
+/// Guards against a removal that an instance which is cut off from the store applies too late: it has
+/// noticed an outage, while the relay that reports the removal has noticed none.
+#[test]
+fn an_outage_of_one_instance_delays_no_removal_that_a_relay_reports() {
+    struct Case {
+        name: &'static str,
+        is_store_back: bool,
+        is_used: bool,
+    }
+    let cases = [
+        Case { name: "cut off", is_store_back: false, is_used: false },
+        Case { name: "the store responds again", is_store_back: true, is_used: true },
+    ];
+    for Case { name, is_store_back, is_used: expected } in cases {
+        let now = Instant::now();
+        let mut catalog = Catalog::default();
+        catalog.replace(now, vec![entry()], Revision::new(0, 150));
+        catalog.outages_mut().on_failure(now - Duration::from_secs(2));
+        if is_store_back {
+            catalog.outages_mut().on_response(now);
+        }
+        let removal = [Change::Unlisted(entry().id, Revision::new(0, 200))];
+        catalog.apply(now, Revision::new(0, 150), Revision::new(0, 200), removal.clone());
+        catalog.confirm_removals(now, &removal);
+        assert_eq!(is_used(&catalog, now), expected, "{name}");
+    }
+}
