Prove no configuration by a restored store before the peers are heard

What callers saw, in random schedules of a simulated fleet: a revoked API key was accepted up to 7.5 s after its revocation (bound 5 s from the acknowledgement) after the store had come back from a copy without the revocation, by instances that started before the operator had written the newest version again, and by running ones that had missed it.

Cause: a linearizable read counted as a proof in any history of the store. That the copy is older shows only in the versions of other instances, and a read was a proof before these had stated theirs. Also, an instance whose proofs come from attesters never learned of the new era, as only its own reads told it, and kept proofs that a peer's newer version refutes.

Heartbeats tell the era too.

The simulated heartbeats now state the version, its revision and the era, as those of real instances do, and the simulated store begins in era 1. The assertion on the read at the start holds as before in the first era; in a restored one the read may prove nothing.

--- a/crates/fleet/src/discovery.rs
+++ b/crates/fleet/src/discovery.rs
@@ -12,7 +12,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::quota::ownership::ShardId;
-pub use crate::revision::{Era, Revision};
+pub use crate::revision::{Era, FIRST_ERA, Revision};
 
 /// A future that is not `Send` and stays on the thread of its instance.
 pub type LocalFuture<'a, T> = Pin<Box<dyn Future<Output = T> + 'a>>;
@@ -175,6 +175,16 @@
     Missing,
 }
 
+impl StoredConfiguration {
+    /// Returns the era in which it was read, `None` if the response does not contain it.
+    pub fn era(&self) -> Option<Era> {
+        match self {
+            Self::Decoded { revision, .. } | Self::Undecodable { revision } => Some(revision.era()),
+            Self::Unchanged | Self::Missing => None,
+        }
+    }
+}
+
 /// Result of a watch.
 #[derive(Clone, Debug, PartialEq)]
 pub enum WatchResult {
--- a/crates/fleet/src/freshness.rs
+++ b/crates/fleet/src/freshness.rs
@@ -11,19 +11,21 @@
 //! of the attester, or a newer one, in force.
 //!
 //! A store that has come back from an older copy may hold an older configuration than it has
-//! acknowledged. What it holds then proves nothing as long as a peer knows a newer version.
+//! acknowledged. What it holds then proves nothing as long as a peer knows a newer version. A read in a
+//! new era is therefore a proof only once the other instances have stated their versions.
 //!
 //! All times are since the boot of the machine and include the time for which it was suspended.
 //! Each time is compared only with times of the same machine, so clocks need no synchronization.
 
 use std::collections::HashMap;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use cactustrack_types::{Incarnation, InstanceId, Version};
 use derive_more::{Display, Error};
 
-use crate::discovery::{Era, Revision, StoredConfiguration};
+use crate::discovery::{Era, FIRST_ERA, Revision, StoredConfiguration};
 use crate::message::{Stamp, to_stamp};
+use crate::peers::Peers;
 
 /// Time since the boot of the machine, with the time for which it was suspended.
 pub type SinceBoot = Duration;
@@ -144,6 +146,10 @@
     /// or there is none.
     #[display("a newer configuration is not in force yet")]
     NotInForce,
+    /// The store has come back from a copy, and the other instances have not stated since whether they
+    /// have a newer configuration than the copy in force.
+    #[display("other instances may have a newer configuration than the store")]
+    PeersUnknown,
     /// The newest configuration cannot be decoded. Whether it revokes a key is unknown.
     #[display("the newest configuration cannot be decoded")]
     Undecodable,
@@ -170,8 +176,11 @@
     /// acknowledged, `None` without a proof.
     proven_at: Option<SinceBoot>,
     last_read: Option<LastRead>,
-    /// Newest era of the store in which a configuration was read.
+    /// Newest known era of the store.
     era: Era,
+    /// Time at which that era became known, if the store came back from a copy and the other instances
+    /// have not stated their versions since.
+    restored_at: Option<Instant>,
     /// Newest version that a peer has in force.
     newest_elsewhere: Version,
     /// Start of the last read.
@@ -196,6 +205,7 @@
             proven_at: None,
             last_read: None,
             era: 0,
+            restored_at: None,
             newest_elsewhere: 0,
             last_started: None,
             last_attested: None,
@@ -283,12 +293,34 @@
         Ok(read.stamps)
     }
 
+    /// Records that the store states an era, here or to another instance, and whether the peers have stated
+    /// their versions since the newest one became known. 0 stands for an unknown era.
+    pub fn on_era(&mut self, now: Instant, era: Era, peers: &Peers) {
+        if self.is_restored(era) {
+            self.restored_at = Some(now);
+        }
+        self.era = self.era.max(era);
+        let Some(since) = self.restored_at else { return };
+        // An instance that stays alone goes by what the store holds.
+        let is_over = now.saturating_duration_since(since) >= self.bound;
+        if is_over || peers.are_heard_since(now, since) {
+            self.restored_at = None;
+        }
+    }
+
+    /// Returns true if the store has come back from a copy since the newest known era, or before this
+    /// process has started, if it is in this era.
+    fn is_restored(&self, era: Era) -> bool {
+        era > self.era && (self.era > 0 || era > FIRST_ERA)
+    }
+
     /// Records that the store held no configuration newer than `version` at the time `at`, because
     /// a linearizable read that started then has returned this version in an era.
     ///
     /// # Errors
     ///
-    /// Fails if the configuration in force is older than this version or than that of a peer.
+    /// Fails if the configuration in force is older than this version or than that of a peer, or if the
+    /// store has come back from a copy and what the other instances have in force is not known yet.
     pub fn confirm(
         &mut self,
         at: SinceBoot,
@@ -296,7 +328,10 @@
         era: Era,
         in_force: Option<Version>,
     ) -> Result<(), ProofError> {
-        self.era = self.era.max(era);
+        let awaits_peers = era == self.era && self.restored_at.is_some();
+        if awaits_peers || self.is_restored(era) {
+            return Err(ProofError::PeersUnknown);
+        }
         self.prove(at, version, in_force)
     }
 
--- a/crates/fleet/src/quota/ownership.rs
+++ b/crates/fleet/src/quota/ownership.rs
@@ -12,7 +12,7 @@
 
 use cactustrack_types::InstanceId;
 
-use crate::discovery::{Era, HeldShard, Revision, ShardOwner};
+use crate::discovery::{Era, FIRST_ERA, HeldShard, Revision, ShardOwner};
 use crate::message::{ShardSet, ShortId, hash};
 use crate::peers::mix;
 
@@ -30,10 +30,6 @@
 /// Time to live of the lease to which the shards of an instance are attached.
 pub const LEASE_TTL: Duration = Duration::from_secs(4);
 
-/// Era of a store that never came back from a copy, so that there are no owners of an earlier era. A
-/// process that starts in a later one does not know how long ago that began.
-const FIRST_ERA: Era = 1;
-
 /// Interval at which an owner renews its lease.
 pub const RENEWAL_INTERVAL: Duration = Duration::from_secs(1);
 
--- a/crates/fleet/src/revision.rs
+++ b/crates/fleet/src/revision.rs
@@ -11,6 +11,10 @@
 /// Number of a history of the store, 0 if the store does not state it.
 pub type Era = u64;
 
+/// Era of a store that never came back from a copy. A process that starts in a later one does not know
+/// how long ago that era began.
+pub const FIRST_ERA: Era = 1;
+
 /// Position in the history of the store. It increases with each change, and with each era.
 ///
 /// Revisions of different eras are ordered by their eras, but the newer one does not contain the
--- a/src/node/confirmation.rs
+++ b/src/node/confirmation.rs
@@ -194,6 +194,7 @@
         if let StoredConfiguration::Decoded { configuration, revision } = found {
             self.put_in_force(configuration, *revision, ChangeSource::Read);
         }
+        self.on_store_era(Instant::now(), found.era().unwrap_or_default());
         let in_force = self.version();
         match &mut self.freshness {
             Some(freshness) => freshness.finish_read(read, found, in_force),
@@ -203,6 +204,7 @@
 
     /// Records that a read of the whole topic that started at the time `at` has returned a version.
     pub(crate) fn confirm(&mut self, at: SinceBoot, version: Version, era: Era) {
+        self.on_store_era(Instant::now(), era);
         let in_force = self.version();
         let Some(freshness) = &mut self.freshness else { return };
         if let Err(error) = freshness.confirm(at, version, era, in_force) {
@@ -210,6 +212,13 @@
         }
     }
 
+    /// Records the era that the store states, here or to another instance, 0 if it is not known.
+    pub(crate) fn on_store_era(&mut self, now: Instant, era: Era) {
+        if let Some(freshness) = &mut self.freshness {
+            freshness.on_era(now, era, &self.peers);
+        }
+    }
+
     /// Processes the attestation of another instance.
     pub(crate) fn on_attestation(&mut self, attestation: Attestation) {
         let in_force = self.version();
--- a/src/node/incoming.rs
+++ b/src/node/incoming.rs
@@ -109,6 +109,7 @@
         let Sender { instance, incarnation } = &origin.sender;
         let mut state = self.state.borrow_mut();
         state.on_peer_version(origin.version, store.configuration);
+        state.on_store_era(now, store.upstreams.revision.era());
         if let Some(freshness) = &mut state.freshness {
             freshness.stamps.record(instance, *incarnation, stamp);
         }
--- a/tests/all/sharing/freshness.rs
+++ b/tests/all/sharing/freshness.rs
@@ -4,15 +4,16 @@
 mod instance;
 mod simulation;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use cactustrack_fleet::discovery::{Revision, StoredConfiguration};
+use cactustrack_fleet::discovery::{Era, FIRST_ERA, Revision, StoredConfiguration};
 use cactustrack_fleet::freshness::{
     Attestation, FreshnessTracker, PeerStamp, ProofError, ReaderRole,
 };
+use cactustrack_fleet::peers::Peers;
 use cactustrack_types::{Incarnation, Version};
 
-use instance::configuration;
+use instance::{Instance, address_of, configuration};
 use simulation::{BOUND, DURATION, Simulation};
 
 /// Number of schedules of each kind that are played.
@@ -122,6 +123,55 @@
     }
 }
 
+/// Guards against a copy of the store that is taken for a proof before the other instances have stated
+/// whether they have a newer version, and against an instance that waits for them for ever.
+#[test]
+fn a_read_of_a_restored_store_is_a_proof_once_the_peers_are_heard() {
+    const RESTORED_ERA: Era = FIRST_ERA + 1;
+    struct Case {
+        name: &'static str,
+        /// Eras that became known, the last one at the time 0.
+        eras: &'static [Era],
+        /// Time at which a heartbeat of the only peer arrives.
+        heard_ms: Option<u64>,
+        read_ms: u64,
+        is_proof: bool,
+    }
+    let case =
+        |name, eras, heard_ms, read_ms, is_proof| Case { name, eras, heard_ms, read_ms, is_proof };
+    let cases = [
+        case("a store without eras", &[], None, 100, true),
+        case("the first era", &[FIRST_ERA], None, 100, true),
+        case("started in a later era", &[RESTORED_ERA], None, 100, false),
+        case("era rises", &[FIRST_ERA, RESTORED_ERA], None, 100, false),
+        case("heard after the rise", &[FIRST_ERA, RESTORED_ERA], Some(50), 100, true),
+        case("not heard since another rise", &[FIRST_ERA, RESTORED_ERA, 3], None, 100, false),
+        case("never heard", &[FIRST_ERA, RESTORED_ERA], None, 5_000, true),
+    ];
+    let start = Instant::now();
+    let heartbeat = |sequence| {
+        let mut peer = Instance::new("edge-1".into(), 1, Duration::ZERO, Duration::ZERO);
+        peer.sequence = sequence;
+        peer.datagram(peer.heartbeat(Duration::ZERO, true))
+    };
+    for Case { name, eras, heard_ms, read_ms, is_proof } in cases {
+        let mut peers = Peers::default();
+        peers.set_registered(2);
+        let address = address_of("edge-1");
+        let before = start - Duration::from_millis(500);
+        peers.accept(before, address, &heartbeat(0));
+        let mut tracker = tracker(None);
+        eras.iter().for_each(|era| tracker.on_era(start, *era, &peers));
+        if let Some(heard_ms) = heard_ms {
+            peers.accept(start + ms(heard_ms), address, &heartbeat(1));
+        }
+        let era = eras.last().copied().unwrap_or_default();
+        tracker.on_era(start + ms(read_ms), era, &peers);
+        let expected = if is_proof { Ok(()) } else { Err(ProofError::PeersUnknown) };
+        assert_eq!(tracker.confirm(ms(read_ms), 1, era, Some(1)), expected, "{name}");
+    }
+}
+
 /// Guards against proofs from attestations that are not about this process, or about a newer
 /// configuration than the one in force.
 #[test]
--- a/tests/all/sharing/freshness/instance.rs
+++ b/tests/all/sharing/freshness/instance.rs
@@ -1,11 +1,11 @@
 //! One instance of the simulated fleet, and what it sends.
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use cactustrack_fleet::discovery::Revision;
+use cactustrack_fleet::discovery::{Era, Revision};
 use cactustrack_fleet::freshness::{FreshnessTracker, PendingRead, SinceBoot};
-use cactustrack_fleet::message::{Body, StoreView, to_stamp};
+use cactustrack_fleet::message::{Body, Datagram, FORMAT, ListState, StoreView, to_stamp};
 use cactustrack_fleet::peers::Peers;
 use cactustrack_types::{CONFIGURATION_FORMAT, Configuration, Incarnation, InstanceId, Version};
 
@@ -36,6 +36,12 @@
     pub(super) freshness: FreshnessTracker,
     pub(super) peers: Peers,
     pub(super) in_force: Option<Version>,
+    /// Newest revision at which the store is known to have held the version in force.
+    configuration: Revision,
+    /// Newest era of the store that it has seen.
+    era: Era,
+    /// True if it has read how many instances are registered.
+    pub(super) knows_registered: bool,
     /// Revision that its last watch returned.
     pub(super) watched: Option<Revision>,
     pub(super) pending: Option<PendingCall>,
@@ -66,6 +72,9 @@
             freshness: FreshnessTracker::new(BOUND, incarnation),
             peers: Peers::default(),
             in_force: None,
+            configuration: Revision::NONE,
+            era: 0,
+            knows_registered: false,
             watched: None,
             pending: None,
             started,
@@ -83,22 +92,45 @@
         self.clock_at_start + at.saturating_sub(self.started)
     }
 
-    pub(super) fn put_in_force(&mut self, version: Version) {
-        self.in_force = self.in_force.max(Some(version));
+    pub(super) fn put_in_force(&mut self, version: Version, revision: Revision) {
+        if self.in_force <= Some(version) {
+            self.in_force = Some(version);
+            self.configuration = self.configuration.max(revision);
+        }
+    }
+
+    /// Records the era that the store states, here or to another instance, 0 if it is not known.
+    pub(super) fn on_era(&mut self, now: Instant, era: Era) {
+        self.era = self.era.max(era);
+        self.freshness.on_era(now, era, &self.peers);
     }
-}
 
-/// Returns the heartbeat of an instance.
-pub(super) fn heartbeat(clock: SinceBoot, is_up: bool) -> Body {
-    Body::Heartbeat {
-        in_flight: Vec::new(),
-        peers: Vec::new(),
-        leaving: false,
-        store: StoreView { is_up, ..StoreView::default() },
-        failure_domain: "domain-a".into(),
-        totals: Vec::new(),
-        stamp: to_stamp(clock),
-        quota_shards: 0,
+    /// Returns the next datagram of the instance.
+    pub(super) fn datagram(&mut self, body: Body) -> Datagram {
+        self.sequence += 1;
+        Datagram {
+            format: FORMAT,
+            from: self.name.clone(),
+            incarnation: self.incarnation,
+            sequence: self.sequence,
+            version: self.in_force.unwrap_or_default(),
+            body,
+        }
+    }
+
+    /// Returns the heartbeat of the instance.
+    pub(super) fn heartbeat(&self, clock: SinceBoot, is_up: bool) -> Body {
+        let upstreams = ListState { revision: Revision::new(self.era, 1), digest: 0 };
+        Body::Heartbeat {
+            in_flight: Vec::new(),
+            peers: Vec::new(),
+            leaving: false,
+            store: StoreView { is_up, configuration: self.configuration, upstreams },
+            failure_domain: "domain-a".into(),
+            totals: Vec::new(),
+            stamp: to_stamp(clock),
+            quota_shards: 0,
+        }
     }
 }
 
--- a/tests/all/sharing/freshness/simulation.rs
+++ b/tests/all/sharing/freshness/simulation.rs
@@ -3,16 +3,16 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use cactustrack_fleet::discovery::{Revision, StoredConfiguration};
+use cactustrack_fleet::discovery::{Era, FIRST_ERA, Revision, StoredConfiguration};
 use cactustrack_fleet::freshness::{Attestation, PeerStamp, ReaderRole, SinceBoot};
-use cactustrack_fleet::message::{Body, Datagram, FORMAT};
+use cactustrack_fleet::message::{Body, Datagram};
 use cactustrack_types::{Incarnation, Version};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
 use super::fault::{Fault, FaultKind, Restore};
 use super::instance::{
-    Instance, PendingCall, StoredVersion, address_of, configuration, has_key, heartbeat, number_of,
+    Instance, PendingCall, StoredVersion, address_of, configuration, has_key, number_of,
 };
 
 pub(super) const INSTANCES: usize = 9;
@@ -50,6 +50,12 @@
 /// Time from the rewrite of the newest version after a restore to the next version.
 const PAUSE_AFTER_REWRITE: Duration = Duration::from_millis(500);
 
+/// Era of the store after it came back from a copy.
+const RESTORED_ERA: Era = FIRST_ERA + 1;
+
+/// Time after the start of a process at which it reads how many instances are registered.
+const REGISTERED_READ: Duration = Duration::from_secs(1);
+
 /// Time from the start of the fleet until its relays have settled.
 const SETTLED: Duration = Duration::from_secs(5);
 
@@ -62,7 +68,7 @@
     },
     Datagram(Datagram),
     /// A relayed configuration.
-    Change(Version),
+    Change(Version, Revision),
     /// A relay notices a configuration.
     Watched(Version, Revision),
     /// A call of an instance arrives at the store.
@@ -234,14 +240,14 @@
     fn stored(&self, at: Duration) -> (Version, Revision) {
         let newest = self.newest();
         let Some(restore) = self.restore.filter(|restore| restore.back <= at) else {
-            return (newest, Revision::new(0, newest));
+            return (newest, Revision::new(FIRST_ERA, newest));
         };
         let copied = self.newest_at(restore.copied);
         if at < restore.rewritten {
-            return (copied, Revision::new(1, copied));
+            return (copied, Revision::new(RESTORED_ERA, copied));
         }
         let written_since = newest - self.newest_at(restore.rewritten) + 1;
-        (newest, Revision::new(1, copied + written_since))
+        (newest, Revision::new(RESTORED_ERA, copied + written_since))
     }
 
     fn is_decodable(&self, version: Version) -> bool {
@@ -303,11 +309,13 @@
         match event {
             Event::Request { sent, key } => self.on_request(at, number, sent, key),
             Event::Datagram(datagram) => self.on_datagram(at, number, &datagram),
-            Event::Change(version) => self.instances[number].put_in_force(version),
+            Event::Change(version, revision) => {
+                self.instances[number].put_in_force(version, revision);
+            }
             Event::Watched(version, revision) => {
-                self.instances[number].put_in_force(version);
+                self.instances[number].put_in_force(version, revision);
                 self.instances[number].watched = Some(revision);
-                self.send_to_others(at, number, &Event::Change(version));
+                self.send_to_others(at, number, &Event::Change(version, revision));
             }
             Event::Response { incarnation, number: call, found } => {
                 if incarnation == self.instances[number].incarnation {
@@ -356,9 +364,12 @@
         let instance = &mut self.instances[number];
         let is_newest = instance.peers.accept(now, address_of(&datagram.from), datagram);
         match datagram.body {
-            Body::Heartbeat { stamp, .. } if is_newest => {
+            Body::Heartbeat { stamp, store, .. } if is_newest => {
                 let (from, incarnation) = (&datagram.from, datagram.incarnation);
+                let (version, in_force) = (datagram.version, instance.in_force);
+                instance.freshness.on_peer_version(version, store.configuration, in_force);
                 instance.freshness.stamps.record(from, incarnation, stamp);
+                instance.on_era(now, store.upstreams.revision.era());
             }
             Body::Attestation { incarnation, stamp } => {
                 let attestation = Attestation { incarnation, stamp, version: datagram.version };
@@ -406,22 +417,28 @@
     }
 
     fn on_response(&mut self, at: Duration, number: usize, call: u64, found: &StoredConfiguration) {
+        let now = self.now(at, number);
         let instance = &mut self.instances[number];
         let Some(pending) = instance.pending.take_if(|pending| pending.number == call) else {
             return;
         };
-        let version = match found {
-            StoredConfiguration::Decoded { configuration, .. } => Some(configuration.version),
+        let read_version = match found {
+            StoredConfiguration::Decoded { configuration, revision } => {
+                Some((configuration.version, *revision))
+            }
             _ => None,
         };
-        if let Some(version) = version {
-            instance.put_in_force(version);
+        if let Some((version, revision)) = read_version {
+            instance.put_in_force(version, revision);
         }
+        instance.on_era(now, found.era().unwrap_or_default());
         let Some(read) = pending.read else {
-            if let Some(version) = version {
-                let proven =
-                    instance.freshness.confirm(pending.started, version, 0, instance.in_force);
-                assert_eq!(proven, Ok(()), "the version was put in force");
+            if let Some((version, revision)) = read_version {
+                let era = revision.era();
+                let in_force = instance.in_force;
+                let proven = instance.freshness.confirm(pending.started, version, era, in_force);
+                let is_copy_possible = era > FIRST_ERA;
+                assert!(proven.is_ok() || is_copy_possible, "the version was put in force");
             }
             return;
         };
@@ -434,23 +451,10 @@
     fn attest(&mut self, at: Duration, number: usize, stamp: PeerStamp) {
         let PeerStamp { peer, incarnation, stamp } = stamp;
         let other = number_of(&peer);
-        let datagram = self.datagram(number, Body::Attestation { incarnation, stamp });
+        let datagram = self.instances[number].datagram(Body::Attestation { incarnation, stamp });
         self.send_to(at, number, other, &Event::Datagram(datagram));
     }
 
-    fn datagram(&mut self, number: usize, body: Body) -> Datagram {
-        let instance = &mut self.instances[number];
-        instance.sequence += 1;
-        Datagram {
-            format: FORMAT,
-            from: instance.name.clone(),
-            incarnation: instance.incarnation,
-            sequence: instance.sequence,
-            version: instance.in_force.unwrap_or_default(),
-            body,
-        }
-    }
-
     fn send_to_others(&mut self, at: Duration, number: usize, event: &Event) {
         for other in (0..INSTANCES).filter(|other| *other != number) {
             self.send_to(at, number, other, event);
@@ -462,7 +466,7 @@
             FaultKind::Loss(share) => Some(share),
             _ => None,
         });
-        let is_change_lost = matches!(event, Event::Change(_))
+        let is_change_lost = matches!(event, Event::Change(..))
             && self.affects(at, other, |kind| matches!(kind, FaultKind::ChangesLost));
         let is_lost = self.rng.random::<f64>() < loss
             || is_change_lost
@@ -519,13 +523,19 @@
         if at > SETTLED {
             self.oldest_proof = self.oldest_proof.max(instance.freshness.age(clock).unwrap_or(at));
         }
+        let is_read_due = at.saturating_sub(instance.started) >= REGISTERED_READ;
+        if is_up && is_read_due && !instance.knows_registered {
+            instance.knows_registered = true;
+            instance.peers.set_registered(INSTANCES);
+        }
         let is_settled = at.saturating_sub(instance.started) >= PEER_DISCOVERY_TIME;
         let is_relay = is_settled && instance.peers.is_relay(now, &instance.name, is_up);
         let is_attester = is_settled && instance.peers.is_attester(now, &instance.name, is_up);
         if at >= instance.next_heartbeat {
             let jitter = 0.9 + 0.2 * self.rng.random::<f64>();
             instance.next_heartbeat = at + HEARTBEAT_INTERVAL.mul_f64(jitter);
-            let datagram = self.datagram(number, heartbeat(clock, is_up));
+            let heartbeat = self.instances[number].heartbeat(clock, is_up);
+            let datagram = self.instances[number].datagram(heartbeat);
             self.send_to_others(at, number, &Event::Datagram(datagram));
         }
         let role = if is_attester { ReaderRole::Attester } else { ReaderRole::Other };
