Test: an entry of a quota shard that was read in an earlier era gives no right

No test failed when the check of the era at which the entry was read was taken out of Ownership::takeover. The store client refuses a claim that expects a revision of an earlier era, so no shard has two owners without the check, but the claim then does not count as a conflict, and is repeated at the shortest interval. Two cases of sharing::quota::ownership:: claims_out_of_a_copy_give_no_right_before_the_leases_of_their_era_end now fail without it (seen for the first of them).

--- a/tests/all/sharing/quota/ownership.rs
+++ b/tests/all/sharing/quota/ownership.rs
@@ -140,7 +140,8 @@
 }
 
 /// Guards against a process that grants from a shard because a copy of the store says that an earlier
-/// process of its name holds it, and against one that waits although the claim is of the current era.
+/// process of its name holds it, and against one that waits although the claim is of the current era. Also
+/// guards against a claim by an entry that was read in an earlier era.
 #[test]
 fn claims_out_of_a_copy_give_no_right_before_the_leases_of_their_era_end() {
     struct Case {
@@ -148,6 +149,8 @@
         /// Eras that the instance sees, with the times.
         eras: &'static [(u64, u64)],
         owner: (&'static str, u64, u64),
+        /// Number of eras that have begun since the entry was read.
+        eras_since_read: u64,
         now: u64,
         expected: Option<ClaimRight>,
     }
@@ -155,6 +158,7 @@
         name: "an earlier process in the same era",
         eras: &[(0, 2)],
         owner: ("edge-0", 6, 2),
+        eras_since_read: 0,
         now: 1,
         expected: Some(ClaimRight::EarlierProcess),
     };
@@ -193,11 +197,22 @@
             name: "never restored, no era stated",
             eras: &[(0, 1)],
             owner: ("edge-0", 6, 0),
-            now: 1,
             expected: Some(ClaimRight::FromCopy),
+            ..case()
+        },
+        // The store no longer has the revision that a claim would expect.
+        Case { name: "read before the era", eras_since_read: 1, expected: None, ..late() },
+        Case {
+            name: "an own claim that was read before the era",
+            owner: ("edge-0", 7, 1),
+            eras_since_read: 1,
+            expected: None,
+            ..late()
         },
     ];
-    for Case { name, eras, owner: (holder, incarnation, era), now, expected } in cases {
+    for Case { name, eras, owner: (holder, incarnation, era), eras_since_read, now, expected } in
+        cases
+    {
         let mut ownership = Ownership::new("edge-0".into());
         for (at, era) in eras {
             ownership.on_era(SENT + ms(*at), *era);
@@ -207,7 +222,7 @@
             incarnation: Incarnation(incarnation),
             era,
         };
-        let revision = Revision::new(ownership.era(), 9);
+        let revision = Revision::new(ownership.era() - eras_since_read, 9);
         let held = HeldShard { shard: 5, revision, owner: Some(owner(holder, incarnation, era)) };
         let takeover = ownership.takeover(SENT + ms(now), &held, &owner("edge-0", 7, 0));
         assert_eq!(takeover, expected, "{name}");
