Wait for all instances before a restored store proves a configuration

Change: all other instances have to be heard, counted by the largest number of registrations in the last reads, for at most the bound as before. The log states the start and the end of the wait.

--- a/crates/fleet/src/freshness.rs
+++ b/crates/fleet/src/freshness.rs
@@ -17,11 +17,11 @@
 //! All times are since the boot of the machine and include the time for which it was suspended.
 //! Each time is compared only with times of the same machine, so clocks need no synchronization.
 
-use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
 use cactustrack_types::{Incarnation, InstanceId, Version};
 use derive_more::{Display, Error};
+use rapidhash::RapidHashMap;
 
 use crate::discovery::{Era, FIRST_ERA, Revision, StoredConfiguration};
 use crate::message::{Stamp, to_stamp};
@@ -90,7 +90,7 @@
 
 /// Newest stamps of the peers, from their heartbeats.
 #[derive(Clone, Debug, Default)]
-pub struct PeerStamps(HashMap<InstanceId, (Incarnation, Stamp)>);
+pub struct PeerStamps(RapidHashMap<InstanceId, (Incarnation, Stamp)>);
 
 impl PeerStamps {
     /// Records the stamp of a heartbeat. One that is older than the known one has no effect.
@@ -104,11 +104,14 @@
         self.0.remove(peer);
     }
 
+    /// Returns the stamps in the order of the peers.
     fn copy(&self) -> Vec<PeerStamp> {
         let stamp = |(peer, (incarnation, stamp)): (&InstanceId, &(Incarnation, Stamp))| {
             PeerStamp { peer: peer.clone(), incarnation: *incarnation, stamp: *stamp }
         };
-        self.0.iter().map(stamp).collect()
+        let mut stamps: Vec<_> = self.0.iter().map(stamp).collect();
+        stamps.sort_unstable_by(|one, other| one.peer.cmp(&other.peer));
+        stamps
     }
 }
 
@@ -303,11 +306,16 @@
         let Some(since) = self.restored_at else { return };
         // An instance that stays alone goes by what the store holds.
         let is_over = now.saturating_duration_since(since) >= self.bound;
-        if is_over || peers.are_heard_since(now, since) {
+        if is_over || peers.are_all_heard_since(since) {
             self.restored_at = None;
         }
     }
 
+    /// Returns true if reads prove nothing until the peers have stated their versions.
+    pub fn awaits_peers(&self) -> bool {
+        self.restored_at.is_some()
+    }
+
     /// Returns true if the store has come back from a copy since the newest known era, or before this
     /// process has started, if it is in this era.
     fn is_restored(&self, era: Era) -> bool {
@@ -328,8 +336,8 @@
         era: Era,
         in_force: Option<Version>,
     ) -> Result<(), ProofError> {
-        let awaits_peers = era == self.era && self.restored_at.is_some();
-        if awaits_peers || self.is_restored(era) {
+        let is_awaiting = era == self.era && self.awaits_peers();
+        if is_awaiting || self.is_restored(era) {
             return Err(ProofError::PeersUnknown);
         }
         self.prove(at, version, in_force)
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -427,17 +427,12 @@
         self.registered.back().is_some_and(|registered| instances * 5 >= *registered * 4)
     }
 
-    /// Returns true if heartbeats of all live peers, and of at least four fifths of the fleet, were received
-    /// since a time, so that the versions which they have in force are known.
-    pub fn are_heard_since(&self, now: Instant, since: Instant) -> bool {
-        let Some(registered) = self.registered.back() else { return false };
-        let is_heard = |peer: &Peer| peer.quota.received.is_some_and(|received| received >= since);
-        let is_live =
-            |peer: &Peer| now.saturating_duration_since(peer.last_contact) <= RELAY_TIMEOUT;
-        let heard = self.known.values().filter(|peer| is_heard(peer)).count() + 1;
-        let instances = (self.known.len() + 1).max(*registered);
-        let is_each_live_heard = self.known.values().all(|peer| is_heard(peer) || !is_live(peer));
-        is_each_live_heard && heard * 5 >= instances * 4
+    /// Returns true if heartbeats of all other instances were received since a time, so that the versions
+    /// which they have in force are known. False until the registered instances have been read.
+    pub fn are_all_heard_since(&self, since: Instant) -> bool {
+        let is_heard = |peer: &&Peer| peer.quota.received.is_some_and(|received| received >= since);
+        let heard = self.known.values().filter(is_heard).count() + 1;
+        self.max_instances().is_some_and(|instances| heard >= instances)
     }
 
     /// Returns true if this instance is cut off: it receives nothing, in a fleet of ten and more. In
--- a/src/node/confirmation.rs
+++ b/src/node/confirmation.rs
@@ -214,8 +214,19 @@
 
     /// Records the era that the store states, here or to another instance, 0 if it is not known.
     pub(crate) fn on_store_era(&mut self, now: Instant, era: Era) {
-        if let Some(freshness) = &mut self.freshness {
-            freshness.on_era(now, era, &self.peers);
+        let Some(freshness) = &mut self.freshness else { return };
+        let was_waiting = freshness.awaits_peers();
+        freshness.on_era(now, era, &self.peers);
+        match (was_waiting, freshness.awaits_peers()) {
+            (false, true) => {
+                slog::info!(self.log, "config: the store may hold an older version than it has \
+                    acknowledged; reads confirm nothing until the other instances are heard";
+                    "era" => era);
+            }
+            (true, false) => {
+                slog::info!(self.log, "config: reads confirm the configuration again");
+            }
+            _ => {}
         }
     }
 
--- a/tests/all/platform/revocation_after_restore.rs
+++ b/tests/all/platform/revocation_after_restore.rs
@@ -28,11 +28,8 @@
     harness.call(instance, &call.with_header("authorization", &format!("Bearer {key}"))).status
 }
 
-/// Guards against a revoked key that is accepted for almost the whole bound by an instance that starts
-/// after the store has come back from a copy. The relay that it hears has the newer version in force,
-/// but has read the copy too, so that the revision that it states is of the new era.
-#[test]
-fn a_relay_that_has_read_the_copy_shows_that_the_copy_is_old() {
+/// Starts an instance, revokes a key, and brings the store back from a copy without the revocation.
+fn restore_without_revocation() -> Harness {
     let mut harness = Harness::start(1, 0, &[SEARCH]);
     harness.configure_accounts(4, &[SEARCH], &[KEPT, REVOKED]);
     harness.instances.push(Process::start_with(0, harness.store.address, STRICT));
@@ -46,6 +43,29 @@
     thread::sleep(Duration::from_secs(1));
     harness.store.restore(copy);
     harness.store.set_mode(Mode::Serving);
+    harness
+}
+
+/// Returns the time of the last request with the revoked key that the second instance accepts within
+/// the bound, `None` if it accepts none.
+fn last_accepted(harness: &Harness) -> Option<Duration> {
+    let started = Instant::now();
+    let mut last = None;
+    while started.elapsed() < BOUND {
+        if status(harness, 1, "key-revoked") == StatusCode::OK {
+            last = Some(started.elapsed());
+        }
+        thread::sleep(Duration::from_millis(50));
+    }
+    last
+}
+
+/// Guards against a revoked key that is accepted for almost the whole bound by an instance that starts
+/// after the store has come back from a copy. The relay that it hears has the newer version in force,
+/// but has read the copy too, so that the revision that it states is of the new era.
+#[test]
+fn a_relay_that_has_read_the_copy_shows_that_the_copy_is_old() {
+    let mut harness = restore_without_revocation();
     // The relay reads the copy.
     thread::sleep(BOUND);
     harness.instances.push(Process::start_with(1, harness.store.address, STRICT));
@@ -56,13 +76,15 @@
         });
     }
     thread::sleep(HEARTBEAT_TIME);
-    let known = Instant::now();
-    let mut last = None;
-    while known.elapsed() < BOUND {
-        if status(&harness, 1, "key-revoked") == StatusCode::OK {
-            last = Some(known.elapsed());
-        }
-        thread::sleep(Duration::from_millis(50));
-    }
+    let last = last_accepted(&harness);
     assert_eq!(last, None, "time of the last request with the revoked key, after a heartbeat");
 }
+
+/// Guards against a revoked key that is accepted by an instance which starts after the store has come
+/// back from a copy, before the instance has heard a peer that knows the revocation.
+#[test]
+fn an_instance_that_starts_on_a_copy_accepts_no_key_before_it_hears_its_peers() {
+    let mut harness = restore_without_revocation();
+    harness.instances.push(Process::start_with(1, harness.store.address, STRICT));
+    assert_eq!(last_accepted(&harness), None, "time of the last request with the revoked key");
+}
