Move the recipients of notices out of the module of the peers

The selection of recipients and hubs is a part of its own; it moves to peers/recipients.rs as it is. The age of a peer's last datagram was compared in six places, which Peer::was_heard_within does now. No change of behaviour.

--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -1,4 +1,6 @@
-//! Known peers (other instances of the fleet) and selection of relays and hubs among them.
+//! Known peers (other instances of the fleet), and selection of relays and hubs among them.
+
+mod recipients;
 
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -16,6 +18,8 @@
 use crate::quota::ownership::{Contenders, ShardId};
 use crate::report_window::ReportWindow;
 
+pub use recipients::{HubTargets, LocalInstance, NoticeRoute};
+
 /// Time without a datagram after which a peer is removed.
 const PEER_TIMEOUT: Duration = Duration::from_secs(4);
 
@@ -46,14 +50,6 @@
 /// it announced. Its lease ends 3 to 4 s after its last datagram, and claims before that fail.
 const OWNER_TIMEOUT: Duration = Duration::from_secs(3);
 
-/// Number of instances of a failure domain per hub. A hub collects notices and forwards them, and
-/// its link carries its share of all notices once for each instance of the failure domain.
-const INSTANCES_PER_HUB: usize = 4;
-
-/// Minimum number of hubs of a failure domain. With several hubs, the failure of one loses only a
-/// part of the notices.
-const MIN_HUBS: usize = 2;
-
 /// Minimum size of a fleet that uses hubs. Instances of smaller fleets send notices to each other
 /// directly.
 const MIN_FLEET_WITH_HUBS: usize = 10;
@@ -99,6 +95,11 @@
         true
     }
 
+    /// Returns true if a datagram of the peer was received in a time up to now.
+    fn was_heard_within(&self, now: Instant, time: Duration) -> bool {
+        now.saturating_duration_since(self.last_contact) <= time
+    }
+
     /// Applies what a heartbeat states about its sender.
     fn apply(&mut self, now: Instant, body: &Body) {
         let Body::Heartbeat { store, failure_domain, quota_shards, leaving, .. } = body else {
@@ -111,26 +112,6 @@
     }
 }
 
-/// Recipients of the notices of this instance.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum NoticeRoute {
-    /// All other instances.
-    All(Vec<SocketAddr>),
-    /// A hub of the failure domain of this instance.
-    Hub(SocketAddr),
-    /// This instance, which is a hub itself.
-    LocalInstance,
-}
-
-/// Recipients of the notices that a hub forwards.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct HubTargets {
-    /// All other instances of the failure domain of the hub.
-    pub same_domain: Vec<SocketAddr>,
-    /// One hub of each other failure domain.
-    pub hubs: Vec<SocketAddr>,
-}
-
 /// Reason why notices of another instance are ignored.
 #[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq, PartialOrd, Ord)]
 pub enum NoticeError {
@@ -157,15 +138,6 @@
     pub is_latest: bool,
 }
 
-/// Identity of this instance.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct LocalInstance {
-    /// Id of the instance.
-    pub name: InstanceId,
-    /// Failure domain that it runs in.
-    pub failure_domain: FailureDomain,
-}
-
 /// Known peers and unconfirmed addresses.
 #[derive(Default)]
 pub struct Peers {
@@ -240,8 +212,7 @@
     /// Removes the peers that have timed out and returns their ids.
     pub fn expire(&mut self, now: Instant) -> Vec<InstanceId> {
         self.unconfirmed.retain(|_, until| *until > now);
-        let is_timed_out =
-            |peer: &Peer| now.saturating_duration_since(peer.last_contact) > PEER_TIMEOUT;
+        let is_timed_out = |peer: &Peer| !peer.was_heard_within(now, PEER_TIMEOUT);
         let timed_out = self.known.iter().filter(|(_, peer)| is_timed_out(peer));
         let timed_out: Vec<InstanceId> = timed_out.map(|(name, _)| name.clone()).collect();
         for name in &timed_out {
@@ -310,10 +281,8 @@
             return false;
         }
         let own_rank = (rank(own), own);
-        let is_eligible = |peer: &Peer| {
-            let elapsed = now.saturating_duration_since(peer.last_contact);
-            peer.store.is_up && elapsed <= RELAY_TIMEOUT
-        };
+        let is_eligible =
+            |peer: &Peer| peer.store.is_up && peer.was_heard_within(now, RELAY_TIMEOUT);
         let eligible = self.known.iter().filter(|(_, peer)| is_eligible(peer));
         eligible.filter(|(name, peer)| (peer.rank, &***name) < own_rank).count() < count
     }
@@ -332,76 +301,6 @@
         Ok(AcceptedReport { sender, is_latest })
     }
 
-    /// Returns the recipients of the notices of this instance. `rotation` is a counter by which the
-    /// notices are spread over the hubs.
-    pub fn route(&self, now: Instant, own: &LocalInstance, rotation: usize) -> NoticeRoute {
-        if self.instances() < MIN_FLEET_WITH_HUBS {
-            return NoticeRoute::All(self.addresses());
-        }
-        let hubs = self.hubs(now, &own.failure_domain, Some(own));
-        match hubs.get(rotation % hubs.len().max(1)) {
-            Some(Some(address)) => NoticeRoute::Hub(*address),
-            _ => NoticeRoute::LocalInstance,
-        }
-    }
-
-    /// Returns the recipients of a change that this instance relays. Fleets without hubs send it to
-    /// all peers directly.
-    pub fn relay_targets(&self, now: Instant, own: &LocalInstance, rotation: usize) -> HubTargets {
-        if self.instances() < MIN_FLEET_WITH_HUBS {
-            return HubTargets { same_domain: self.addresses(), hubs: Vec::new() };
-        }
-        let mut targets = self.hub_targets(now, own, rotation);
-        targets.same_domain.extend(self.unconfirmed.keys());
-        targets
-    }
-
-    /// Returns the addresses of the other instances of the failure domain of this instance.
-    pub fn same_domain(&self, own: &LocalInstance) -> Vec<SocketAddr> {
-        let same_domain =
-            self.known.values().filter(|peer| peer.failure_domain == own.failure_domain);
-        same_domain.map(|peer| peer.address).collect()
-    }
-
-    /// Returns the recipients of the notices that this instance forwards as a hub.
-    pub fn hub_targets(&self, now: Instant, own: &LocalInstance, rotation: usize) -> HubTargets {
-        let mut targets = HubTargets::default();
-        let mut others = Vec::new();
-        for peer in self.known.values() {
-            if peer.failure_domain == own.failure_domain {
-                targets.same_domain.push(peer.address);
-            } else if !others.contains(&&peer.failure_domain) {
-                others.push(&peer.failure_domain);
-            }
-        }
-        for domain in others {
-            let hubs = self.hubs(now, domain, None);
-            targets.hubs.extend(hubs.get(rotation % hubs.len().max(1)).copied().flatten());
-        }
-        targets
-    }
-
-    /// Returns the addresses of the hubs of a failure domain. `own` is this instance if it is a
-    /// candidate, and `None` in the result stands for it.
-    fn hubs(
-        &self,
-        now: Instant,
-        domain: &str,
-        own: Option<&LocalInstance>,
-    ) -> Vec<Option<SocketAddr>> {
-        let is_eligible = |peer: &Peer| {
-            let elapsed = now.saturating_duration_since(peer.last_contact);
-            &*peer.failure_domain == domain && elapsed <= RELAY_TIMEOUT
-        };
-        let eligible = self.known.iter().filter(|(_, peer)| is_eligible(peer));
-        let mut ranked: Vec<_> =
-            eligible.map(|(name, peer)| ((peer.rank, &**name), Some(peer.address))).collect();
-        ranked.extend(own.map(|own| ((rank(&own.name), &*own.name), None)));
-        ranked.sort_unstable();
-        let hubs = ranked.len().div_ceil(INSTANCES_PER_HUB).max(MIN_HUBS);
-        ranked.into_iter().take(hubs).map(|(_, address)| address).collect()
-    }
-
     /// Returns the address of the instance that announced a quota shard last.
     pub fn shard_owner(&self, now: Instant, shard: ShardId) -> Option<SocketAddr> {
         self.owner_entry(now, shard).map(|(_, peer)| peer.address)
@@ -414,8 +313,7 @@
 
     fn owner_entry(&self, now: Instant, shard: ShardId) -> Option<(&InstanceId, &Peer)> {
         let is_owner = |(_, peer): &(&InstanceId, &Peer)| {
-            peer.quota.shards & (1 << shard) != 0
-                && now.saturating_duration_since(peer.last_contact) <= OWNER_TIMEOUT
+            peer.quota.shards & (1 << shard) != 0 && peer.was_heard_within(now, OWNER_TIMEOUT)
         };
         let owners = self.known.iter().filter(is_owner);
         owners.max_by_key(|(_, peer)| peer.quota.received)
@@ -438,8 +336,7 @@
     /// Returns true if this instance is cut off: it receives nothing, in a fleet of ten and more. In
     /// a smaller fleet, all others may have failed instead.
     pub fn is_cut_off(&self, now: Instant) -> bool {
-        let is_live =
-            |peer: &Peer| now.saturating_duration_since(peer.last_contact) <= OWNER_TIMEOUT;
+        let is_live = |peer: &Peer| peer.was_heard_within(now, OWNER_TIMEOUT);
         let registered = self.registered.back().copied().unwrap_or_default();
         registered >= MIN_FLEET_WITH_HUBS && !self.known.values().any(is_live)
     }
@@ -448,12 +345,11 @@
     pub fn quota_contenders(&self, now: Instant) -> Contenders {
         let mut contenders = Contenders::default();
         for (name, peer) in &self.known {
-            let silence = now.saturating_duration_since(peer.last_contact);
-            if silence <= OWNER_TIMEOUT {
+            if peer.was_heard_within(now, OWNER_TIMEOUT) {
                 contenders.announced |= peer.quota.shards;
             }
             let may_claim = peer.store.is_up && !peer.quota.is_leaving;
-            if may_claim && silence <= RELAY_TIMEOUT {
+            if may_claim && peer.was_heard_within(now, RELAY_TIMEOUT) {
                 contenders.names.push(name.clone());
             }
         }
