--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -1,4 +1,4 @@
-//! Known peers (other instances of the fleet), and selection of relays and hubs among them.
+//! Known peers (other instances of the fleet), and selection of relays among them.
 
 mod recipients;
 
@@ -100,6 +100,12 @@
         now.saturating_duration_since(self.last_contact) <= time
     }
 
+    /// Returns true if a heartbeat of the peer was received since a time. Each one announces the quota
+    /// shards of its sender.
+    fn sent_heartbeat_since(&self, since: Instant) -> bool {
+        self.quota.received.is_some_and(|received| received >= since)
+    }
+
     /// Applies what a heartbeat states about its sender.
     fn apply(&mut self, now: Instant, body: &Body) {
         let Body::Heartbeat { store, failure_domain, quota_shards, leaving, .. } = body else {
@@ -328,8 +334,7 @@
     /// Returns true if heartbeats of all other instances were received since a time, so that the versions
     /// which they have in force are known. False until the registered instances have been read.
     pub fn are_all_heard_since(&self, since: Instant) -> bool {
-        let is_heard = |peer: &&Peer| peer.quota.received.is_some_and(|received| received >= since);
-        let heard = self.known.values().filter(is_heard).count() + 1;
+        let heard = self.known.values().filter(|peer| peer.sent_heartbeat_since(since)).count() + 1;
         self.max_instances().is_some_and(|instances| heard >= instances)
     }
 
